Start the workspace with design, schema and decision interfaces

Cause: the repository was empty, and modules that are built side by side need a common contract first.

Change: a Maven workspace of six modules with formatter and linter, the design page, JSON Schema for messages, settings, manifest and HTTP bodies with the Kotlin generated from it, the closed list of error kinds, invariants, the compiled manifest, and the interfaces between the modules.

Conclusion: the interfaces stand; the parts behind them follow.

--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/error/ErrorKind.kt
@@ -0,0 +1,68 @@
+package org.arbutusrelay.core.error
+
+/**
+ * The closed list of errors that a caller, a backend server or an operator can get.
+ *
+ * This list is also the table from kind to response. [outcome] is [Outcome.NOT_RUN] only for kinds that are used where
+ * no byte of the request can have reached a backend server, or where the backend server itself said that it did not
+ * run the request.
+ */
+public enum class ErrorKind(
+    /** HTTP status code of the response. */
+    public val statusCode: Int,
+    /** Whether the request was run. */
+    public val outcome: Outcome,
+    /** True when the caller may send the same request again. */
+    public val isResendSafe: Boolean,
+    /** Default of `Retry-After`, in milliseconds; null when a resend does not help by itself. */
+    public val retryAfterMs: Long?,
+    /** Short text for people. */
+    public val title: String,
+) {
+    MALFORMED_REQUEST(400, Outcome.NOT_RUN, false, null, "the request is malformed"),
+    MISSING_IDEMPOTENCY_KEY(400, Outcome.NOT_RUN, false, null, "the request kind needs an Idempotency-Key"),
+    UNAUTHENTICATED(401, Outcome.NOT_RUN, false, null, "the token is missing or unknown"),
+    UNKNOWN_SERVICE(404, Outcome.NOT_RUN, false, null, "the manifest has no such service"),
+    UNKNOWN_KIND(404, Outcome.NOT_RUN, false, null, "the service has no such request kind"),
+    NOT_FOUND(404, Outcome.NOT_RUN, false, null, "there is no such resource"),
+    SLOW_SENDER(408, Outcome.NOT_RUN, true, null, "the request was not received in time"),
+    BODY_TOO_LARGE(413, Outcome.NOT_RUN, false, null, "the request body is too large"),
+    IDEMPOTENCY_KEY_REUSED(409, Outcome.NOT_RUN, false, null, "the Idempotency-Key belongs to another request body"),
+    REQUEST_SUSPECTED(422, Outcome.NOT_RUN, false, null, "the request crashed backend servers that ran it"),
+    CALLER_LIMIT(429, Outcome.NOT_RUN, true, 1_000, "the caller is over its limit"),
+    DEADLINE_UNREACHABLE(503, Outcome.NOT_RUN, true, 5_000, "the request cannot be completed within its wait"),
+    OVERLOADED(503, Outcome.NOT_RUN, true, 2_000, "the system has no capacity left"),
+    NO_BACKEND_SERVER(503, Outcome.NOT_RUN, true, 2_000, "no backend server takes the request"),
+    LEDGER_UNAVAILABLE(503, Outcome.NOT_RUN, true, 2_000, "the ledger has no quorum"),
+    HOME_MOVING(503, Outcome.NOT_RUN, true, 10_000, "the home region of the caller is being moved"),
+    MANIFEST_STALE(503, Outcome.NOT_RUN, true, 1_000, "the request was decided by an older manifest"),
+    REGION_UNREACHABLE(503, Outcome.NOT_RUN, true, 5_000, "no allowed region can be reached"),
+    NOT_READY(503, Outcome.NOT_RUN, true, 1_000, "this host is not ready"),
+    SHUTTING_DOWN(503, Outcome.NOT_RUN, true, 0, "this host is shutting down"),
+    FORWARD_REFUSED(508, Outcome.NOT_RUN, true, 1_000, "the request was forwarded before"),
+    BACKEND_REFUSED(503, Outcome.NOT_RUN, true, 1_000, "the backend server did not run the request"),
+    BACKEND_FAILED(502, Outcome.UNKNOWN, false, null, "the backend server failed while it ran the request"),
+    STREAM_BROKEN(502, Outcome.UNKNOWN, false, null, "the response broke off"),
+    DEADLINE_EXCEEDED(504, Outcome.UNKNOWN, false, null, "the response did not arrive within the wait"),
+    OUTCOME_UNKNOWN(409, Outcome.UNKNOWN, false, null, "an earlier attempt with this key may have run"),
+    IN_PROGRESS(409, Outcome.UNKNOWN, true, 1_000, "an earlier attempt with this key is still running"),
+    ANSWER_NOT_STORED(409, Outcome.RAN, false, null, "the request ran; its response was too large to keep"),
+    MANIFEST_INVALID(422, Outcome.NOT_RUN, false, null, "the manifest has errors"),
+    MANIFEST_CONFLICT(409, Outcome.NOT_RUN, false, null, "another manifest has this number"),
+    MANIFEST_NUMBER_STALE(409, Outcome.NOT_RUN, false, null, "a manifest with a higher number is in force"),
+    MANIFEST_OUTCOME_UNKNOWN(504, Outcome.UNKNOWN, true, 1_000, "the manifest may or may not have been accepted"),
+    MANIFEST_GROUP_UNAVAILABLE(503, Outcome.NOT_RUN, true, 2_000, "the manifest group has no quorum"),
+    STALE_INCARNATION(409, Outcome.NOT_RUN, false, null, "a newer incarnation has announced itself"),
+    INTERNAL(500, Outcome.UNKNOWN, false, null, "internal error"),
+    ;
+
+    /** Identifier of the kind in problem bodies, metrics and link frames, such as `caller_limit`. */
+    public val id: String = name.lowercase()
+
+    public companion object {
+        private val byId = entries.associateBy(ErrorKind::id)
+
+        /** Finds the kind with the given [id], or null. */
+        public fun ofId(id: String): ErrorKind? = byId[id]
+    }
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/org/arbutusrelay/ctl/Module.kt
@@ -0,0 +1,3 @@
+package org.arbutusrelay.ctl
+
+internal const val MODULE_NAME: String = "ctl"
--- /dev/null
+++ b/samples/src/main/kotlin/org/arbutusrelay/samples/Module.kt
@@ -0,0 +1,3 @@
+package org.arbutusrelay.samples
+
+internal const val MODULE_NAME: String = "samples"
--- /dev/null
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/Module.kt
@@ -0,0 +1,3 @@
+package org.arbutusrelay.standin
+
+internal const val MODULE_NAME: String = "standin"
