Add stand-ins, the open-loop load generator and arbutusctl

Cause: nothing could be called or measured without backend servers, and operators had no command line.

Change: a stand-in engine (batching, prefix cache, streams with resume and cancel, orders, crash prompt), a plain service that counts runs, a link with delay, capacity and cut, an announcer; a load generator that compares every response with the expected one and counts latency from the intended arrival; arbutusctl with manifest, hosts, backend-servers, standin and load.

Conclusion: the whole path can be exercised over real sockets as soon as the daemon serves.

--- /dev/null
+++ b/ctl/src/main/kotlin/org/arbutusrelay/ctl/LoadCommand.kt
@@ -0,0 +1,53 @@
+package org.arbutusrelay.ctl
+
+import org.arbutusrelay.schema.toml.TomlReader
+import org.arbutusrelay.standin.load.LoadGenerator
+import org.arbutusrelay.standin.load.LoadResult
+import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Option
+import picocli.CommandLine.Parameters
+import picocli.CommandLine.Spec
+import java.nio.file.Path
+import java.util.concurrent.Callable
+
+/** Sends an open-loop workload to entry hosts and reports the results. */
+@Command(
+    name = "load",
+    description = ["Sends an open-loop workload and compares each response with the expected one."],
+    mixinStandardHelpOptions = true,
+)
+internal class LoadCommand : Callable<Int> {
+    @Spec
+    lateinit var spec: CommandSpec
+
+    @Parameters(paramLabel = "FILE", description = ["Workload in TOML."])
+    lateinit var file: Path
+
+    @Option(
+        names = ["--host"],
+        description = ["Address of an entry host; repeat it to name more than one (default: \${DEFAULT-VALUE})."],
+        defaultValue = "http://127.0.0.1:7700",
+    )
+    lateinit var hosts: List<String>
+
+    @Option(names = ["--json"], description = ["Print JSON."])
+    var isJson: Boolean = false
+
+    override fun call(): Int = readText(file).fold(::usage) { text ->
+        TomlReader.ofLoadWorkload().read(text).fold(
+            { errors -> usage(errors.joinToString("\n") { it.describe(file.fileName.toString()) }) },
+            { workload ->
+                val report = LoadGenerator(workload, hosts).run()
+                spec.commandLine().out.println(if (isJson) report.json() else report.table() + report.summary())
+                val wrong = report.total(LoadResult.WRONG) + report.total(LoadResult.RESEND_DIFFERS)
+                if (wrong == 0L) ExitCode.DONE else ExitCode.FAILED
+            },
+        )
+    }
+
+    private fun usage(message: String): Int {
+        spec.commandLine().err.println(message)
+        return ExitCode.USAGE
+    }
+}
--- a/ctl/src/main/kotlin/org/arbutusrelay/ctl/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.arbutusrelay.ctl
-
-internal const val MODULE_NAME: String = "ctl"
--- a/samples/src/main/kotlin/org/arbutusrelay/samples/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.arbutusrelay.samples
-
-internal const val MODULE_NAME: String = "samples"
--- a/schema/src/main/kotlin/org/arbutusrelay/schema/toml/TomlReader.kt
+++ b/schema/src/main/kotlin/org/arbutusrelay/schema/toml/TomlReader.kt
@@ -9,6 +9,7 @@
 import net.peanuuutz.tomlkt.TomlTable
 import org.arbutusrelay.schema.manifest.Manifest
 import org.arbutusrelay.schema.settings.DaemonSettings
+import org.arbutusrelay.schema.settings.LoadWorkload
 
 /**
  * Reads a TOML document as the type [T] and reports all errors at once.
@@ -45,6 +46,10 @@
         public fun ofDaemonSettings(): TomlReader<DaemonSettings> =
             TomlReader(DaemonSettings.serializer(), "settings/daemon-settings")
 
+        /** Returns a reader of load workloads. */
+        public fun ofLoadWorkload(): TomlReader<LoadWorkload> =
+            TomlReader(LoadWorkload.serializer(), "settings/load-workload")
+
         private fun parse(text: String): Either<TomlError, TomlTable> = try {
             Toml.parseToTomlTable(text).right()
         } catch (e: SerializationException) {
--- a/standin/src/main/kotlin/org/arbutusrelay/standin/Module.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.arbutusrelay.standin
-
-internal const val MODULE_NAME: String = "standin"
--- /dev/null
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/service/StandInService.kt
@@ -0,0 +1,60 @@
+package org.arbutusrelay.standin.service
+
+import io.javalin.Javalin
+import io.javalin.http.Context
+import org.arbutusrelay.standin.announce.ServerLoad
+import org.arbutusrelay.standin.engine.ExpectedText
+import org.arbutusrelay.standin.http.httpServer
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * A plain service for tests and demonstrations.
+ *
+ * It answers any call with the digest of the body and counts the runs of each body, so that a request that ran twice
+ * is found.
+ */
+public class StandInService(private val workMs: Long = 5, port: Int = 0) : AutoCloseable {
+    private val running = AtomicInteger()
+    private val runCounts = ConcurrentHashMap<String, AtomicLong>()
+    private val server: Javalin = httpServer(port) {
+        get("/<path>", ::serve)
+        post("/<path>", ::serve)
+        put("/<path>", ::serve)
+        delete("/<path>", ::serve)
+    }
+
+    /** Base address, such as `http://127.0.0.1:9001`. */
+    public val address: String get() = "http://127.0.0.1:${server.port()}"
+
+    /** Requests running now. */
+    public fun load(): ServerLoad = ServerLoad(running.get(), 0)
+
+    /** Returns how often each request body was run. */
+    public fun runCounts(): Map<String, Long> = runCounts.mapValues { it.value.get() }
+
+    override fun close() {
+        server.stop()
+    }
+
+    private fun serve(ctx: Context) {
+        running.incrementAndGet()
+        try {
+            val body = ctx.body()
+            val run = runCounts.computeIfAbsent(body) { AtomicLong() }.incrementAndGet()
+            Thread.sleep(workMs)
+            ctx.contentType("application/json").result(response(body, run))
+        } finally {
+            running.decrementAndGet()
+        }
+    }
+
+    public companion object {
+        /** Returns the response to [body] on its run number [run]. */
+        public fun response(
+            body: String,
+            run: Long,
+        ): String = """{"digest":"${ExpectedText.digest(body)}","run":$run}"""
+    }
+}
