Schedule requests by deadline, caller and predicted finish

Cause: the request pipeline needs an implementation of RequestScheduler. Change: DefaultRequestScheduler with deadline queue, caller limits, adaptive concurrency limit, circuit breaker, slow ramp, retry and hedge budgets, prefix history, predicted finish and choice of the region.

--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/admission/DeadlineQueue.kt
@@ -0,0 +1,107 @@
+package org.arbutusrelay.core.admission
+
+import java.util.TreeMap
+import java.util.TreeSet
+
+/**
+ * Orders waiting requests: the most urgent priority first, the earliest deadline first within it, fair between callers.
+ *
+ * A caller that was served more than [fairnessLag] requests ahead of the least served waiting caller of the same
+ * priority waits until the others have caught up. The queue holds at most [maxSize] entries. It is not thread-safe.
+ */
+public class DeadlineQueue<T : Any>(private val maxSize: Int, private val fairnessLag: Long = 8) {
+    private val lanes = TreeMap<Int, Lane<T>>()
+    private var sequence = 0L
+
+    /** Number of waiting entries. */
+    public var size: Int = 0
+        private set
+
+    /** Adds an entry; returns null when the queue is full. */
+    public fun offer(value: T, priority: Int, caller: String, deadlineMs: Long): Entry<T>? {
+        if (size >= maxSize) return null
+        val entry = Entry(value, priority, caller, deadlineMs, sequence++)
+        lanes.getOrPut(priority) { Lane() }.add(entry)
+        size++
+        return entry
+    }
+
+    /** Returns the entry that is served next, or null when the queue is empty. */
+    public fun peek(): Entry<T>? = lanes.firstEntry()?.value?.next(fairnessLag)
+
+    /** Removes an entry; [isServed] counts it towards its caller's share. Returns false when it is not in the queue. */
+    public fun remove(entry: Entry<T>, isServed: Boolean): Boolean {
+        val lane = lanes[entry.priority] ?: return false
+        if (!lane.remove(entry, isServed)) return false
+        size--
+        if (lane.isEmpty()) lanes.remove(entry.priority)
+        return true
+    }
+
+    /** Counts the entries that are served before a new one with this priority and deadline. */
+    public fun countAhead(priority: Int, deadlineMs: Long): Int {
+        var count = 0
+        for ((lanePriority, lane) in lanes) {
+            if (lanePriority > priority) break
+            count += if (lanePriority < priority) lane.size else lane.countBefore(deadlineMs)
+        }
+        return count
+    }
+
+    /** Returns the entries in any order. */
+    public fun entries(): Sequence<Entry<T>> = lanes.values.asSequence().flatMap { it.entries() }
+
+    /** A waiting request. */
+    public class Entry<T : Any> internal constructor(
+        public val value: T,
+        internal val priority: Int,
+        internal val caller: String,
+        /** When the response must be complete, on the monotonic clock, in milliseconds. */
+        public val deadlineMs: Long,
+        internal val sequence: Long,
+    )
+
+    private class Waiting<T : Any>(var served: Long) {
+        val entries = TreeSet(compareBy<Entry<T>>({ it.deadlineMs }, { it.sequence }))
+    }
+
+    private class Lane<T : Any> {
+        private val callers = LinkedHashMap<String, Waiting<T>>()
+        var size = 0
+
+        fun add(entry: Entry<T>) {
+            // A caller that joins starts level with the least served one, so idle time earns no advantage.
+            callers.getOrPut(entry.caller) { Waiting(leastServed()) }.entries.add(entry)
+            size++
+        }
+
+        fun remove(entry: Entry<T>, isServed: Boolean): Boolean {
+            val waiting = callers[entry.caller] ?: return false
+            if (!waiting.entries.remove(entry)) return false
+            size--
+            if (isServed) waiting.served++
+            if (waiting.entries.isEmpty()) callers.remove(entry.caller)
+            return true
+        }
+
+        fun next(fairnessLag: Long): Entry<T>? {
+            val bound = leastServed() + fairnessLag
+            var best: Entry<T>? = null
+            for (waiting in callers.values) {
+                val first = waiting.entries.first()
+                if (waiting.served <= bound && (best == null || first.deadlineMs < best.deadlineMs)) best = first
+            }
+            return best
+        }
+
+        fun countBefore(deadlineMs: Long): Int = callers.values.sumOf { waiting ->
+            waiting.entries.count { it.deadlineMs <= deadlineMs }
+        }
+
+        fun entries(): Sequence<Entry<T>> = callers.values.asSequence().flatMap { it.entries.asSequence() }
+
+        fun isEmpty(): Boolean = callers.isEmpty()
+
+        private fun leastServed(): Long = callers.values.minOfOrNull { it.served } ?: 0
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
@@ -0,0 +1,70 @@
+package org.arbutusrelay.core.routing
+
+/** Learns from attempts: times, slowdown, concurrency limit and circuit breaker. */
+internal object AttemptRecorder {
+    /** Frees the slot of an attempt that ended and learns from its [result]. */
+    fun end(open: OpenAttempt, attempt: PlacedAttempt, result: AttemptResult, nowMs: Long) {
+        open.region?.let { endRemote(it, result, nowMs) }
+        open.slots?.let { endLocal(it, open, attempt, result, nowMs) }
+    }
+
+    private fun endRemote(region: RegionSlots, result: AttemptResult, nowMs: Long) {
+        region.release()
+        when (result) {
+            AttemptResult.COMPLETE -> region.breaker.recordSuccess()
+            AttemptResult.CONNECTION_LOST, AttemptResult.REFUSED -> region.breaker.recordFailure(nowMs)
+            else -> Unit
+        }
+    }
+
+    private fun endLocal(
+        slots: BackendSlots,
+        open: OpenAttempt,
+        attempt: PlacedAttempt,
+        result: AttemptResult,
+        nowMs: Long,
+    ) {
+        val inFlight = slots.load()
+        slots.release()
+        val elapsedMs = (nowMs - attempt.placedAtMs).toDouble()
+        when (result) {
+            AttemptResult.COMPLETE -> {
+                slots.breaker.recordSuccess()
+                recordTimes(slots, open, attempt, elapsedMs)
+                val ratio = elapsedMs / open.predictedMs
+                slots.slowdown.record(ratio, nowMs)
+                if (ratio > OVERLOAD_RATIO) slots.limit.recordOverload(nowMs) else slots.limit.recordSuccess(inFlight)
+            }
+
+            AttemptResult.SERVER_ERROR, AttemptResult.CONNECTION_LOST -> slots.breaker.recordFailure(nowMs)
+
+            AttemptResult.REFUSED -> slots.limit.recordOverload(nowMs)
+
+            AttemptResult.TIMED_OUT -> {
+                slots.limit.recordOverload(nowMs)
+                if (elapsedMs > open.predictedMs) slots.slowdown.record(elapsedMs / open.predictedMs, nowMs)
+            }
+
+            AttemptResult.CANCELLED -> Unit
+        }
+    }
+
+    private fun recordTimes(slots: BackendSlots, open: OpenAttempt, attempt: PlacedAttempt, elapsedMs: Double) {
+        val firstByteMs = open.firstByteMs.takeIf {
+            it != OpenAttempt.NONE
+        }?.let { (it - attempt.placedAtMs).toDouble() }
+        open.times.record(
+            ServiceTimes.Sample(
+                open.uncachedTokens,
+                attempt.profile.responseTokens,
+                firstByteMs,
+                elapsedMs,
+                open.load,
+                slots.capacity,
+            ),
+        )
+    }
+
+    // Predictions are within a factor of 2 in the policy measurement, so 3 times as long is a sign of overload.
+    private const val OVERLOAD_RATIO = 3.0
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
@@ -0,0 +1,128 @@
+package org.arbutusrelay.core.routing
+
+import org.arbutusrelay.core.admission.CircuitBreaker
+import org.arbutusrelay.core.admission.ConcurrencyLimit
+import org.arbutusrelay.core.admission.SlowRamp
+import org.arbutusrelay.core.request.RequestId
+import org.arbutusrelay.schema.message.BackendServerState
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicReference
+
+/**
+ * Counts what this host runs on one incarnation of a backend server, and decides whether it may run more.
+ *
+ * The object outlives changes of the routing table, so that no slot is lost when the table is replaced.
+ */
+public class BackendSlots(state: BackendServerState, private val ramp: SlowRamp, historyBlocks: Int) {
+    /** Name of the backend server. */
+    public val name: String = state.name
+
+    /** Hash of the name, for rendezvous hashing. */
+    public val nameHash: Long = mix(state.name.hashCode().toLong())
+
+    /** Latest report. */
+    @Volatile
+    public var state: BackendServerState = state
+        private set
+
+    /** Requests that it runs at the same time, as announced. */
+    public val capacity: Int = state.capacity.toInt()
+
+    /** Blocks that it is believed to hold. */
+    public val history: PrefixHistory by lazy { PrefixHistory(historyBlocks) }
+    public val breaker: CircuitBreaker = CircuitBreaker()
+    public val limit: ConcurrencyLimit = ConcurrencyLimit(capacity)
+
+    /** How much longer it takes than predicted. */
+    public val slowdown: Slowdown = Slowdown()
+    internal val cacheSequence = CacheSequence(this)
+
+    private val own = AtomicInteger()
+    private val netSinceReport = AtomicInteger()
+    private val claim = AtomicReference<RequestId?>(null)
+
+    /** Takes over a newer report; what was sent before it is assumed to be part of it. */
+    public fun update(newer: BackendServerState) {
+        val old = state
+        state = newer
+        val isReport = newer.version != old.version || newer.running != old.running || newer.queued != old.queued
+        if (isReport) netSinceReport.set(0)
+    }
+
+    /** Requests in flight from this host. */
+    public fun ownInFlight(): Int = own.get().let { if (it == ISOLATED) 1 else it }
+
+    /** Estimated requests in flight from all hosts: the report plus what this host started and ended since. */
+    public fun load(): Int {
+        val latest = state
+        return maxOf(ownInFlight(), (latest.running + latest.queued).toInt() + netSinceReport.get())
+    }
+
+    /** Requests that may be in flight at [nowMs]. */
+    public fun limitAt(nowMs: Long): Int =
+        maxOf(1, (limit.current() * ramp.sharePermille(nowMs) / PERMILLE).toInt())
+
+    /** Returns true when the backend server can take one more request at [nowMs]; it reserves nothing. */
+    public fun hasRoom(nowMs: Long): Boolean =
+        own.get() != ISOLATED && claim.get() == null && !state.isLeaving &&
+            load() < limitAt(nowMs) && breaker.isReady(nowMs)
+
+    /** Occupies a slot; [release] must follow. */
+    public fun tryAcquire(nowMs: Long): Boolean {
+        if (!hasRoom(nowMs)) return false
+        val bound = limitAt(nowMs)
+        while (true) {
+            val count = own.get()
+            if (count == ISOLATED || count >= bound) return false
+            if (!own.compareAndSet(count, count + 1)) continue
+            if (claim.get() == null && breaker.tryAdmit(nowMs)) break
+            own.decrementAndGet()
+            return false
+        }
+        netSinceReport.incrementAndGet()
+        return true
+    }
+
+    /** Occupies the whole backend server for [id]; [release] must follow. Succeeds only when it is idle. */
+    public fun tryAcquireIsolated(id: RequestId, nowMs: Long): Boolean {
+        val claimant = claim.get()
+        if (claimant != null && claimant != id) return false
+        if (state.isLeaving || load() != 0 || !breaker.isReady(nowMs)) return false
+        if (!own.compareAndSet(0, ISOLATED)) return false
+        dropClaim(id)
+        breaker.tryAdmit(nowMs)
+        netSinceReport.incrementAndGet()
+        return true
+    }
+
+    /** Frees a slot. */
+    public fun release() {
+        own.updateAndGet { if (it == ISOLATED) 0 else it - 1 }
+        netSinceReport.decrementAndGet()
+    }
+
+    /** Keeps new work away until [id] has run in isolation here. */
+    public fun tryClaim(id: RequestId): Boolean = claim.compareAndSet(null, id)
+
+    /** Returns true when [id] keeps new work away from here. */
+    public fun isClaimedBy(id: RequestId): Boolean = claim.get() == id
+
+    /** Gives up the claim of [id]. */
+    public fun dropClaim(id: RequestId) {
+        val claimant = claim.get()
+        if (claimant == id) claim.compareAndSet(claimant, null)
+    }
+
+    internal companion object {
+        private const val ISOLATED = -1
+        private const val PERMILLE = 1_000L
+        private const val MIX = -0x4b47d0c5a1a6e5b3L
+        private const val SHIFT = 31
+
+        /** Mixes the bits of a hash. */
+        internal fun mix(value: Long): Long {
+            val mixed = (value xor (value ushr SHIFT)) * MIX
+            return mixed xor (mixed ushr SHIFT)
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -0,0 +1,237 @@
+package org.arbutusrelay.core.routing
+
+import org.arbutusrelay.core.admission.CallerLimits
+import org.arbutusrelay.core.admission.ShareBudget
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.core.invariant.Invariants
+import org.arbutusrelay.schema.api.CacheEvents
+import org.arbutusrelay.schema.manifest.Caller
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
+
+/**
+ * Schedules requests by deadline, caller and predicted finish.
+ *
+ * [callerOf] finds a caller in the manifest in force; a caller it does not know has no limits. Decisions read an
+ * immutable snapshot and atomic counters; only requests that have to wait take a lock, one for each service.
+ * A resubmitted request (one with tried backend servers) and a forwarded one are not counted against the rate again.
+ */
+public class DefaultRequestScheduler(
+    callerOf: (String) -> Caller?,
+    private val invariants: Invariants = Invariants(),
+    private val settings: SchedulerSettings = SchedulerSettings(),
+    serverChoice: ServerChoice = FinishChoice(),
+    regionChoice: RegionChoice = FinishRegionChoice(),
+) : RequestScheduler {
+    private val snapshot = AtomicReference(SchedulerSnapshot.EMPTY)
+    private val latestMs = AtomicLong()
+    private val times = ConcurrentHashMap<String, ServiceTimes>()
+    private val queues = ConcurrentHashMap<String, ServiceQueue>()
+    private val attempts = OpenAttempts()
+    private val callers = CallerLimits(callerOf)
+    private val retryBudget = ShareBudget()
+    private val hedgeBudget = ShareBudget()
+    private val awayBudget = ShareBudget()
+    private val builder = SnapshotBuilder(settings, ::timesOf)
+    private val local = LocalPlacement(serverChoice, attempts, invariants, snapshot::get)
+    private val remote = RemotePlacement(regionChoice, attempts, invariants, awayBudget)
+
+    override fun updateTable(table: RoutingTable): Unit = synchronized(builder) {
+        snapshot.set(builder.build(snapshot.get(), table, latestMs.get()))
+    }
+
+    override fun submit(profile: RequestProfile, nowMs: Long): Placement {
+        latestMs.set(nowMs)
+        if (profile.deadlineMs <= nowMs) return refused(ErrorKind.DEADLINE_UNREACHABLE)
+        val isRepeated = profile.isForwarded || profile.triedBackendServers.isNotEmpty()
+        val waitMs = callers.tryAcquire(profile.callerName, nowMs, isRateFree = isRepeated)
+        if (waitMs > 0) return refused(ErrorKind.CALLER_LIMIT, waitMs)
+        if (!isRepeated) recordRequest()
+        val placement = placeNew(profile, nowMs)
+        if (placement is Placement.Refused) callers.release(profile.callerName)
+        return placement
+    }
+
+    override fun recordFirstByte(attempt: PlacedAttempt, nowMs: Long) {
+        attempts.find(attempt.attemptNumber)?.firstByteMs = nowMs
+    }
+
+    override fun complete(attempt: PlacedAttempt, result: AttemptResult, nowMs: Long): List<QueuedPlacement> {
+        latestMs.set(nowMs)
+        val open = attempts.take(attempt.attemptNumber) ?: return emptyList()
+        AttemptRecorder.end(open, attempt, result, nowMs)
+        if (!attempt.isHedge) callers.release(attempt.profile.callerName)
+        val queue = queues[attempt.profile.serviceName]
+        if (queue == null || queue.size == 0) return emptyList()
+        return ArrayList<QueuedPlacement>().also { drain(queue, it, nowMs) }
+    }
+
+    override fun poll(nowMs: Long): List<QueuedPlacement> {
+        latestMs.set(nowMs)
+        var placed: MutableList<QueuedPlacement>? = null
+        for (queue in queues.values) {
+            if (queue.size == 0) continue
+            val sink = placed ?: ArrayList<QueuedPlacement>().also { placed = it }
+            drain(queue, sink, nowMs, isExpiring = true)
+        }
+        return placed.orEmpty()
+    }
+
+    override fun cancel(profile: RequestProfile): Boolean {
+        if (queues[profile.serviceName]?.cancel(profile.id) != true) return false
+        endQueued(profile)
+        return true
+    }
+
+    override fun tryRetry(profile: RequestProfile, nowMs: Long): Boolean {
+        val fastestMs = timesOf(profile.serviceName).predictMs(0, profile.responseTokens)
+        return nowMs + fastestMs <= profile.deadlineMs && retryBudget.trySpend()
+    }
+
+    override fun tryHedge(attempt: PlacedAttempt, nowMs: Long): PlacedAttempt? {
+        val open = attempts.find(attempt.attemptNumber) ?: return null
+        val profile = attempt.profile
+        val mayHedge = profile.isIdempotent && !profile.isIsolated && !attempt.isHedge && open.slots != null
+        val isWaiting = !open.isHedged && open.firstByteMs == OpenAttempt.NONE &&
+            nowMs - attempt.placedAtMs >= open.predictedMs * settings.hedgeAfterFactor
+        if (!mayHedge || !isWaiting) return null
+        if ((queues[profile.serviceName]?.size ?: 0) > 0 || !hedgeBudget.canSpend()) return null
+        val hedge = local.tryHedge(attempt, nowMs) ?: return null
+        open.isHedged = true
+        // A lost race for the last unit overdraws the budget by one hedge, which the next requests pay back.
+        hedgeBudget.trySpend()
+        return hedge
+    }
+
+    override fun recordCacheEvents(backendServer: String, events: CacheEvents) {
+        snapshot.get().slotsByName[backendServer]?.cacheSequence?.apply(events)
+    }
+
+    override fun loadPermille(): Long {
+        val services = snapshot.get().services.values
+        val capacity = services.sumOf { it.capacity }
+        val queued = queues.values.sumOf { it.size }
+        return if (capacity == 0) 0 else (services.sumOf { it.load() } + queued) * PERMILLE / capacity
+    }
+
+    /** Predicts the time of a request of [serviceName] under the present load, for the region's summary, in ms. */
+    public fun predictedMs(serviceName: String): Long = timesOf(serviceName).meanMs().toLong()
+
+    /** Number of attempts that occupy a slot. */
+    public fun openAttempts(): Int = attempts.size()
+
+    /** Number of waiting requests. */
+    public fun queuedRequests(): Int = queues.values.sumOf { it.size }
+
+    private fun recordRequest() {
+        retryBudget.recordRequest(settings.retryPermille)
+        hedgeBudget.recordRequest(settings.hedgePermille)
+        awayBudget.recordRequest(snapshot.get().table.sentAwayPermille)
+    }
+
+    private fun placeNew(profile: RequestProfile, nowMs: Long): Placement {
+        val current = snapshot.get()
+        val here = current.table.region
+        val serviceTimes = timesOf(profile.serviceName)
+        val isLocalAllowed = here in profile.allowedRegions
+        if (!isLocalAllowed || profile.allowedRegions.first() != here) {
+            remote.trySendHome(profile, current, serviceTimes, isLocalAllowed, nowMs)?.let { return it }
+        }
+        if (!isLocalAllowed) {
+            return refused(if (profile.isForwarded) ErrorKind.FORWARD_REFUSED else ErrorKind.REGION_UNREACHABLE)
+        }
+        val servers = current.services[profile.serviceName]
+        if (servers != null) return placeHere(profile, current, servers, nowMs)
+        return remote.trySendAway(profile, current, serviceTimes, Double.POSITIVE_INFINITY, true, nowMs)
+            ?: refused(ErrorKind.NO_BACKEND_SERVER)
+    }
+
+    private fun placeHere(
+        profile: RequestProfile,
+        current: SchedulerSnapshot,
+        servers: ServiceServers,
+        nowMs: Long,
+    ): Placement {
+        val queue = queueOf(profile.serviceName)
+        if (profile.isIsolated) return if (queue.offer(profile)) Placement.Queued else refused(ErrorKind.OVERLOADED)
+        if (queue.size == 0) placeNow(profile, nowMs)?.let { return it }
+        return enqueue(profile, current, servers, queue, nowMs)
+    }
+
+    private fun placeNow(profile: RequestProfile, nowMs: Long): Placement? =
+        local.tryRun(profile, nowMs)?.let(Placement::Run)
+
+    private fun enqueue(
+        profile: RequestProfile,
+        current: SchedulerSnapshot,
+        servers: ServiceServers,
+        queue: ServiceQueue,
+        nowMs: Long,
+    ): Placement {
+        val leftMs = profile.deadlineMs - nowMs
+        val waitMs = predictWaitMs(queue.countAhead(profile), servers)
+        val localMs = waitMs + servers.times.predictTypicalMs(profile.promptTokens, profile.responseTokens)
+        val isLate = localMs > leftMs * settings.refuseFactor
+        remote.trySendAway(profile, current, servers.times, localMs, isLate, nowMs)?.let { return it }
+        if (isLate) return refused(ErrorKind.DEADLINE_UNREACHABLE, (localMs - leftMs).toLong())
+        if (queue.offer(profile)) return Placement.Queued
+        return remote.trySendAway(profile, current, servers.times, Double.POSITIVE_INFINITY, true, nowMs)
+            ?: refused(ErrorKind.OVERLOADED, waitMs.toLong())
+    }
+
+    /** By Little's law this host's throughput is what it has in flight divided by the mean time of a request. */
+    private fun predictWaitMs(ahead: Int, servers: ServiceServers): Double {
+        val inFlight = servers.slots.sumOf { it.ownInFlight() }
+        return (ahead + 1) * servers.times.meanMs() / maxOf(1, inFlight)
+    }
+
+    private fun drain(
+        queue: ServiceQueue,
+        sink: MutableList<QueuedPlacement>,
+        nowMs: Long,
+        isExpiring: Boolean = false,
+    ) {
+        val first = sink.size
+        if (isExpiring) queue.expire({ refuseIfLate(it, nowMs) }, sink)
+        queue.drain({ placeQueued(it, nowMs) }, sink)
+        for (index in first until sink.size) {
+            if (sink[index].placement is Placement.Refused) endQueued(sink[index].profile)
+        }
+    }
+
+    private fun placeQueued(profile: RequestProfile, nowMs: Long): Placement? {
+        refuseIfLate(profile, nowMs)?.let { return it }
+        if (profile.isIsolated) return local.tryRunIsolated(profile, nowMs)?.let(Placement::Run)
+        return placeNow(profile, nowMs)
+    }
+
+    private fun refuseIfLate(profile: RequestProfile, nowMs: Long): Placement? {
+        val fastestMs = timesOf(profile.serviceName).predictMs(0, profile.responseTokens)
+        if (nowMs + fastestMs <= profile.deadlineMs) return null
+        return refused(ErrorKind.DEADLINE_UNREACHABLE)
+    }
+
+    /** Frees what a queued request held that was refused or withdrawn. */
+    private fun endQueued(profile: RequestProfile) {
+        callers.release(profile.callerName)
+        if (!profile.isIsolated) return
+        snapshot.get().services[profile.serviceName]?.let { local.dropClaims(profile, it) }
+    }
+
+    private fun refused(kind: ErrorKind, retryAfterMs: Long? = kind.retryAfterMs): Placement.Refused {
+        val boundedMs = retryAfterMs?.coerceIn(MIN_RETRY_MS, MAX_RETRY_MS)
+        return Placement.Refused(RelayError(kind, retryAfterMs = boundedMs))
+    }
+
+    private fun timesOf(serviceName: String) = times.computeIfAbsent(serviceName) { ServiceTimes() }
+
+    private fun queueOf(serviceName: String) = queues.computeIfAbsent(serviceName) { ServiceQueue(settings) }
+
+    private companion object {
+        private const val PERMILLE = 1_000L
+        private const val MIN_RETRY_MS = 100L
+        private const val MAX_RETRY_MS = 60_000L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
@@ -0,0 +1,69 @@
+package org.arbutusrelay.core.routing
+
+import org.arbutusrelay.core.admission.CircuitBreaker
+import org.arbutusrelay.core.admission.SlowRamp
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Counts what this host sent to another region and predicts how long a request takes there. */
+public class RegionSlots(region: RemoteRegion, private val ramp: SlowRamp) {
+    /** Latest summary. */
+    @Volatile
+    public var region: RemoteRegion = region
+        private set
+
+    public val breaker: CircuitBreaker = CircuitBreaker(failureThreshold = 3)
+    private val own = AtomicInteger()
+
+    /** Takes over a newer summary. */
+    public fun update(newer: RemoteRegion) {
+        region = newer
+    }
+
+    /** Requests of this host in flight there. */
+    public fun ownInFlight(): Int = own.get()
+
+    /** Share of its work that the region may get at [nowMs] after it has returned, in thousandths. */
+    public fun sharePermille(nowMs: Long): Long = ramp.sharePermille(nowMs)
+
+    /** Returns true when requests for [serviceName] may be sent at [nowMs]. */
+    public fun isUsable(serviceName: String, nowMs: Long): Boolean {
+        val latest = region
+        val summary = latest.services[serviceName] ?: return false
+        return summary.backendServers > 0 && latest.ageMs <= MAX_AGE_MS && latest.linkUsePermille < MAX_LINK_USE &&
+            breaker.isReady(nowMs) && ownInFlight() * PERMILLE <= summary.capacity * sharePermille(nowMs)
+    }
+
+    /**
+     * Predicts how long [profile] takes there with a cold cache, in milliseconds, link delay both ways included.
+     *
+     * The link's delay grows with the share in use as in a queue with random arrivals.
+     */
+    public fun predictMs(profile: RequestProfile, times: ServiceTimes): Double {
+        val latest = region
+        val summary = latest.services[profile.serviceName] ?: return Double.MAX_VALUE
+        val useShare = minOf(latest.linkUsePermille, MAX_LINK_USE) / PERMILLE.toDouble()
+        val linkMs = 2 * latest.link.oneWayDelayMs / (1 - useShare)
+        val load = maxOf(ownInFlight().toLong(), summary.running + summary.queued)
+        val runMs = times.predictMs(profile.promptTokens, profile.responseTokens) *
+            ServiceTimes.loadFactor(load.toInt(), summary.capacity.toInt())
+        val meanMs = maxOf(summary.predictedMs.toDouble(), times.meanMs())
+        val waitMs = maxOf(0L, load + 1 - summary.capacity) * meanMs / maxOf(1L, summary.capacity)
+        return linkMs + waitMs + runMs
+    }
+
+    internal fun acquire() {
+        own.incrementAndGet()
+    }
+
+    internal fun release() {
+        own.decrementAndGet()
+    }
+
+    private companion object {
+        private const val PERMILLE = 1_000L
+        private const val MAX_LINK_USE = 900L
+
+        // Region summaries arrive once a second; an older one says nothing of the present queue.
+        private const val MAX_AGE_MS = 5_000L
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
@@ -0,0 +1,23 @@
+package org.arbutusrelay.core.routing
+
+/** Bounds and shares of the scheduler; the defaults are those that the policy measurement was tuned with. */
+public data class SchedulerSettings(
+    /** Waiting requests for each service. */
+    val maxQueued: Int = 512,
+    /** Waiting requests that need isolation, for each service. */
+    val maxQueuedIsolated: Int = 16,
+    /** How many requests a caller may be served ahead of others that wait. */
+    val fairnessLag: Long = 8,
+    /** Retries as a share of recent requests, in thousandths. */
+    val retryPermille: Long = 100,
+    /** Hedges as a share of recent requests, in thousandths. */
+    val hedgePermille: Long = 20,
+    /** A hedge is due when an attempt without a first byte is older than this multiple of the predicted time. */
+    val hedgeAfterFactor: Double = 2.0,
+    /** A request is refused when its predicted time exceeds the time left by more than this factor. */
+    val refuseFactor: Double = 1.1,
+    /** Prompt blocks remembered for all backend servers together; bounds the memory of the prefix history. */
+    val historyBlocks: Int = 262_144,
+    /** Duration of the slow ramp of a returning backend server or region, in milliseconds. */
+    val rampMs: Long = 20_000,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
@@ -0,0 +1,57 @@
+package org.arbutusrelay.core.routing
+
+import org.arbutusrelay.core.admission.SlowRamp
+import org.arbutusrelay.schema.message.BackendServerState
+
+/** The routing table joined with this host's own counters; a new one replaces it when the table changes. */
+internal class SchedulerSnapshot(
+    val table: RoutingTable,
+    val slotsByName: Map<String, BackendSlots>,
+    val services: Map<String, ServiceServers>,
+    val regions: Map<String, RegionSlots>,
+) {
+    /** Returns true when [slots] may take new work. */
+    fun isCurrent(slots: BackendSlots): Boolean = slotsByName[slots.name] === slots && !slots.state.isLeaving
+
+    companion object {
+        val EMPTY = SchedulerSnapshot(RoutingTable("", ""), emptyMap(), emptyMap(), emptyMap())
+    }
+}
+
+/** Builds snapshots; counters of backend servers and regions that stay are kept. */
+internal class SnapshotBuilder(
+    private val settings: SchedulerSettings,
+    private val timesOf: (String) -> ServiceTimes,
+) {
+    /** Joins [table] with the counters of [old]. What is new at [nowMs] is ramped up, but not in the first table. */
+    fun build(old: SchedulerSnapshot, table: RoutingTable, nowMs: Long): SchedulerSnapshot {
+        val isFirst = old === SchedulerSnapshot.EMPTY
+        val ramp = { if (isFirst) SlowRamp.ended() else SlowRamp(nowMs, settings.rampMs) }
+        val active = table.backendServers.filter { !it.isLeaving && it.region == table.region }
+        val historyBlocks = minOf(MAX_BLOCKS, settings.historyBlocks / maxOf(1, active.size))
+        val slots = active.associate { it.name to slotsOf(old, it, ramp, historyBlocks) }
+        val services = active.groupBy { it.service }.mapValues { (service, states) ->
+            ServiceServers(states.mapNotNull { slots[it.name] }, timesOf(service))
+        }
+        val regions = table.otherRegions.mapValues { (name, region) ->
+            old.regions[name]?.apply { update(region) } ?: RegionSlots(region, ramp())
+        }
+        return SchedulerSnapshot(table, slots, services, regions)
+    }
+
+    private fun slotsOf(
+        old: SchedulerSnapshot,
+        state: BackendServerState,
+        ramp: () -> SlowRamp,
+        historyBlocks: Int,
+    ): BackendSlots {
+        val known = old.slotsByName[state.name]
+        val isSame = known != null && known.state.incarnation == state.incarnation &&
+            known.state.service == state.service && known.capacity == state.capacity.toInt()
+        return if (isSame) known.apply { update(state) } else BackendSlots(state, ramp(), historyBlocks)
+    }
+
+    private companion object {
+        private const val MAX_BLOCKS = 4_096
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerChoice.kt
@@ -0,0 +1,20 @@
+package org.arbutusrelay.core.routing
+
+/** Chooses a backend server among those of a service that have room. */
+public fun interface ServerChoice {
+    /** Returns the backend server for [profile], or null when none has room; it reserves nothing. */
+    public fun choose(profile: RequestProfile, servers: ServiceServers, nowMs: Long): BackendSlots?
+}
+
+/** The backend servers of one service in this region, and what is known of the service's times. */
+public class ServiceServers(public val slots: List<BackendSlots>, public val times: ServiceTimes) {
+    /** Requests that all backend servers run at the same time. */
+    public val capacity: Int = slots.sumOf { it.capacity }
+
+    /** Estimated requests in flight on all backend servers. */
+    public fun load(): Int {
+        var sum = 0
+        for (index in slots.indices) sum += slots[index].load()
+        return sum
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceQueue.kt
@@ -0,0 +1,72 @@
+package org.arbutusrelay.core.routing
+
+import org.arbutusrelay.core.admission.DeadlineQueue
+import org.arbutusrelay.core.request.RequestId
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/** The wait queue of one service; every method takes its lock. */
+internal class ServiceQueue(settings: SchedulerSettings) {
+    private val lock = ReentrantLock()
+    private val waiting = DeadlineQueue<RequestProfile>(settings.maxQueued, settings.fairnessLag)
+    private val isolated = DeadlineQueue<RequestProfile>(settings.maxQueuedIsolated, settings.fairnessLag)
+    private val entries = HashMap<RequestId, DeadlineQueue.Entry<RequestProfile>>()
+
+    /** Number of waiting requests. */
+    @Volatile
+    var size: Int = 0
+        private set
+
+    fun offer(profile: RequestProfile): Boolean = lock.withLock {
+        val entry = queueOf(profile).offer(profile, profile.priority, profile.callerName, profile.deadlineMs)
+        if (entry != null) entries[profile.id] = entry
+        updateSize()
+        entry != null
+    }
+
+    fun countAhead(profile: RequestProfile): Int =
+        if (size == 0) 0 else lock.withLock { waiting.countAhead(profile.priority, profile.deadlineMs) }
+
+    fun cancel(id: RequestId): Boolean = lock.withLock {
+        val entry = entries[id] ?: return false
+        remove(entry, isServed = false)
+        true
+    }
+
+    /**
+     * Takes out the requests for which [decide] returns a placement, in the order of the queue.
+     *
+     * It stops at the first request that has to wait on. A request that waits for isolation does not hold up others.
+     */
+    fun drain(decide: (RequestProfile) -> Placement?, sink: MutableList<QueuedPlacement>): Unit = lock.withLock {
+        listOf(isolated, waiting).forEach { queue ->
+            while (true) {
+                val entry = queue.peek() ?: break
+                val placement = decide(entry.value) ?: break
+                remove(entry, isServed = placement !is Placement.Refused)
+                sink += QueuedPlacement(entry.value, placement)
+            }
+        }
+    }
+
+    /** Takes out the requests for which [refuse] returns a refusal, wherever they are in the queue. */
+    fun expire(refuse: (RequestProfile) -> Placement?, sink: MutableList<QueuedPlacement>): Unit = lock.withLock {
+        val expired = entries.values.mapNotNull { entry -> refuse(entry.value)?.let { entry to it } }
+        expired.forEach { (entry, placement) ->
+            remove(entry, isServed = false)
+            sink += QueuedPlacement(entry.value, placement)
+        }
+    }
+
+    private fun remove(entry: DeadlineQueue.Entry<RequestProfile>, isServed: Boolean) {
+        queueOf(entry.value).remove(entry, isServed)
+        entries.remove(entry.value.id)
+        updateSize()
+    }
+
+    private fun updateSize() {
+        size = waiting.size + isolated.size
+    }
+
+    private fun queueOf(profile: RequestProfile) = if (profile.isIsolated) isolated else waiting
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/Slowdown.kt
@@ -0,0 +1,35 @@
+package org.arbutusrelay.core.routing
+
+import java.util.concurrent.atomic.AtomicReference
+
+/**
+ * Tracks how much longer one backend server takes than its service's model predicts, as a factor of at least 1.
+ *
+ * The excess halves every [halfLifeMs] without samples, so that a backend server that got no work because it was slow
+ * is tried again.
+ */
+public class Slowdown(private val halfLifeMs: Double = 10_000.0) {
+    private val state = AtomicReference(State(1.0, 0))
+
+    /** Returns the factor at [nowMs]. */
+    public fun factor(nowMs: Long): Double {
+        val latest = state.get()
+        if (latest.factor <= 1.0) return 1.0
+        return 1.0 + (latest.factor - 1.0) * Math.pow(HALF, maxOf(0L, nowMs - latest.atMs) / halfLifeMs)
+    }
+
+    /** Records the ratio of the measured time to the predicted time. */
+    public fun record(ratio: Double, nowMs: Long) {
+        val next = factor(nowMs) * (1 - WEIGHT) + ratio.coerceIn(SMALLEST, LARGEST) * WEIGHT
+        state.set(State(next, nowMs))
+    }
+
+    private class State(val factor: Double, val atMs: Long)
+
+    private companion object {
+        private const val HALF = 0.5
+        private const val WEIGHT = 0.2
+        private const val SMALLEST = 0.5
+        private const val LARGEST = 20.0
+    }
+}
