--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/LinkConnection.kt
@@ -0,0 +1,41 @@
+package org.arbutusrelay.daemon.link
+
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.readFully
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeFully
+import io.ktor.utils.io.writeInt
+import org.arbutusrelay.schema.message.LinkFrame
+
+/** Thrown inside the link code to end a connection for a known reason. */
+internal class LinkClosedException(val closure: LinkClosure, detail: String) : Exception(detail)
+
+/** Reads and writes frames on one socket. */
+internal class LinkConnection(private val socket: Socket) {
+    private val input = socket.openReadChannel()
+    private val output = socket.openWriteChannel(autoFlush = false)
+
+    /** Reads the next frame; throws [LinkClosedException] when it breaks the bounds. */
+    suspend fun read(maxBytes: Int = FrameCodec.MAX_BODY_BYTES): LinkFrame {
+        val size = input.readInt()
+        if (size !in 1..maxBytes) {
+            throw LinkClosedException(LinkClosure.OVERSIZE_FRAME, "frame length $size is out of bounds")
+        }
+        val body = ByteArray(size)
+        input.readFully(body)
+        return FrameCodec.decode(body)
+            ?: throw LinkClosedException(LinkClosure.MALFORMED_FRAME, "a frame of $size bytes cannot be decoded")
+    }
+
+    /** Writes a body with its length; [flush] sends it. */
+    suspend fun write(body: ByteArray) {
+        output.writeInt(body.size)
+        output.writeFully(body)
+    }
+
+    suspend fun flush(): Unit = output.flush()
+
+    fun close(): Unit = socket.close()
+}
