--- a/ctl/src/main/kotlin/org/arbutusrelay/ctl/OperatorOptions.kt
+++ b/ctl/src/main/kotlin/org/arbutusrelay/ctl/OperatorOptions.kt
@@ -43,10 +43,7 @@
         val failures = mutableListOf<String>()
         for (host in hosts) {
             try {
-                return http.newCall(request(host).header("Authorization", "Bearer $token").build()).execute().use {
-                    val text = it.body.string()
-                    if (it.isSuccessful) text.right() else problem(text, it.code).left()
-                }
+                return callHost(request(host))
             } catch (e: IOException) {
                 failures += "$host: ${e.message}"
             }
@@ -54,6 +51,12 @@
         return failures.joinToString("; ", "no entry host answered: ").left()
     }
 
+    private fun callHost(request: Request.Builder): Either<String, String> =
+        http.newCall(request.header("Authorization", "Bearer $token").build()).execute().use { response ->
+            val text = response.body.string()
+            if (response.isSuccessful) text.right() else problem(text, response.code).left()
+        }
+
     private fun problem(text: String, code: Int): String = try {
         val problem = Json.parseToJsonElement(text).jsonObject
         listOf("title", "detail").mapNotNull { (problem[it] as? JsonPrimitive)?.content }.joinToString(": ")
