--- a/core/src/test/kotlin/org/arbutusrelay/core/consensus/ConsensusSimulation.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/consensus/ConsensusSimulation.kt
@@ -22,6 +22,7 @@
     private var sequence = 0L
     private var commandNumber = 0L
     private var isFaulty = true
+    private var partitionNumber = 0
     private var slowSyncUntilMs = 0L
     private var isRepairing = false
     var steps = 0L
@@ -151,6 +152,9 @@
     }
 
     private fun propose() {
+        // While nothing is appended, a host that was cut off stays electable, and only the lease rule protects the
+        // leader.
+        if (isFaulty && nowMs / IDLE_MS % 2 == 1L) return
         val host = hosts.filter { it.node?.role == ConsensusRole.LEADER }.randomOrNull(random) ?: return
         val commands = List(random.nextInt(1, 4)) {
             ReplicatedCommand(manifest = ManifestRecord(++commandNumber, "", ""))
@@ -235,14 +239,21 @@
 
     private fun partition(isTwoWay: Boolean) {
         count(if (isTwoWay) Fault.TWO_WAY_PARTITION else Fault.ONE_WAY_PARTITION)
+        blocked.clear()
+        // A partial partition leaves hosts that reach both sides, which a leader lease has to withstand.
+        val isPartial = random.nextBoolean()
+        if (isPartial) count(Fault.PARTIAL_PARTITION)
         val group = names.shuffled(random).take(random.nextInt(1, names.size))
         for (inside in group) {
             for (outside in names - group.toSet()) {
+                if (isPartial && random.nextBoolean()) continue
                 blocked += inside to outside
                 if (isTwoWay) blocked += outside to inside
             }
         }
         note("partition $blocked")
+        val number = ++partitionNumber
+        schedule(random.nextLong(200, 6_000)) { if (number == partitionNumber) blocked.clear() }
     }
 
     /** Loses a disk only while no other lost replica is among the voters: more losses may lose committed entries. */
@@ -292,6 +303,7 @@
 
     private companion object {
         const val TRACE_LINES = 200
+        const val IDLE_MS = 6_000L
         const val QUIET_MS = 20_000L
     }
 }
--- a/core/src/test/kotlin/org/arbutusrelay/core/consensus/SimulatedDisk.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/consensus/SimulatedDisk.kt
@@ -27,8 +27,9 @@
         val kept: List<LogEntry> = old.entries
             .filter { it.index > snapshot.lastIndex }
             .filter { entry -> write.truncateFrom?.let { entry.index < it } ?: true }
-        val term = write.vote?.term ?: old.term
-        val votedFor = if (write.vote != null) write.vote?.votedFor else old.votedFor
+        val vote = write.vote
+        val votedFor = if (vote != null) vote.votedFor else old.votedFor
+        val term = vote?.term ?: old.term
         return DurableState(term, votedFor, snapshot, kept + write.entries.filter { it.index > snapshot.lastIndex })
     }
 }
