Run consensus replicas over links and storage

Cause: the manifest service and the ledger need a ConsensusGroup. Change: ReplicaGroup with one decision coroutine, syncs in another, bounded queues, hand-over at a planned stop, and automatic replacement of a voter whose host announces a new replica identity. Conclusion: not yet run over real sockets, and disk failures of the runner are not yet tested.

--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusNode.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusNode.kt
@@ -51,8 +51,14 @@
     public fun termAt(index: Long): Long? = state.log.termAt(index)
 
     /** Returns true while this replica leads, has committed an entry of its term and no other can have been elected. */
-    public fun isLeaseHeld(nowMs: Long): Boolean = state.role == ConsensusRole.LEADER && !state.lease.isReleased &&
-        state.log.termAt(state.commitIndex) == state.term && nowMs < state.lease.heldUntilMs(state.log.voters, nowMs)
+    public fun isLeaseHeld(nowMs: Long): Boolean = nowMs < leaseUntilMs(nowMs)
+
+    /** Returns the time until which the lease is held without further acknowledgements, or [Long.MIN_VALUE]. */
+    public fun leaseUntilMs(nowMs: Long): Long {
+        val isPossible = state.role == ConsensusRole.LEADER && !state.lease.isReleased
+        val isTermCommitted = state.log.termAt(state.commitIndex) == state.term
+        return if (isPossible && isTermCommitted) state.lease.heldUntilMs(state.log.voters, nowMs) else Long.MIN_VALUE
+    }
 
     /** Takes [event] at the monotonic time [nowMs] and returns what has to be done, in order. */
     public fun step(event: ConsensusEvent, nowMs: Long): List<ConsensusEffect> {
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaAddress.kt
@@ -0,0 +1,21 @@
+package org.arbutusrelay.daemon.consensus
+
+import org.arbutusrelay.schema.message.AppendReply
+import org.arbutusrelay.schema.message.ConsensusMessage
+import kotlin.random.Random
+
+/**
+ * Replica identities: a founding replica is named after its host, a later one `host#` and a random number.
+ *
+ * A replica that is no voter announces itself to the address `host#?`, which is nobody's identity.
+ */
+internal object ReplicaAddress {
+    fun newIdentity(hostName: String, random: Random): String = "$hostName#" + random.nextLong().toULong().toString(16)
+
+    fun hostOf(identity: String): String = identity.substringBefore('#')
+
+    fun announcement(group: String, identity: String, hostName: String): ConsensusMessage =
+        ConsensusMessage(group, identity, "$hostName#?", 0, appendReply = AppendReply(false, 0, 0))
+
+    fun isAnnouncement(message: ConsensusMessage): Boolean = message.to.endsWith("#?")
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
@@ -0,0 +1,239 @@
+package org.arbutusrelay.daemon.consensus
+
+import arrow.core.left
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.selects.select
+import org.arbutusrelay.core.consensus.ConsensusEffect
+import org.arbutusrelay.core.consensus.ConsensusEvent
+import org.arbutusrelay.core.consensus.ConsensusNode
+import org.arbutusrelay.core.consensus.ConsensusRole
+import org.arbutusrelay.core.consensus.StateMachine
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.daemon.link.FrameReceiver
+import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.daemon.link.LinkNetwork
+import org.arbutusrelay.daemon.storage.ConsensusStorage
+import org.arbutusrelay.schema.message.ConsensusMessage
+import org.arbutusrelay.schema.message.LinkFrame
+import org.arbutusrelay.schema.message.LogEntry
+import org.arbutusrelay.schema.message.ReplicatedCommand
+import org.arbutusrelay.schema.message.VoterChange
+
+/** Feeds a [ConsensusNode] from queues, in one coroutine, and carries out its effects. */
+internal class ReplicaDriver<R>(
+    private val node: ConsensusNode,
+    storage: ConsensusStorage,
+    private val stateMachine: StateMachine<R>,
+    private val network: LinkNetwork,
+    private val repair: ReplicaRepair,
+    private val options: ReplicaGroupOptions,
+    private val status: MutableStateFlow<ReplicaStatus>,
+    private val nowMs: () -> Long,
+    private val onApplied: (Long, R) -> Unit,
+) : FrameReceiver {
+    private val queue = Channel<Input<R>>(options.queueLength)
+
+    /** Inputs that may not be dropped; few at a time. */
+    private val control = Channel<Input<R>>(Channel.UNLIMITED)
+    private val pending = PendingProposals<R>()
+    private var proposing: List<Proposal<R>> = emptyList()
+    private var appliedIndex = node.snapshotIndex
+    private var nextMaintenanceMs = 0L
+    val sync = ReplicaSync(
+        storage,
+        onSynced = { control.trySend(Input.Event(ConsensusEvent.Persisted(it))) },
+        onFailure = { control.trySend(Input.Stop("storage: $it")) },
+    )
+
+    fun submit(proposal: Proposal<R>): Boolean = queue.trySend(Input.Propose(proposal)).isSuccess
+
+    fun requestTransfer() {
+        control.trySend(Input.Event(ConsensusEvent.TransferLeadership()))
+    }
+
+    fun requestStop() {
+        control.trySend(Input.Stop(null))
+    }
+
+    override fun onFrame(from: HostIdentity, frame: LinkFrame) {
+        val message = frame.consensus ?: return
+        val isForeign = message.group != node.config.group || ReplicaAddress.hostOf(message.from) != from.hostName
+        // A dropped message is sent again by the protocol.
+        if (!isForeign) queue.trySend(Input.Message(message))
+    }
+
+    suspend fun tick() {
+        while (true) {
+            delay(options.tickMs)
+            queue.trySend(Input.Event(ConsensusEvent.Tick))
+        }
+    }
+
+    /** Runs until a stop is requested or an invariant is violated. */
+    suspend fun run(otherHosts: Set<String>) {
+        var reason: String? = null
+        try {
+            while (true) {
+                val input = select {
+                    control.onReceive { it }
+                    queue.onReceive { it }
+                }
+                if (input is Input.Stop) {
+                    reason = input.reason
+                    break
+                }
+                handle(input)
+                maintain(otherHosts)
+            }
+        } catch (e: IllegalStateException) {
+            reason = e.message ?: e.toString()
+        }
+        finish(reason)
+    }
+
+    private fun finish(reason: String?) {
+        status.value = status.value.copy(
+            role = ConsensusRole.FOLLOWER,
+            leader = null,
+            leaseUntilMs = Long.MIN_VALUE,
+            failure = reason,
+        )
+        pending.failAll(unknown())
+        proposing.forEach { it.result.complete(unknown().left()) }
+        queue.close()
+        while (true) {
+            val input = queue.tryReceive().getOrNull() ?: break
+            if (input is Input.Propose) input.proposal.result.complete(RelayError(ErrorKind.SHUTTING_DOWN).left())
+        }
+        sync.finish()
+    }
+
+    private fun handle(input: Input<R>) {
+        when (input) {
+            is Input.Event -> step(input.event)
+            is Input.Message -> onMessage(input.message)
+            is Input.Propose -> proposeBatch(input)
+            is Input.Stop -> Unit
+        }
+    }
+
+    private fun onMessage(message: ConsensusMessage) {
+        if (ReplicaAddress.isAnnouncement(message)) repair.onAnnouncement(message.from, nowMs())
+        step(ConsensusEvent.Receive(message))
+    }
+
+    /** Appends the proposals that wait together. A voter change goes alone: its refusal concerns nothing else. */
+    private fun proposeBatch(first: Input.Propose<R>) {
+        val batch = mutableListOf(first.proposal)
+        var next: Input<R>? = null
+        while (first.proposal.command.voterChange == null && batch.size < options.maxProposalBatch) {
+            next = queue.tryReceive().getOrNull() ?: break
+            if (next !is Input.Propose || next.proposal.command.voterChange != null) break
+            batch += next.proposal
+            next = null
+        }
+        propose(batch)
+        next?.let(::handle)
+    }
+
+    private fun propose(batch: List<Proposal<R>>) {
+        if (pending.size + batch.size > options.maxPending) {
+            val error = RelayError(ErrorKind.OVERLOADED, "too many commands wait for ${node.config.group}")
+            return batch.forEach { it.result.complete(error.left()) }
+        }
+        proposing = batch
+        step(ConsensusEvent.Propose(batch.map { it.command }))
+        proposing = emptyList()
+    }
+
+    private fun step(event: ConsensusEvent) {
+        val now = nowMs()
+        val effects = node.step(event, now)
+        // Published first: a message that ends the lease must not leave before other threads see it ended.
+        status.value = ReplicaStatus(node.role, node.leader, node.term, node.voters, node.leaseUntilMs(now))
+        effects.forEach(::perform)
+    }
+
+    private fun perform(effect: ConsensusEffect) {
+        when (effect) {
+            is ConsensusEffect.Persist -> sync.submit(effect)
+
+            is ConsensusEffect.Send ->
+                network.send(ReplicaAddress.hostOf(effect.message.to), LinkFrame(consensus = effect.message))
+
+            is ConsensusEffect.Apply -> apply(effect.entries)
+
+            is ConsensusEffect.Restore -> {
+                stateMachine.restore(effect.snapshot.state)
+                appliedIndex = effect.snapshot.lastIndex
+            }
+
+            is ConsensusEffect.RoleChange -> if (effect.role != ConsensusRole.LEADER) pending.failAll(unknown())
+
+            is ConsensusEffect.Proposed -> onProposed(effect)
+        }
+    }
+
+    private fun onProposed(effect: ConsensusEffect.Proposed) {
+        val refusal = effect.refusal
+        proposing.forEachIndexed { position, proposal ->
+            if (refusal == null) {
+                pending.add(effect.firstIndex + position, effect.term, proposal)
+            } else {
+                val detail = "${node.config.group}: ${refusal.name.lowercase()}"
+                proposal.result.complete(RelayError(options.unavailableKind, detail).left())
+            }
+        }
+        proposing = emptyList()
+    }
+
+    private fun apply(entries: List<LogEntry>) {
+        for (entry in entries) {
+            val result = stateMachine.apply(entry.index, entry.command)
+            appliedIndex = entry.index
+            onApplied(entry.index, result)
+            pending.onApplied(entry, result, unknown())
+        }
+    }
+
+    private fun maintain(otherHosts: Set<String>) {
+        if (appliedIndex - node.snapshotIndex >= options.snapshotEntries) {
+            step(ConsensusEvent.SnapshotTaken(appliedIndex, stateMachine.snapshot()))
+        }
+        val now = nowMs()
+        if (now < nextMaintenanceMs) return
+        nextMaintenanceMs = now + MAINTENANCE_MS
+        if (node.role == ConsensusRole.LEADER) return repairVoters(now)
+        if (node.config.self in node.voters) return
+        for (host in otherHosts) {
+            val message = ReplicaAddress.announcement(node.config.group, node.config.self, host)
+            network.send(host, LinkFrame(consensus = message))
+        }
+    }
+
+    private fun repairVoters(now: Long) {
+        step(ConsensusEvent.SetLearners(repair.learners(node.voters, now)))
+        val voters = repair.nextVoters(node.voters, now) ?: return
+        // Refused until the replica has caught up and the previous change is committed; tried again later.
+        step(ConsensusEvent.Propose(listOf(ReplicatedCommand(voterChange = VoterChange(voters)))))
+    }
+
+    private fun unknown() = RelayError(options.unknownKind)
+
+    private sealed interface Input<out R> {
+        class Event(val event: ConsensusEvent) : Input<Nothing>
+
+        class Message(val message: ConsensusMessage) : Input<Nothing>
+
+        class Propose<R>(val proposal: Proposal<R>) : Input<R>
+
+        class Stop(val reason: String?) : Input<Nothing>
+    }
+
+    private companion object {
+        const val MAINTENANCE_MS = 500L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -0,0 +1,159 @@
+package org.arbutusrelay.daemon.consensus
+
+import arrow.core.Either
+import arrow.core.left
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.encodeToByteArray
+import org.arbutusrelay.core.consensus.ConsensusConfig
+import org.arbutusrelay.core.consensus.ConsensusNode
+import org.arbutusrelay.core.consensus.ConsensusRole
+import org.arbutusrelay.core.consensus.DurableState
+import org.arbutusrelay.core.consensus.StateMachine
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.core.invariant.Invariants
+import org.arbutusrelay.daemon.link.LinkNetwork
+import org.arbutusrelay.daemon.storage.ConsensusStorage
+import org.arbutusrelay.daemon.storage.StorageError
+import org.arbutusrelay.daemon.storage.StoredReplica
+import org.arbutusrelay.daemon.storage.storageCbor
+import org.arbutusrelay.schema.message.ReplicatedCommand
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.random.Random
+import kotlin.time.TimeSource
+
+/**
+ * Runs one replica: decisions in one coroutine, syncs in another, messages over [network].
+ *
+ * The state machine gets every committed entry, including no-ops and voter changes. A replica that is no voter
+ * announces itself to [stateHosts]; the leader adds it as a learner and, once it has caught up, as a voter, in place of
+ * an earlier replica of the same host.
+ */
+public class ReplicaGroup<R>(
+    override val name: String,
+    private val storage: ConsensusStorage,
+    private val stateMachine: StateMachine<R>,
+    private val network: LinkNetwork,
+    /** Names of the hosts that may run a replica of the group. */
+    private val stateHosts: Set<String>,
+    private val random: Random,
+    /**
+     * Hosts that found the group, or null to join an existing one. It must be null on a host that may have lost its
+     * disk: a replica that takes up a founding identity again can break promises that the lost one made.
+     */
+    private val foundingVoters: List<String>? = null,
+    private val timeSource: TimeSource = TimeSource.Monotonic,
+    private val options: ReplicaGroupOptions = ReplicaGroupOptions(),
+    private val invariants: Invariants = Invariants(),
+    private val decisionDispatcher: CoroutineDispatcher = Dispatchers.Default,
+    private val syncDispatcher: CoroutineDispatcher = Dispatchers.IO,
+    /** Changes durations and bounds of the replica; group and identity must stay. */
+    private val configure: (ConsensusConfig) -> ConsensusConfig = { it },
+) : ConsensusGroup<R> {
+    private val startMark = timeSource.markNow()
+    private val scope = CoroutineScope(SupervisorJob())
+    private val listeners = CopyOnWriteArrayList<(Long, R) -> Unit>()
+    private val status = MutableStateFlow(ReplicaStatus())
+    private var driver: ReplicaDriver<R>? = null
+    private var jobs: List<Job> = emptyList()
+
+    override val leaderName: String? get() = status.value.leader?.let(ReplicaAddress::hostOf)
+    override val term: Long get() = status.value.term
+
+    /** Voters in force as far as this replica knows. */
+    public val voters: List<String> get() = status.value.voters
+
+    /** Why this replica has stopped by itself, or null. */
+    public val failure: String? get() = status.value.failure
+
+    /** Loads or creates the replica and starts it. Called once. */
+    public fun start(): Either<StorageError, Unit> = loadOrCreate().map { replica ->
+        val config = configure(ConsensusConfig(name, replica.identity, commandBytes = ::encodedBytes))
+        val node = ConsensusNode(config, replica.state, Random(random.nextLong()), nowMs(), invariants)
+        if (replica.state.snapshot.lastIndex > 0) stateMachine.restore(replica.state.snapshot.state)
+        val repair = ReplicaRepair(stateHosts, options.maxVoters)
+        val started = ReplicaDriver(node, storage, stateMachine, network, repair, options, status, ::nowMs, ::notify)
+        driver = started
+        network.addReceiver(started)
+        jobs = listOf(
+            scope.launch(decisionDispatcher) { started.run(stateHosts - network.self.hostName) },
+            scope.launch(syncDispatcher) { started.sync.run() },
+        )
+        scope.launch(decisionDispatcher) { started.tick() }
+    }
+
+    override fun isLeaseHeld(): Boolean = nowMs() < status.value.leaseUntilMs
+
+    override suspend fun propose(command: ReplicatedCommand): Either<RelayError, R> {
+        val target = driver ?: return RelayError(ErrorKind.NOT_READY).left()
+        val proposal = Proposal<R>(command)
+        if (!target.submit(proposal)) return RelayError(ErrorKind.OVERLOADED, "the queue of $name is full").left()
+        return proposal.result.await()
+    }
+
+    override fun addListener(listener: (Long, R) -> Unit) {
+        listeners += listener
+    }
+
+    override suspend fun transferLeadership() {
+        if (status.value.role != ConsensusRole.LEADER) return
+        driver?.requestTransfer()
+        withTimeoutOrNull(options.transferWaitMs) { status.first { it.role != ConsensusRole.LEADER } }
+    }
+
+    /** Hands over leadership, syncs what was written and closes the storage. Open proposals end as unknown. */
+    public suspend fun stop() {
+        transferLeadership()
+        driver?.requestStop()
+        jobs.joinAll()
+        scope.cancel()
+    }
+
+    private fun loadOrCreate(): Either<StorageError, StoredReplica> = storage.load().fold(
+        { it.left() },
+        { stored ->
+            if (stored !=
+                null
+            ) {
+                Either.Right(stored)
+            } else {
+                newReplica().let { new -> storage.create(new).map { new } }
+            }
+        },
+    )
+
+    private fun newReplica(): StoredReplica {
+        val host = network.self.hostName
+        val isFounder = foundingVoters != null && host in foundingVoters
+        val identity = if (isFounder) host else ReplicaAddress.newIdentity(host, random)
+        return StoredReplica(identity, DurableState.founding(if (isFounder) foundingVoters.orEmpty() else emptyList()))
+    }
+
+    @OptIn(ExperimentalSerializationApi::class)
+    private fun encodedBytes(command: ReplicatedCommand): Int = storageCbor.encodeToByteArray(command).size
+
+    private fun notify(index: Long, result: R) = listeners.forEach { it(index, result) }
+
+    private fun nowMs(): Long = startMark.elapsedNow().inWholeMilliseconds
+}
+
+/** What other threads may know of a replica. */
+internal data class ReplicaStatus(
+    val role: ConsensusRole = ConsensusRole.FOLLOWER,
+    val leader: String? = null,
+    val term: Long = 0,
+    val voters: List<String> = emptyList(),
+    val leaseUntilMs: Long = Long.MIN_VALUE,
+    val failure: String? = null,
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaSync.kt
@@ -0,0 +1,39 @@
+package org.arbutusrelay.daemon.consensus
+
+import kotlinx.coroutines.channels.Channel
+import org.arbutusrelay.core.consensus.ConsensusEffect
+import org.arbutusrelay.daemon.storage.ConsensusStorage
+import org.arbutusrelay.daemon.storage.StorageError
+
+/** Writes to storage off the decision thread; everything that waits shares one sync. */
+internal class ReplicaSync(
+    private val storage: ConsensusStorage,
+    private val onSynced: (Long) -> Unit,
+    private val onFailure: (StorageError) -> Unit,
+) {
+    // Bounded by the proposal and message queues, because each step that writes takes one of their elements.
+    private val queue = Channel<ConsensusEffect.Persist>(Channel.UNLIMITED)
+
+    fun submit(persist: ConsensusEffect.Persist) {
+        queue.trySend(persist)
+    }
+
+    fun finish() {
+        queue.close()
+    }
+
+    /** Runs until [finish], then closes the storage. */
+    suspend fun run() = storage.use {
+        for (first in queue) {
+            val writes = mutableListOf(first)
+            while (true) writes += queue.tryReceive().getOrNull() ?: break
+            storage.write(writes).fold(
+                { error ->
+                    onFailure(error)
+                    return@use
+                },
+                { onSynced(writes.last().id) },
+            )
+        }
+    }
+}
