--- /dev/null
+++ b/core/src/test/kotlin/org/arbutusrelay/core/consensus/ConsensusExplorerTest.kt
@@ -0,0 +1,28 @@
+package org.arbutusrelay.core.consensus
+
+import kotlin.test.Test
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+
+class ConsensusExplorerTest {
+    /** Guards against an order of few events that the randomised run does not meet. */
+    @Test
+    fun `no order of events up to the bounds breaks safety`() {
+        for (bounds in listOf(ExplorerBounds(depth = 11), ExplorerBounds(depth = 11, crashes = 0, proposals = 1))) {
+            val result = ConsensusExplorer(bounds).explore()
+            println("$bounds: $result")
+            assertNull(result.violation)
+        }
+    }
+
+    /** Guards against an explorer that finds nothing. */
+    @Test
+    fun `a vote that is not persisted is found`() {
+        val defect = object : Defect() {
+            override fun write(persist: ConsensusEffect.Persist) = persist.copy(vote = null)
+        }
+        val result = ConsensusExplorer(ExplorerBounds(depth = 11), defect).explore()
+        println("vote not persisted: $result")
+        assertNotNull(result.violation)
+    }
+}
--- a/core/src/test/kotlin/org/arbutusrelay/core/consensus/SimulatedDisk.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/consensus/SimulatedDisk.kt
@@ -15,6 +15,8 @@
         while (unsynced.isNotEmpty() && unsynced.first().id <= id) founding = apply(founding, unsynced.removeFirst())
     }
 
+    fun describe(): String = with(founding) { "$term $votedFor ${snapshot.lastIndex} ${entries.map { it.term }}" }
+
     /** Keeps the first [survivors] unsynced writes, as a disk may, and drops the others. */
     fun crash(survivors: Int): DurableState {
         repeat(survivors) { founding = apply(founding, unsynced.removeFirst()) }
