--- /dev/null
+++ b/core/src/test/kotlin/org/arbutusrelay/core/ledger/LedgerFaults.kt
@@ -0,0 +1,87 @@
+package org.arbutusrelay.core.ledger
+
+import org.arbutusrelay.core.consensus.StateMachine
+import org.arbutusrelay.schema.message.Attempt
+import org.arbutusrelay.schema.message.LedgerCommand
+import org.arbutusrelay.schema.message.LedgerRelease
+import org.arbutusrelay.schema.message.LedgerReply.Decision
+import org.arbutusrelay.schema.message.LedgerRequest
+import org.arbutusrelay.schema.message.ReplicatedCommand
+
+/** Deliberate faults around the ledger; the default has none. */
+internal open class LedgerFaults(
+    /** Part of the message of the check that must find the fault. */
+    val finding: String = "",
+) {
+    open fun request(request: LedgerRequest): LedgerRequest = request
+
+    open fun action(action: LedgerAction, request: LedgerRequest, state: LedgerState): LedgerAction = action
+
+    open fun command(state: LedgerState, command: LedgerCommand): LedgerCommand = command
+
+    /** True when the entry host sends a request although its grant request timed out. */
+    open val sendsAfterTimeout: Boolean get() = false
+
+    /** True when the entry host releases an attempt whose connection broke. */
+    open val releasesBrokenRun: Boolean get() = false
+
+    fun machine(machine: LedgerStateMachine, log: List<ReplicatedCommand>): StateMachine<LedgerDecision> =
+        object : StateMachine<LedgerDecision> by machine {
+            override fun apply(index: Long, command: ReplicatedCommand): LedgerDecision {
+                check(log[index.toInt() - 1] === command)
+                val ledger = command.ledger ?: return machine.apply(index, command)
+                return machine.apply(index, ReplicatedCommand(ledger = command(machine.state, ledger)))
+            }
+        }
+}
+
+/** The deliberate faults that a randomised run must find. */
+internal val deliberateFaults: Map<String, LedgerFaults> = mapOf(
+    "grant without commit" to object : LedgerFaults("ran twice") {
+        override fun action(action: LedgerAction, request: LedgerRequest, state: LedgerState): LedgerAction =
+            if (request.grant == null || action !is LedgerAction.Propose || request.grant!!.key in state.entries) {
+                action
+            } else {
+                LedgerAction.Answer(LedgerDecision(Decision.GRANTED))
+            }
+    },
+    "release ignores the owner" to object : LedgerFaults("ran twice") {
+        override fun command(state: LedgerState, command: LedgerCommand): LedgerCommand {
+            val release = command.release ?: return command
+            val owner = state.entries[release.key]?.attempt ?: release.attempt
+            return command.copy(release = LedgerRelease(release.key, owner))
+        }
+    },
+    "settle turned into release" to object : LedgerFaults("ran twice") {
+        override fun command(state: LedgerState, command: LedgerCommand): LedgerCommand {
+            val settle = command.settle ?: return command
+            return command.copy(settle = null, release = LedgerRelease(settle.key, settle.attempt))
+        }
+    },
+    "tombstone missing" to object : LedgerFaults("granted after its release") {
+        override fun command(state: LedgerState, command: LedgerCommand): LedgerCommand {
+            val release = command.release ?: return command
+            if (state.entries[release.key]?.attempt == release.attempt) return command
+            val nobody = Attempt("nobody", 0, state.recordCount.toLong())
+            return command.copy(release = LedgerRelease(release.key, nobody))
+        }
+    },
+    "fence ignored" to object : LedgerFaults("ran twice") {
+        override fun command(state: LedgerState, command: LedgerCommand): LedgerCommand =
+            command.fence?.let { command.copy(fence = it.copy(isFenced = false, importFrom = null)) } ?: command
+    },
+    "import forgets the entries" to object : LedgerFaults("ran twice") {
+        override fun command(state: LedgerState, command: LedgerCommand): LedgerCommand =
+            command.imported?.let { command.copy(imported = it.copy(entries = emptyList())) } ?: command
+    },
+    "body digest ignored" to object : LedgerFaults("belongs to another request") {
+        override fun request(request: LedgerRequest): LedgerRequest =
+            request.copy(grant = request.grant?.copy(bodyDigest = "same"))
+    },
+    "request sent after the grant timed out" to object : LedgerFaults("told not_run") {
+        override val sendsAfterTimeout: Boolean get() = true
+    },
+    "broken run released" to object : LedgerFaults("ran twice") {
+        override val releasesBrokenRun: Boolean get() = true
+    },
+)
