Add the ledger service and the client over links

Cause: the ledger's rules had no daemon around them, so no host could ask for a grant.

Change: LedgerService answers only while the leader lease is held and after an entry of its own term was applied; it settles, expires, fences, and exports entries. LinkLedgerClient finds the leader, repeats release, finish and settle from a bounded queue, and matches replies by host, process epoch and number. LedgerHandOver imports the entries of callers that moved here. An entry whose service may not be stored in the new home holds the hand-over back.

--- a/core/src/main/kotlin/org/arbutusrelay/core/ledger/LedgerTransitions.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/ledger/LedgerTransitions.kt
@@ -36,7 +36,15 @@
         if (state.recordCount >= limits.maxRecords) return state.decided(Decision.NO_LEADER)
         val expiresMs = state.timeMs + grant.deadlineMs + limits.graceMs
         val entry =
-            LedgerEntry(grant.key, grant.attempt, grant.bodyDigest, Status.GRANTED, state.timeMs, expiresMs)
+            LedgerEntry(
+                key = grant.key,
+                attempt = grant.attempt,
+                bodyDigest = grant.bodyDigest,
+                status = Status.GRANTED,
+                changedMs = state.timeMs,
+                expiresMs = expiresMs,
+                service = grant.service,
+            )
         return put(state, entry, Decision.GRANTED)
     }
 
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/ledger/LedgerHandOver.kt
@@ -0,0 +1,80 @@
+package org.arbutusrelay.daemon.ledger
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.arbutusrelay.core.ledger.LedgerRules
+import org.arbutusrelay.core.ledger.LedgerState
+import org.arbutusrelay.schema.message.LedgerExport
+import org.arbutusrelay.schema.message.LedgerImport
+
+/** Fetches the entries of callers that moved to this region, and commits them here. */
+public class LedgerHandOver(
+    private val region: String,
+    private val service: LedgerService,
+    private val client: LinkLedgerClient,
+    private val scope: CoroutineScope,
+) {
+    /** Starts to look for due imports once a second, until [scope] ends. */
+    public fun start() {
+        scope.launch {
+            while (true) {
+                delay(INTERVAL_MS)
+                service.dueImports().forEach { import(it) }
+            }
+        }
+    }
+
+    /** Imports all batches of one caller; returns false when it must be tried again from the first batch. */
+    internal suspend fun import(due: DueImport): Boolean {
+        var afterKey: String? = null
+        while (true) {
+            val request = LedgerExport(due.caller, due.manifestNumber, region, afterKey)
+            val reply = client.export(due.from, request, EXPORT_TIMEOUT_MS) ?: return false
+            val batch = reply.exported ?: return false
+            if (!service.commitImport(reply)) return false
+            if (batch.isLast) return true
+            afterKey = batch.entries.last().key.idempotencyKey
+        }
+    }
+
+    private companion object {
+        private const val INTERVAL_MS = 1_000L
+        private const val EXPORT_TIMEOUT_MS = 2_000L
+    }
+}
+
+/** A caller whose entries are to be imported. */
+internal data class DueImport(val caller: String, val manifestNumber: Long, val from: String)
+
+/**
+ * Returns the next batch of an export, or null while the caller is not fenced here or an entry may not move.
+ *
+ * An entry without a service may not move, because it is not known where it may be stored. The hand-over then waits
+ * until the retention of such entries has passed.
+ */
+internal fun exportBatch(
+    rules: LedgerRules,
+    state: LedgerState,
+    export: LedgerExport,
+    isAllowed: (String) -> Boolean,
+): LedgerImport? {
+    val entries = rules.export(state, export.caller, export.manifestNumber) ?: return null
+    if (entries.any { it.service?.let(isAllowed) != true }) return null
+    val afterKey = export.afterKey
+    val rest =
+        entries
+            .filter { afterKey == null || it.key.idempotencyKey > afterKey }
+            .sortedBy { it.key.idempotencyKey }
+    var bytes = 0L
+    val batch =
+        rest.takeWhile {
+            bytes += ENTRY_OVERHEAD_BYTES + (it.response?.body?.size ?: 0)
+            bytes <= MAX_BATCH_BYTES
+        }
+    return LedgerImport(export.caller, export.manifestNumber, batch, isLast = batch.size == rest.size)
+}
+
+/** Half of the bound of a frame; one stored response of the largest size always fits. */
+private const val MAX_BATCH_BYTES = 512 * 1024
+private const val ENTRY_OVERHEAD_BYTES = 512
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/ledger/LedgerService.kt
@@ -0,0 +1,195 @@
+package org.arbutusrelay.daemon.ledger
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import org.arbutusrelay.core.ledger.LedgerAction
+import org.arbutusrelay.core.ledger.LedgerClock
+import org.arbutusrelay.core.ledger.LedgerDecision
+import org.arbutusrelay.core.ledger.LedgerRules
+import org.arbutusrelay.core.ledger.LedgerStateMachine
+import org.arbutusrelay.daemon.consensus.ConsensusGroup
+import org.arbutusrelay.daemon.link.FrameReceiver
+import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.daemon.link.LinkNetwork
+import org.arbutusrelay.schema.message.Attempt
+import org.arbutusrelay.schema.message.LedgerCommand
+import org.arbutusrelay.schema.message.LedgerExport
+import org.arbutusrelay.schema.message.LedgerReply
+import org.arbutusrelay.schema.message.LedgerReply.Decision
+import org.arbutusrelay.schema.message.LedgerRequest
+import org.arbutusrelay.schema.message.LinkFrame
+import org.arbutusrelay.schema.message.ReplicatedCommand
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.TimeSource
+
+/**
+ * Serves the ledger of this host's region while this host leads it.
+ *
+ * [serve] answers [Decision.NO_LEADER] with the leader's name, if known, while this host does not hold the leader
+ * lease. [machine] is the state machine that [group] replicates.
+ */
+public class LedgerService(
+    private val group: ConsensusGroup<LedgerDecision>,
+    private val machine: LedgerStateMachine,
+    private val rules: LedgerRules,
+    private val homes: CallerHomes,
+    private val network: LinkNetwork,
+    private val scope: CoroutineScope,
+    timeSource: TimeSource = TimeSource.Monotonic,
+    private val maxInFlight: Int = 4_096,
+) : FrameReceiver {
+    private val start = timeSource.markNow()
+    private val clock = LedgerClock()
+    private val inFlight = AtomicInteger()
+    private val readiness = Mutex()
+
+    @Volatile
+    private var readyTerm = -1L
+    private var lastExpiryMs = 0L
+    private val replaced = ReplacedEpochs()
+
+    /** Starts to receive frames and to settle, expire and hand over entries, until [scope] ends. */
+    public fun start() {
+        network.addReceiver(this)
+        scope.launch {
+            while (true) {
+                delay(MAINTENANCE_MS)
+                maintain()
+            }
+        }
+    }
+
+    override fun onFrame(from: HostIdentity, frame: LinkFrame) {
+        val request = frame.ledgerRequest?.takeIf { it.group == group.name } ?: return
+        if (inFlight.incrementAndGet() > maxInFlight) {
+            inFlight.decrementAndGet()
+            send(from, LedgerReply(request.correlation, Decision.NO_LEADER))
+            return
+        }
+        scope.launch {
+            try {
+                send(from, serve(from, request))
+            } finally {
+                inFlight.decrementAndGet()
+            }
+        }
+    }
+
+    /** Answers a [request] of the process [from], which may be this one. */
+    public suspend fun serve(from: HostIdentity, request: LedgerRequest): LedgerReply {
+        val term = group.term
+        if (!isReady(term)) return noLeader(request)
+        if (request.attempt?.isOf(from) == false) return LedgerReply(request.correlation, Decision.NOT_OWNER)
+        request.export?.let { return answerExport(term, request.correlation, it) }
+        val action = rules.decide(machine.state, request, request.caller?.let(homes::homeOf), atMs(term))
+        val decision =
+            when (action) {
+                is LedgerAction.Answer -> action.decision
+                is LedgerAction.Propose -> propose(action.command)
+            }
+        // A grant counts only while no other leader can have decided otherwise.
+        return if (decision != null && isLeading(term)) decision.toReply(request.correlation) else noLeader(request)
+    }
+
+    /** Settles the open grants of a process that was replaced; a later leader does so as well. */
+    public fun onHostReplaced(hostName: String, oldEpoch: Long) {
+        replaced.add(hostName, oldEpoch)
+        scope.launch { maintain() }
+    }
+
+    /** Settles, expires and fences what is due now; does nothing while this host does not lead. */
+    public suspend fun maintain() {
+        val term = group.term
+        if (!isReady(term)) return
+        val atMs = atMs(term)
+        val state = machine.state
+        val settles =
+            rules.settleOverdue(state, atMs) +
+                replaced.all().flatMap { rules.settleReplaced(state, it.hostName, it.epoch, atMs) }
+        val fences = homes.moved().mapNotNull { (caller, home) -> rules.dueFence(state, caller, home, atMs) }
+        val expiry = rules.dueExpiry(lastExpiryMs, atMs)
+        if (expiry != null) lastExpiryMs = atMs
+        proposeAll((settles + fences + listOfNotNull(expiry)).distinct())
+    }
+
+    /** Commits a batch that the ledger of the former home region exported; false when it was not committed. */
+    internal suspend fun commitImport(reply: LedgerReply): Boolean {
+        val batch = reply.exported ?: return false
+        val term = group.term
+        if (!isReady(term)) return false
+        val decision = propose(LedgerCommand(atMs(term), imported = batch))?.decision
+        return decision == if (batch.isLast) Decision.SETTLED else Decision.FENCED
+    }
+
+    /** Returns the callers whose entries this leader waits for, with the region that holds them. */
+    internal suspend fun dueImports(): List<DueImport> {
+        if (!isReady(group.term)) return emptyList()
+        return machine.state.fences.values.mapNotNull { fence ->
+            fence.importFrom?.takeIf { fence.isFenced }?.let { DueImport(fence.caller, fence.manifestNumber, it) }
+        }
+    }
+
+    private fun answerExport(
+        term: Long,
+        correlation: Long,
+        export: LedgerExport,
+    ): LedgerReply {
+        val batch = exportBatch(rules, machine.state, export) { homes.isAllowed(it, export.region) }
+        if (!isLeading(term)) return LedgerReply(correlation, Decision.NO_LEADER, leaderName = group.leaderName)
+        return LedgerReply(correlation, if (batch == null) Decision.ABSENT else Decision.FENCED, exported = batch)
+    }
+
+    private suspend fun proposeAll(commands: List<LedgerCommand>) = coroutineScope {
+        commands.chunked(MAX_PROPOSALS).forEach { chunk -> chunk.map { async { propose(it) } }.awaitAll() }
+    }
+
+    private suspend fun propose(command: LedgerCommand): LedgerDecision? =
+        group.propose(ReplicatedCommand(ledger = command)).getOrNull()
+
+    /**
+     * Returns true when this host leads in [term] and has applied an entry of it.
+     *
+     * Before that its state may lack entries that a former leader committed.
+     */
+    private suspend fun isReady(term: Long): Boolean {
+        if (!isLeading(term)) return false
+        if (readyTerm == term) return true
+        return readiness.withLock {
+            if (readyTerm != term && group.propose(ReplicatedCommand()).isRight() && isLeading(term)) readyTerm = term
+            readyTerm == term
+        }
+    }
+
+    private fun isLeading(term: Long) = group.isLeaseHeld() && group.term == term
+
+    private fun atMs(term: Long) = clock.atMs(term, machine.state, start.elapsedNow().inWholeMilliseconds)
+
+    private fun noLeader(request: LedgerRequest): LedgerReply {
+        val leader = group.leaderName.takeIf { it != network.self.hostName }
+        return LedgerReply(request.correlation, Decision.NO_LEADER, leaderName = leader)
+    }
+
+    private fun send(to: HostIdentity, reply: LedgerReply) {
+        // A reply that cannot be queued is lost like any other; the entry host asks again.
+        network.send(to.hostName, LinkFrame(ledgerReply = reply))
+    }
+
+    private companion object {
+        private const val MAINTENANCE_MS = 1_000L
+        private const val MAX_PROPOSALS = 64
+    }
+}
+
+private val LedgerRequest.attempt: Attempt?
+    get() = grant?.attempt ?: finish?.attempt ?: release?.attempt ?: settle?.attempt
+
+private val LedgerRequest.caller: String?
+    get() = grant?.key?.caller ?: finish?.key?.caller ?: release?.key?.caller ?: settle?.key?.caller
+
+private fun Attempt.isOf(host: HostIdentity) = hostName == host.hostName && epoch == host.epoch
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/ledger/LinkLedgerClient.kt
@@ -0,0 +1,135 @@
+package org.arbutusrelay.daemon.ledger
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.daemon.link.LinkNetwork
+import org.arbutusrelay.schema.message.Attempt
+import org.arbutusrelay.schema.message.LedgerExport
+import org.arbutusrelay.schema.message.LedgerFinish
+import org.arbutusrelay.schema.message.LedgerGrant
+import org.arbutusrelay.schema.message.LedgerKey
+import org.arbutusrelay.schema.message.LedgerQuery
+import org.arbutusrelay.schema.message.LedgerRelease
+import org.arbutusrelay.schema.message.LedgerReply
+import org.arbutusrelay.schema.message.LedgerReply.Decision
+import org.arbutusrelay.schema.message.LedgerRequest
+import org.arbutusrelay.schema.message.LedgerSettle
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.TimeSource
+
+/**
+ * Reaches the ledger leaders over links, or directly when this host leads.
+ *
+ * [stateHosts] names the state hosts of a region. After a reply of `in_progress` the caller of [grant] may ask again
+ * with the same attempt; when it gives up, it must call [release], because an earlier request may still arrive.
+ */
+public class LinkLedgerClient(
+    private val network: LinkNetwork,
+    stateHosts: (String) -> List<String>,
+    local: LedgerService?,
+    private val scope: CoroutineScope,
+    private val timeSource: TimeSource = TimeSource.Monotonic,
+) : LedgerClient {
+    private val exchange = LedgerExchange(network, stateHosts, local, timeSource)
+    private val queues = ConcurrentHashMap<String, RetryQueue>()
+    private val dropped = AtomicLong()
+
+    /** Background commands that were dropped because their queue was full; their grants end as `unknown`. */
+    public val droppedCommands: Long get() = dropped.get()
+
+    /** Replies that matched no open request: late, duplicate, or of another process. */
+    public val unmatchedReplies: Long get() = exchange.unmatchedReplies
+
+    /** Starts to receive replies. */
+    public fun start(): Unit = network.addReceiver(exchange)
+
+    override suspend fun grant(homeRegion: String, grant: LedgerGrant): Either<RelayError, LedgerReply> {
+        var reply: LedgerReply? = null
+        try {
+            reply =
+                exchange.ask(homeRegion, grant.deadlineMs) { correlation, remainingMs ->
+                    LedgerRequest(correlation, groupOf(homeRegion), grant = grant.copy(deadlineMs = remainingMs))
+                }
+        } finally {
+            // Covers a timeout and a cancelled caller: the request may have been granted, but is never sent.
+            if (reply == null || errorOf(reply) != null) release(homeRegion, LedgerRelease(grant.key, grant.attempt))
+        }
+        val error = if (reply == null) RelayError(ErrorKind.LEDGER_UNAVAILABLE) else errorOf(reply)
+        return error?.left() ?: checkNotNull(reply).right()
+    }
+
+    override suspend fun awaitEnd(
+        homeRegion: String,
+        key: LedgerKey,
+        timeoutMs: Long,
+    ): Either<RelayError, LedgerReply> {
+        val start = timeSource.markNow()
+        var delayMs = MIN_POLL_MS
+        while (true) {
+            val remainingMs = timeoutMs - start.elapsedNow().inWholeMilliseconds
+            if (remainingMs <= 0) return RelayError(ErrorKind.IN_PROGRESS).left()
+            val reply =
+                exchange.ask(homeRegion, remainingMs) { correlation, _ ->
+                    LedgerRequest(correlation, groupOf(homeRegion), query = LedgerQuery(key))
+                }
+            // The other attempt may have run, so a silent ledger is not reported as `not_run`.
+            if (reply == null) return RelayError(ErrorKind.IN_PROGRESS).left()
+            if (reply.decision != Decision.IN_PROGRESS) return reply.right()
+            delay(minOf(delayMs, remainingMs))
+            delayMs = minOf(2 * delayMs, MAX_POLL_MS)
+        }
+    }
+
+    override fun release(homeRegion: String, release: LedgerRelease) {
+        retry(homeRegion) { LedgerRequest(it, groupOf(homeRegion), release = release) }
+    }
+
+    override suspend fun finish(homeRegion: String, finish: LedgerFinish, timeoutMs: Long): Boolean {
+        val request = { correlation: Long -> LedgerRequest(correlation, groupOf(homeRegion), finish = finish) }
+        var reply: LedgerReply? = null
+        try {
+            reply = exchange.ask(homeRegion, timeoutMs) { correlation, _ -> request(correlation) }
+        } finally {
+            if (reply == null) retry(homeRegion, request)
+        }
+        return reply?.decision == Decision.FINISHED
+    }
+
+    override fun settle(homeRegion: String, key: LedgerKey, attempt: Attempt) {
+        retry(homeRegion) { LedgerRequest(it, groupOf(homeRegion), settle = LedgerSettle(key, attempt)) }
+    }
+
+    /** Asks the former home region for a batch of entries; null when it does not answer in time. */
+    internal suspend fun export(region: String, export: LedgerExport, timeoutMs: Long): LedgerReply? =
+        exchange.ask(region, timeoutMs) { correlation, _ ->
+            LedgerRequest(correlation, groupOf(region), export = export)
+        }
+
+    private fun retry(region: String, request: (Long) -> LedgerRequest) {
+        val queue = queues.computeIfAbsent(region) { RetryQueue(scope) }
+        val isQueued =
+            queue.add { exchange.ask(region, RETRY_TIMEOUT_MS) { correlation, _ -> request(correlation) } != null }
+        if (!isQueued) dropped.incrementAndGet()
+    }
+
+    private fun errorOf(reply: LedgerReply): RelayError? = when (reply.decision) {
+        Decision.FENCED -> RelayError(ErrorKind.HOME_MOVING)
+        Decision.BODY_MISMATCH -> RelayError(ErrorKind.IDEMPOTENCY_KEY_REUSED)
+        Decision.GRANTED, Decision.IN_PROGRESS, Decision.FINISHED, Decision.UNKNOWN -> null
+        else -> RelayError(ErrorKind.LEDGER_UNAVAILABLE, "the ledger refused the grant: ${reply.decision}")
+    }
+
+    private fun groupOf(region: String) = "ledger/$region"
+
+    private companion object {
+        private const val MIN_POLL_MS = 100L
+        private const val MAX_POLL_MS = 1_000L
+        private const val RETRY_TIMEOUT_MS = 2_000L
+    }
+}
