Let the ledger clock of a host that leads again go on

A host that led an idle ledger, lost leadership and led again took its offset from the last applied time, which was older than the last time it had assigned. Its clock stood still until it had caught up.

Change: the offset of a new term starts from the later of both. The unit test of the clock covers the case; the message of the check names the open grants.

--- a/core/src/main/kotlin/org/arbutusrelay/core/ledger/LedgerClock.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/ledger/LedgerClock.kt
@@ -16,7 +16,9 @@
     public fun atMs(term: Long, state: LedgerState, nowMs: Long): Long {
         if (term != this.term) {
             this.term = term
-            offsetMs = state.timeMs - nowMs
+            // A host that leads again goes on from the last time it assigned. From an older applied time its
+            // clock would stand still until it had caught up, and overdue grants would stay open.
+            offsetMs = maxOf(lastMs, state.timeMs) - nowMs
         }
         lastMs = maxOf(lastMs, state.timeMs, nowMs + offsetMs)
         return lastMs
--- a/core/src/test/kotlin/org/arbutusrelay/core/ledger/LedgerStateMachineTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/ledger/LedgerStateMachineTest.kt
@@ -114,6 +114,7 @@
         assertEquals(500, clock.atMs(1, state, nowMs = 9_000))
         assertEquals(700, clock.atMs(1, state, nowMs = 9_200))
         assertEquals(700, clock.atMs(2, state, nowMs = 3))
+        assertEquals(701, clock.atMs(2, state, nowMs = 4), "stands still after a second term")
         assertEquals(900, LedgerClock().atMs(3, state.copy(timeMs = 900), nowMs = 12))
     }
 }
--- a/core/src/test/kotlin/org/arbutusrelay/core/ledger/LedgerWorld.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/ledger/LedgerWorld.kt
@@ -36,7 +36,10 @@
         hasFailures = false
         ledgers.values.forEach { it.hasFailures = false }
         time.runUntil(ACTIVE_MS + 120_000)
-        ledgers.values.forEach { assertEquals(0, it.machine.state.open.size, "open grants remain") }
+        ledgers.forEach { (region, ledger) ->
+            val state = ledger.machine.state
+            assertTrue(state.open.isEmpty(), "open grants remain in $region at ${state.timeMs}: ${state.open.values}")
+        }
         homes.forEach { (caller, home) ->
             assertTrue(ledger(home.region).isOpen(caller), "the hand-over of $caller did not end")
         }
