--- /dev/null
+++ b/core/src/test/kotlin/org/arbutusrelay/core/suspect/SuspectTableTest.kt
@@ -0,0 +1,103 @@
+package org.arbutusrelay.core.suspect
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Guards innocent requests against refusal, and backend servers against a request that keeps crashing them. */
+class SuspectTableTest {
+    private class Crash(val server: String, val inFlight: List<String>)
+
+    @Test
+    fun `the verdict follows the table of crashes`() {
+        val shared = Crash("a", listOf("guilty", "innocent"))
+        val sharedAgain = Crash("b", listOf("guilty", "innocent"))
+        val alone = Crash("c", listOf("guilty"))
+        val aloneAgain = Crash("d", listOf("guilty"))
+        val cases = listOf(
+            listOf(shared) to (SuspectVerdict.ISOLATE to SuspectVerdict.ISOLATE),
+            listOf(shared, sharedAgain) to (SuspectVerdict.ISOLATE to SuspectVerdict.ISOLATE),
+            listOf(shared, alone) to (SuspectVerdict.REFUSE to SuspectVerdict.ISOLATE),
+            listOf(alone) to (SuspectVerdict.ISOLATE to SuspectVerdict.CLEAR),
+            listOf(alone, alone) to (SuspectVerdict.ISOLATE to SuspectVerdict.CLEAR),
+            listOf(alone, aloneAgain) to (SuspectVerdict.REFUSE to SuspectVerdict.CLEAR),
+        )
+        for ((crashes, expected) in cases) {
+            val table = SuspectTable()
+            crashes.forEachIndexed { i, crash -> table.recordCrash(crash.server, 1, crash.inFlight, i.toLong()) }
+            assertEquals(expected, table.verdict("guilty", 9) to table.verdict("innocent", 9))
+        }
+    }
+
+    @Test
+    fun `a finished run clears a suspect on every host`() {
+        val (here, there) = SuspectTable() to SuspectTable()
+        val reports = here.recordCrash("a", 1, listOf("x", "y"), 0)
+        reports.forEach { there.merge(it, 100) }
+        there.recordFinish("x", 200)?.let { here.merge(it, 300) }
+        reports.forEach { there.merge(it.copy(ageMs = 300), 300) }
+        assertEquals(
+            listOf(SuspectVerdict.CLEAR, SuspectVerdict.ISOLATE),
+            listOf("x", "y").map {
+                here.verdict(it, 300)
+            },
+        )
+        assertEquals(SuspectVerdict.CLEAR, there.verdict("x", 300))
+    }
+
+    @Test
+    fun `a refusal is withdrawn when another host had a request in the same crash`() {
+        val table = SuspectTable()
+        table.recordCrash("a", 1, listOf("innocent", "guilty"), 0)
+        table.recordCrash("b", 1, listOf("innocent"), 10)
+        assertEquals(SuspectVerdict.REFUSE, table.verdict("innocent", 10))
+        SuspectTable().recordCrash("b", 1, listOf("guilty"), 10).forEach { table.merge(it, 20) }
+        assertEquals(SuspectVerdict.ISOLATE, table.verdict("innocent", 20))
+    }
+
+    @Test
+    fun `suspicion expires and the table is bounded`() {
+        val table = SuspectTable(SuspectLimits(maxSuspects = 10, lifetimeMs = 1_000))
+        repeat(50) { table.recordCrash("a", it.toLong(), listOf("x$it"), it.toLong()) }
+        assertEquals(10, table.size)
+        assertEquals(SuspectVerdict.ISOLATE, table.verdict("x49", 1_000))
+        assertEquals(SuspectVerdict.CLEAR, table.verdict("x49", 1_049))
+        assertTrue(table.states(1_049).isEmpty())
+    }
+
+    @Test
+    fun `over random runs on several hosts only the guilty request is refused`() {
+        for (seed in 1..500) {
+            val random = Random(seed)
+            val hosts = List(3) { SuspectTable() }
+            var incarnation = 0L
+            while (hosts.any { it.verdict("guilty", 100 * incarnation) != SuspectVerdict.REFUSE }) {
+                assertTrue(++incarnation < 500, "seed $seed: the guilty request was never refused")
+                crash(hosts, incarnation, random)
+                val nowMs = 100 * incarnation + 60
+                val refused = hosts.flatMap { host ->
+                    INNOCENT.filter { host.verdict(it, nowMs) == SuspectVerdict.REFUSE }
+                }
+                assertTrue(refused.isEmpty(), "seed $seed: $refused refused")
+            }
+        }
+    }
+
+    /** Runs the guilty request on a random host as its table allows; some reports are lost, some companions finish. */
+    private fun crash(hosts: List<SuspectTable>, incarnation: Long, random: Random) {
+        val nowMs = 100 * incarnation
+        val host = hosts.random(random)
+        val isShared = host.verdict("guilty", nowMs) == SuspectVerdict.CLEAR
+        val beside = INNOCENT.filter { isShared && random.nextInt(3) == 0 }
+        val companions = beside.filter { host.verdict(it, nowMs) == SuspectVerdict.CLEAR }
+        val reports = host.recordCrash("server", incarnation, companions + "guilty", nowMs)
+        hosts.forEach { other -> if (random.nextInt(3) > 0) reports.forEach { other.merge(it, nowMs) } }
+        val cleared = companions.filter { random.nextBoolean() }.mapNotNull { host.recordFinish(it, nowMs + 50) }
+        hosts.forEach { other -> cleared.forEach { other.merge(it, nowMs + 60) } }
+    }
+
+    private companion object {
+        private val INNOCENT = List(6) { "innocent-$it" }
+    }
+}
