--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetwork.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetwork.kt
@@ -9,7 +9,10 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
@@ -28,18 +31,19 @@
 /**
  * Links over TCP sockets.
  *
- * All coroutines run in [scope]; the sockets are closed by [close]. [random] draws nonces and jitter and must be
- * cryptographically strong outside of tests. Source: section 12 of the design.
+ * All coroutines run below [scope] and end with [close], which also closes the sockets. [random] draws nonces and
+ * jitter and must be cryptographically strong outside of tests. Source: section 12 of the design.
  */
 public class SocketLinkNetwork(
     override val self: HostIdentity,
     private val secret: ByteArray,
-    private val scope: CoroutineScope,
+    scope: CoroutineScope,
     private val options: LinkOptions = LinkOptions(),
     private val random: Random = java.security.SecureRandom().asKotlinRandom(),
     private val timeSource: TimeSource = TimeSource.Monotonic,
 ) : LinkNetwork,
     AutoCloseable {
+    private val scope = CoroutineScope(scope.coroutineContext + SupervisorJob(scope.coroutineContext[Job]))
     private val selector = SelectorManager(Dispatchers.IO)
     private val table = LinkTable(self.hostName)
     private val addresses = ConcurrentHashMap<String, String>()
@@ -87,6 +91,7 @@
     }
 
     override fun close() {
+        scope.cancel()
         servers.forEach { it.close() }
         table.all().forEach { it.close() }
         selector.close()
