--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/manifest/ManifestText.kt
@@ -0,0 +1,70 @@
+package org.arbutusrelay.core.manifest
+
+import org.arbutusrelay.schema.message.LineEdit
+import org.arbutusrelay.schema.message.ManifestDelta
+import org.arbutusrelay.schema.message.ManifestRecord
+import java.security.MessageDigest
+import java.util.HexFormat
+
+/** Digests and line differences of manifest texts. */
+public object ManifestText {
+    /** Returns the SHA-256 of [text] in lower-case hexadecimal. */
+    public fun digest(text: String): String =
+        HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.toByteArray()))
+
+    /** Returns the difference that turns [base] into [target]. */
+    public fun difference(base: ManifestRecord, target: ManifestRecord): ManifestDelta {
+        val edits = ArrayList<LineEdit>()
+        edits(base.text.split('\n'), target.text.split('\n'), 0, edits)
+        return ManifestDelta(base.number, base.digest, target.number, target.digest, edits)
+    }
+
+    /** Applies [delta], or returns null when it belongs to another base or the result has another digest. */
+    public fun apply(base: ManifestRecord, delta: ManifestDelta): ManifestRecord? {
+        if (base.number != delta.baseNumber || base.digest != delta.baseDigest) return null
+        val old = base.text.split('\n')
+        val lines = ArrayList<String>(old.size)
+        var position = 0
+        for (edit in delta.edits) {
+            val first = edit.firstLine.toInt()
+            val end = first + edit.removedLines
+            if (first < position || end > old.size) return null
+            lines += old.subList(position, first)
+            lines += edit.addedLines
+            position = end.toInt()
+        }
+        lines += old.subList(position, old.size)
+        val text = lines.joinToString("\n")
+        return if (digest(text) == delta.digest) ManifestRecord(delta.number, delta.digest, text) else null
+    }
+
+    /** Splits at a line that is unique on both sides, after it has cut off what both ends have in common. */
+    private fun edits(old: List<String>, new: List<String>, offset: Int, into: MutableList<LineEdit>) {
+        val limit = minOf(old.size, new.size)
+        val head = (0 until limit).firstOrNull { old[it] != new[it] } ?: limit
+        val tail = (0 until limit - head).firstOrNull { old[old.size - 1 - it] != new[new.size - 1 - it] }
+            ?: (limit - head)
+        val (oldPart, newPart) = old.subList(head, old.size - tail) to new.subList(head, new.size - tail)
+        val start = offset + head
+        if (oldPart.isEmpty() && newPart.isEmpty()) return
+        val anchor = anchor(oldPart, newPart)
+        if (anchor == null) {
+            into += LineEdit(start.toLong(), oldPart.size.toLong(), newPart.toList())
+        } else {
+            val (i, j) = anchor
+            edits(oldPart.subList(0, i), newPart.subList(0, j), start, into)
+            edits(oldPart.subList(i, oldPart.size), newPart.subList(j, newPart.size), start + i, into)
+        }
+    }
+
+    /** Returns the positions of the unique common line that is nearest to the middle of [old]. */
+    private fun anchor(old: List<String>, new: List<String>): Pair<Int, Int>? {
+        val inOld = uniqueLines(old)
+        val inNew = uniqueLines(new)
+        return inOld.entries.mapNotNull { (line, i) -> inNew[line]?.let { j -> i to j } }
+            .minByOrNull { (i, _) -> kotlin.math.abs(i - old.size / 2) }
+    }
+
+    private fun uniqueLines(lines: List<String>): Map<String, Int> =
+        lines.withIndex().groupBy({ it.value }, { it.index }).filterValues { it.size == 1 }.mapValues { it.value[0] }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/manifest/LinkManifestService.kt
@@ -0,0 +1,165 @@
+package org.arbutusrelay.daemon.manifest
+
+import arrow.core.Either
+import arrow.core.flatMap
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.core.invariant.Invariants
+import org.arbutusrelay.core.manifest.ManifestDecision
+import org.arbutusrelay.core.manifest.ManifestLog
+import org.arbutusrelay.core.manifest.ManifestNode
+import org.arbutusrelay.core.manifest.ManifestParser
+import org.arbutusrelay.core.manifest.ManifestPeers
+import org.arbutusrelay.core.manifest.ManifestText
+import org.arbutusrelay.core.manifest.ManifestView
+import org.arbutusrelay.core.membership.Outgoing
+import org.arbutusrelay.daemon.consensus.ConsensusGroup
+import org.arbutusrelay.daemon.link.FrameReceiver
+import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.daemon.link.LinkNetwork
+import org.arbutusrelay.daemon.membership.LinkMembershipService
+import org.arbutusrelay.schema.api.HostManifest
+import org.arbutusrelay.schema.api.ManifestPublishResult
+import org.arbutusrelay.schema.api.ManifestStatus
+import org.arbutusrelay.schema.message.LinkFrame
+import org.arbutusrelay.schema.message.ManifestRecord
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.time.TimeSource
+
+/** The part of a voter in the manifest group: the group and the state machine that it replicates. */
+public class ManifestVoter(public val group: ConsensusGroup<ManifestDecision>, public val log: ManifestLog)
+
+/**
+ * Manifests of one daemon, with or without a disk.
+ *
+ * [store] is set on state hosts and [voter] on those that vote in the group `manifest`. [voters] are the names of all
+ * voters; [peers] must agree with [store]. Nothing runs before [start].
+ */
+public class LinkManifestService(
+    private val network: LinkNetwork,
+    private val membership: LinkMembershipService,
+    peers: ManifestPeers,
+    voters: List<String>,
+    private val parser: ManifestParser,
+    private val store: ManifestStore?,
+    private val voter: ManifestVoter?,
+    private val scope: CoroutineScope,
+    private val timeSource: TimeSource = TimeSource.Monotonic,
+    invariants: Invariants = Invariants(),
+) : ManifestService {
+    private val origin = timeSource.markNow()
+    private val lock = Any()
+    private val node = ManifestNode(peers, store?.load(), invariants, parser)
+    private val inForce = AtomicReference<ManifestView?>(null)
+    private val inForceText = AtomicReference<String?>(null)
+    private val listeners = CopyOnWriteArrayList<(ManifestView) -> Unit>()
+    private val relays = (peers.regionStateHosts - peers.selfName).toList()
+    private val publisher = ManifestPublisher(network, voter?.group, voters, relays, scope, timeSource)
+
+    init {
+        require(peers.isStateHost == (store != null)) { "a state host needs a store, and only a state host has one" }
+        require(voter == null || store != null) { "a voter needs a store" }
+    }
+
+    override val current: ManifestView? get() = inForce.get()
+
+    override val text: String? get() = inForceText.get()
+
+    /** Runs until the returned job or the scope is cancelled. */
+    public fun start(): Job {
+        network.addReceiver(Receiver())
+        return scope.launch {
+            while (true) {
+                step { due() }
+                synchronized(lock) { node.takeRecordToSync() }?.let { sync(it) }
+                delay(TICK_MS)
+            }
+        }
+    }
+
+    override suspend fun publish(text: String): Either<RelayError, ManifestPublishResult> {
+        val parsed = parser.parse(text).mapLeft { errors ->
+            RelayError(ErrorKind.MANIFEST_INVALID, errors.joinToString("; ") { "${it.path}: ${it.message}" })
+        }
+        return parsed.flatMap { publisher.publish(ManifestRecord(it.number, ManifestText.digest(text), text)) }
+            .map { it.toResult() }
+    }
+
+    override fun status(): ManifestStatus {
+        val hosts = membership.hosts().hosts
+        val newest =
+            maxOf(membership.newestManifest, current?.number ?: 0, hosts.maxOfOrNull { it.manifestNumber } ?: 0)
+        val digest = current?.takeIf { it.number == newest }?.digest.orEmpty()
+        return ManifestStatus(
+            newest,
+            digest,
+            hosts.map { HostManifest(it.hostName, it.region, it.manifestNumber, newest - it.manifestNumber) },
+        )
+    }
+
+    override suspend fun awaitNumber(number: Long, timeoutMs: Long): Boolean {
+        val start = timeSource.markNow()
+        synchronized(lock) {
+            node.heard(number)
+            node.pullNow()
+        }
+        step { due() }
+        while ((current?.number ?: 0) < number) {
+            if (start.elapsedNow().inWholeMilliseconds >= timeoutMs) return false
+            delay(POLL_MS)
+        }
+        return true
+    }
+
+    override fun addListener(listener: (ManifestView) -> Unit) {
+        listeners += listener
+    }
+
+    private fun due(): List<Outgoing> {
+        voter?.log?.accepted?.let(node::committed)
+        node.heard(membership.newestManifest)
+        return node.tick(origin.elapsedNow().inWholeMilliseconds)
+    }
+
+    private suspend fun sync(record: ManifestRecord) {
+        checkNotNull(store) { "a host without a store has nothing to sync" }.save(record)
+        step {
+            node.synced(record)
+            node.tick(origin.elapsedNow().inWholeMilliseconds)
+        }
+    }
+
+    /** Runs [action] under the lock, sends its frames, and publishes a new manifest in force to readers. */
+    private fun step(action: () -> List<Outgoing>) {
+        val changed = synchronized(lock) {
+            action().forEach { network.send(it.hostName, it.frame) }
+            node.view?.takeIf { it !== inForce.get() }?.also { view ->
+                inForceText.set(node.record?.text)
+                inForce.set(view)
+            }
+        }
+        if (changed == null) return
+        membership.updateSelf { it.copy(manifestNumber = maxOf(it.manifestNumber, changed.number)) }
+        listeners.forEach { it(changed) }
+    }
+
+    private inner class Receiver : FrameReceiver {
+        override fun onFrame(from: HostIdentity, frame: LinkFrame) {
+            frame.manifestPublish?.let { publisher.receive(from.hostName, it) }
+            frame.manifestPublishReply?.let(publisher::receive)
+            if (frame.manifestPull != null || frame.manifestPullReply != null || frame.manifestSynced != null) {
+                step { node.receive(from.hostName, frame) }
+            }
+        }
+    }
+
+    private companion object {
+        const val TICK_MS = 100L
+        const val POLL_MS = 10L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/manifest/ManifestPublisher.kt
@@ -0,0 +1,131 @@
+package org.arbutusrelay.daemon.manifest
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.error.Outcome
+import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.core.manifest.ManifestDecision
+import org.arbutusrelay.daemon.consensus.ConsensusGroup
+import org.arbutusrelay.daemon.link.LinkNetwork
+import org.arbutusrelay.schema.api.ManifestPublishResult
+import org.arbutusrelay.schema.message.LinkFrame
+import org.arbutusrelay.schema.message.ManifestPublish
+import org.arbutusrelay.schema.message.ManifestPublishReply
+import org.arbutusrelay.schema.message.ManifestRecord
+import org.arbutusrelay.schema.message.ReplicatedCommand
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.TimeSource
+
+/** Brings a publication to the leader of the manifest group, and decides those of other hosts when this one leads. */
+internal class ManifestPublisher(
+    private val network: LinkNetwork,
+    private val group: ConsensusGroup<ManifestDecision>?,
+    private val voters: List<String>,
+    private val relays: List<String>,
+    private val scope: CoroutineScope,
+    private val timeSource: TimeSource,
+) {
+    private val pending = ConcurrentHashMap<Long, CompletableDeferred<ManifestPublishReply>>()
+    private val correlations = AtomicLong()
+
+    /** Tries the known leader, then the voters, then [relays], until one decides or 5 s have passed. */
+    suspend fun publish(record: ManifestRecord, canRelay: Boolean = true): Either<RelayError, ManifestPublishReply> {
+        val start = timeSource.markNow()
+        var isUnknown = false
+        var hint: String? = null
+        var attempt = 0
+        while (start.elapsedNow().inWholeMilliseconds < PUBLISH_TIMEOUT_MS) {
+            val result = when (val target = target(hint, attempt++, canRelay)) {
+                network.self.hostName -> decide(record)
+                null -> RelayError(ErrorKind.MANIFEST_GROUP_UNAVAILABLE).left()
+                else -> ask(target, record)
+            }
+            result.onLeft { isUnknown = isUnknown || it.kind.outcome == Outcome.UNKNOWN }
+            val reply = result.getOrNull()
+            if (reply != null && reply.decision != ManifestPublishReply.Decision.NO_LEADER) return reply.right()
+            hint = reply?.leaderName
+            delay(RETRY_MS)
+        }
+        val kind = if (isUnknown) ErrorKind.MANIFEST_OUTCOME_UNKNOWN else ErrorKind.MANIFEST_GROUP_UNAVAILABLE
+        return RelayError(kind).left()
+    }
+
+    /** Decides or relays a publication of another host and replies; sends no reply when the outcome is unknown. */
+    fun receive(from: String, publish: ManifestPublish) {
+        scope.launch {
+            val result = if (group != null) decide(publish.record) else publish(publish.record, canRelay = false)
+            val reply = result.fold({ if (it.kind.outcome == Outcome.NOT_RUN) noLeader() else null }, { it })
+            val frame = reply?.let { LinkFrame(manifestPublishReply = it.copy(correlation = publish.correlation)) }
+            if (frame != null) network.send(from, frame)
+        }
+    }
+
+    fun receive(reply: ManifestPublishReply) {
+        pending.remove(reply.correlation)?.complete(reply)
+    }
+
+    private fun target(hint: String?, attempt: Int, canRelay: Boolean): String? {
+        if (group?.isLeaseHeld() == true) return network.self.hostName
+        val connected = network.connected().keys
+        (hint ?: group?.leaderName)?.takeIf { it in connected }?.let { return it }
+        val candidates = voters.filter { it in connected }.ifEmpty {
+            if (canRelay) relays.filter { it in connected } else emptyList()
+        }
+        return if (candidates.isEmpty()) null else candidates[attempt % candidates.size]
+    }
+
+    private suspend fun ask(target: String, record: ManifestRecord): Either<RelayError, ManifestPublishReply> {
+        val correlation = correlations.incrementAndGet()
+        val reply = CompletableDeferred<ManifestPublishReply>()
+        pending[correlation] = reply
+        val isSent = network.send(target, LinkFrame(manifestPublish = ManifestPublish(correlation, record)))
+        val received = if (isSent) withTimeoutOrNull(REPLY_TIMEOUT_MS) { reply.await() } else null
+        pending.remove(correlation)
+        val kind = if (isSent) ErrorKind.MANIFEST_OUTCOME_UNKNOWN else ErrorKind.MANIFEST_GROUP_UNAVAILABLE
+        return received?.right() ?: RelayError(kind).left()
+    }
+
+    private suspend fun decide(record: ManifestRecord): Either<RelayError, ManifestPublishReply> {
+        val group = group ?: return noLeader().right()
+        return group.propose(ReplicatedCommand(manifest = record)).map { decision ->
+            val accepted = decision.accepted
+            ManifestPublishReply(0, decision.kind.toReply(), accepted?.number ?: 0, accepted?.digest.orEmpty())
+        }
+    }
+
+    private fun noLeader() =
+        ManifestPublishReply(0, ManifestPublishReply.Decision.NO_LEADER, 0, "", group?.leaderName)
+
+    private fun ManifestDecision.Kind.toReply() = when (this) {
+        ManifestDecision.Kind.ACCEPTED -> ManifestPublishReply.Decision.ACCEPTED
+        ManifestDecision.Kind.DIGEST_CONFLICT -> ManifestPublishReply.Decision.DIGEST_CONFLICT
+        ManifestDecision.Kind.STALE_NUMBER -> ManifestPublishReply.Decision.STALE_NUMBER
+        ManifestDecision.Kind.NONE -> error("the command of a publication carries a manifest")
+    }
+
+    private companion object {
+        const val PUBLISH_TIMEOUT_MS = 5_000L
+        const val REPLY_TIMEOUT_MS = 2_000L
+        const val RETRY_MS = 100L
+    }
+}
+
+/** Returns the body of an operator's response; NO_LEADER is never a final decision. */
+internal fun ManifestPublishReply.toResult(): ManifestPublishResult = ManifestPublishResult(
+    number,
+    digest,
+    when (decision) {
+        ManifestPublishReply.Decision.ACCEPTED -> ManifestPublishResult.Decision.ACCEPTED
+        ManifestPublishReply.Decision.DIGEST_CONFLICT -> ManifestPublishResult.Decision.DIGEST_CONFLICT
+        ManifestPublishReply.Decision.STALE_NUMBER -> ManifestPublishResult.Decision.STALE_NUMBER
+        ManifestPublishReply.Decision.NO_LEADER -> error("a publication without a leader has no result")
+    },
+)
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/membership/LinkMembershipServiceTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/membership/LinkMembershipServiceTest.kt
@@ -14,6 +14,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
+@OptIn(kotlinx.coroutines.ExperimentalCoroutinesApi::class)
 class LinkMembershipServiceTest {
     @Test
     fun `hosts servers suspects and replaced epochs reach every host of the region`() = runTest {
