--- a/core/src/main/kotlin/org/arbutusrelay/core/manifest/ManifestNode.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/manifest/ManifestNode.kt
@@ -62,7 +62,11 @@
     }
 
     /** Returns a record that is to be synced to disk, once. */
-    public fun takeRecordToSync(): ManifestRecord? = toSync.also { toSync = null }
+    public fun takeRecordToSync(): ManifestRecord? {
+        val next = toSync?.takeIf { it.number > (received?.number ?: -1) }
+        toSync = null
+        return next
+    }
 
     /** Notes that [record] is synced to the disk of this state host. */
     public fun synced(record: ManifestRecord) {
@@ -164,10 +168,7 @@
     private fun advance() {
         val own = received?.number ?: 0
         val recovered = region.recoveryNumber()
-        if (isRecovering && recovered != null && own >= recovered) {
-            isRecovering = false
-            region.noteAnswer(peers.selfName, own, isRecovering = false)
-        }
+        if (isRecovering && recovered != null && own >= recovered) finishRecovery()
         val candidate = if (peers.isStateHost) history.newestUpTo(region.offerable) else received
         if (!isReady) {
             val startNumber = region.startNumber ?: return
@@ -176,6 +177,22 @@
         if (isReady && candidate != null && candidate.number > (view?.number ?: 0)) putInForce(candidate)
     }
 
+    /**
+     * Ends recovery once something is stored.
+     *
+     * In a new region that is a record of number 0. Without it, state hosts that restart before the first manifest
+     * would look like hosts that lost their disks, and two of three would wait for each other for ever.
+     */
+    private fun finishRecovery() {
+        val stored = received
+        if (stored == null) {
+            if (toSync == null) toSync = ManifestRecord(0, ManifestText.digest(""), "")
+            return
+        }
+        isRecovering = false
+        region.noteAnswer(peers.selfName, stored.number, isRecovering = false)
+    }
+
     private fun putInForce(next: ManifestRecord) {
         val isHeld = invariants.check(Guarantee.MANIFEST_MONOTONIC, next.number >= (view?.number ?: 0)) {
             "${peers.selfName}: manifest ${next.number} after ${view?.number}"
