--- a/schema-codegen/src/main/kotlin/org/arbutusrelay/codegen/GenerateSchema.kt
+++ b/schema-codegen/src/main/kotlin/org/arbutusrelay/codegen/GenerateSchema.kt
@@ -38,6 +38,7 @@
         .replace(Regex("""(?m)^(\s*)val """), "$1public val ")
         .replace("companion object", "private companion object")
         .replace("cg_array", "cgArray")
+        .replace(Regex("cg_\\d+"), "item")
         .replace(Regex("""(?m)^import kotlin\.(ByteArray|Double)\n"""), "")
     return if (visible.contains("@SerialName")) {
         visible.replace("import kotlinx.serialization.Serializable", SERIAL_IMPORTS)
