Serve requests end to end on one host

Cause: the daemon had interfaces and no path of a request. Change: HTTP routes, backend client, request pipeline with ledger gate, retries, hedges and forwarding, metrics, spans, Daemon, and local implementations of the parts that other modules provide.

--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
@@ -0,0 +1,204 @@
+package org.arbutusrelay.daemon
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.apache.logging.log4j.LogManager
+import org.arbutusrelay.core.invariant.Invariants
+import org.arbutusrelay.core.routing.RequestScheduler
+import org.arbutusrelay.daemon.backend.BackendClient
+import org.arbutusrelay.daemon.http.BackendServerRoutes
+import org.arbutusrelay.daemon.http.CallerRoutes
+import org.arbutusrelay.daemon.http.HealthRoutes
+import org.arbutusrelay.daemon.http.HttpServer
+import org.arbutusrelay.daemon.http.OperatorRoutes
+import org.arbutusrelay.daemon.ledger.LedgerClient
+import org.arbutusrelay.daemon.link.LinkNetwork
+import org.arbutusrelay.daemon.manifest.ManifestService
+import org.arbutusrelay.daemon.membership.MembershipListener
+import org.arbutusrelay.daemon.membership.MembershipService
+import org.arbutusrelay.daemon.observe.RelayMetrics
+import org.arbutusrelay.daemon.observe.Tracing
+import org.arbutusrelay.daemon.request.BackendAttemptFactory
+import org.arbutusrelay.daemon.request.ForwardAttemptFactory
+import org.arbutusrelay.daemon.request.ForwardResponses
+import org.arbutusrelay.daemon.request.ForwardServer
+import org.arbutusrelay.daemon.request.InFlight
+import org.arbutusrelay.daemon.request.LedgerGate
+import org.arbutusrelay.daemon.request.PlacementQueue
+import org.arbutusrelay.daemon.request.RequestAttempts
+import org.arbutusrelay.daemon.request.RequestPipeline
+import org.arbutusrelay.daemon.request.RequestResolver
+import org.arbutusrelay.daemon.request.SuspectTracker
+import org.arbutusrelay.schema.settings.DaemonSettings
+import java.util.concurrent.SynchronousQueue
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
+
+/** The parts that a daemon is made of besides its own path of a request. */
+public class DaemonParts(
+    public val manifests: ManifestService,
+    public val membership: MembershipService,
+    public val ledger: LedgerClient,
+    public val network: LinkNetwork,
+    public val scheduler: RequestScheduler,
+    public val suspects: SuspectTracker,
+    /** Called at a graceful shutdown once no request is in flight: hands over leadership and syncs files. */
+    public val onDrained: suspend () -> Unit = {},
+)
+
+/** One process of the system: accepts requests and serves them. */
+public class Daemon(
+    private val settings: DaemonSettings,
+    private val parts: DaemonParts,
+    private val clock: RelayClock = RelayClock(),
+    public val metrics: RelayMetrics = RelayMetrics(),
+    private val tracing: Tracing = Tracing(settings.hostName, settings.traces),
+) {
+    private val logger = LogManager.getLogger(Daemon::class.java)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+
+    /** Counts violated guarantees; they are also metrics and log lines. */
+    public val invariants: Invariants = Invariants(settings.isInvariantFatal) { guarantee, detail ->
+        metrics.countViolation(guarantee)
+        logger.error("guarantee {} violated: {}", guarantee.id, detail)
+    }
+    private val executor = requestThreads()
+    private val threads = executor.asCoroutineDispatcher()
+    private val inFlight = InFlight(settings.maxInFlight, clock)
+    private val client = BackendClient(metrics::countDrop)
+    private val queue = PlacementQueue(parts.scheduler, clock)
+    private val responses = ForwardResponses(metrics::countDrop)
+    private val pipeline = pipeline()
+    private val resolver = RequestResolver(clock)
+    private val server = httpServer()
+
+    @Volatile
+    private var isStarted = false
+
+    /** Port for callers, operators and backend servers. */
+    public val callerPort: Int get() = server.port
+
+    /** True when this host serves requests: it has started, has a manifest and is not stopping. */
+    public val isReady: Boolean get() = isStarted && parts.manifests.current != null
+
+    /** Opens the port and begins to serve; throws when the port is in use. */
+    public fun start() {
+        server.start()
+        parts.network.addReceiver(responses)
+        parts.network.addReceiver(
+            ForwardServer(parts.network, parts.manifests, resolver, pipeline, inFlight, tracing, clock, scope),
+        )
+        parts.manifests.addListener { updateTable() }
+        parts.membership.addListener(object : MembershipListener {
+            override fun onChange() = updateTable()
+        })
+        metrics.gauge("arbutus.requests.open") { inFlight.open }
+        metrics.gauge("arbutus.load.permille") { parts.scheduler.loadPermille() }
+        scope.launch { every(POLL_MS, queue::poll) }
+        scope.launch { every(TABLE_MS, ::updateTable) }
+        updateTable()
+        isStarted = true
+        logger.info("host {} serves callers on {}:{}", settings.hostName, settings.bindAddress, callerPort)
+    }
+
+    /** Shuts down gracefully; returns false when requests were still in flight after the shutdown timeout. */
+    public suspend fun stop(): Boolean {
+        logger.info("host {} is shutting down", settings.hostName)
+        val sequence =
+            ShutdownSequence(parts.membership, inFlight, invariants, clock, settings.shutdownTimeoutMs)
+        try {
+            return sequence.run()
+        } finally {
+            isStarted = false
+            parts.onDrained()
+            close()
+            logger.info("host {} has shut down", settings.hostName)
+        }
+    }
+
+    /** Ends within about a second and interrupts requests in flight; for tests and after a failed start. */
+    public fun close() {
+        inFlight.stopAccepting()
+        runBlocking { inFlight.awaitIdle(CLOSE_GRACE_MS) }
+        server.stop()
+        scope.cancel()
+        executor.shutdown()
+        client.close()
+        tracing.close()
+    }
+
+    private fun pipeline(): RequestPipeline {
+        val backends = BackendAttemptFactory(client, threads, clock, parts.suspects)
+        val forwards = ForwardAttemptFactory(parts.network, responses, threads, clock, metrics::countDrop)
+        val attempts = RequestAttempts(
+            parts.scheduler,
+            queue,
+            { request, placed, traceParent ->
+                val isHere = placed.backendServer.isNotEmpty()
+                if (!isHere) metrics.countForward()
+                (if (isHere) backends else forwards).create(request, placed, traceParent)
+            },
+            settings.region,
+            clock,
+            metrics,
+            tracing,
+            invariants,
+        )
+        return RequestPipeline(attempts, LedgerGate(parts.ledger, clock, metrics), parts.suspects, clock, metrics)
+    }
+
+    private fun httpServer(): HttpServer {
+        val timeoutMs = settings.slowSenderTimeoutMs
+        val callers = CallerRoutes(
+            parts.network.self, parts.manifests, parts.membership, resolver, pipeline, inFlight, metrics, tracing,
+            scope, threads, clock, timeoutMs,
+        )
+        val operators =
+            OperatorRoutes(settings.operatorToken, parts.manifests, parts.membership, scope, clock, timeoutMs)
+        val backends =
+            BackendServerRoutes(settings.backendServerToken, parts.membership, parts.scheduler, clock, timeoutMs)
+        val health = HealthRoutes(settings.operatorToken, metrics) { isReady }
+        return HttpServer(
+            settings.bindAddress,
+            settings.callerPort,
+            timeoutMs,
+            listOf(callers, operators, backends, health),
+        )
+    }
+
+    private fun updateTable() = parts.scheduler.updateTable(
+        routingTable(parts.network.self, parts.manifests.current, parts.membership, parts.network, clock.nowMs()),
+    )
+
+    private suspend fun every(periodMs: Long, action: () -> Unit) {
+        while (true) {
+            action()
+            delay(periodMs)
+        }
+    }
+
+    // One thread for each attempt that runs; a request has at most two, and the number of requests is bounded.
+    private fun requestThreads(): ThreadPoolExecutor {
+        val number = AtomicLong()
+        val max = (settings.maxInFlight * ATTEMPTS_PER_REQUEST).toInt() + SPARE_THREADS
+        return ThreadPoolExecutor(0, max, IDLE_S, TimeUnit.SECONDS, SynchronousQueue()) { task ->
+            Thread(task, "request-${number.incrementAndGet()}").apply { isDaemon = true }
+        }
+    }
+
+    private companion object {
+        private const val POLL_MS = 20L
+        private const val CLOSE_GRACE_MS = 500L
+        private const val TABLE_MS = 500L
+        private const val ATTEMPTS_PER_REQUEST = 2
+        private const val SPARE_THREADS = 64
+        private const val IDLE_S = 10L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/BodyReader.kt
@@ -0,0 +1,49 @@
+package org.arbutusrelay.daemon.http
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.javalin.http.Context
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.daemon.RelayClock
+import java.io.ByteArrayOutputStream
+import java.io.IOException
+import java.util.concurrent.TimeoutException
+
+/** Reads request bodies within a size and a time. */
+internal class BodyReader(private val clock: RelayClock, private val timeoutMs: Long) {
+    /** Returns the body, `BODY_TOO_LARGE`, `SLOW_SENDER`, or `MALFORMED_REQUEST` when it breaks off. */
+    fun read(ctx: Context, maxBytes: Long): Either<RelayError, ByteArray> {
+        val announced = ctx.req().contentLengthLong
+        if (announced > maxBytes) return tooLarge(maxBytes)
+        val deadlineMs = clock.nowMs() + timeoutMs
+        val body =
+            ByteArrayOutputStream(announced.coerceIn(INITIAL_BYTES, maxBytes.coerceAtLeast(INITIAL_BYTES)).toInt())
+        val part = ByteArray(PART_BYTES)
+        try {
+            while (true) {
+                val read = ctx.req().inputStream.read(part)
+                if (read < 0) return body.toByteArray().right()
+                if (body.size() + read > maxBytes) return tooLarge(maxBytes)
+                // The connection's idle timeout bounds each read; this bounds a sender that trickles.
+                if (clock.nowMs() > deadlineMs) return slow()
+                body.write(part, 0, read)
+            }
+        } catch (e: IOException) {
+            return if (e.isTimeout()) slow() else RelayError(ErrorKind.MALFORMED_REQUEST, "the body broke off").left()
+        }
+    }
+
+    private fun tooLarge(maxBytes: Long) =
+        RelayError(ErrorKind.BODY_TOO_LARGE, "the limit is $maxBytes bytes").left()
+
+    private fun slow() = RelayError(ErrorKind.SLOW_SENDER, "the limit is $timeoutMs ms").left()
+
+    private fun IOException.isTimeout() = generateSequence<Throwable>(this) { it.cause }.any { it is TimeoutException }
+
+    private companion object {
+        private const val INITIAL_BYTES = 1_024L
+        private const val PART_BYTES = 8_192
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HealthRoutes.kt
@@ -0,0 +1,25 @@
+package org.arbutusrelay.daemon.http
+
+import io.javalin.config.RoutesConfig
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.daemon.observe.RelayMetrics
+
+/** Health and metrics; `/healthz` and `/readyz` need no token, because probes carry none. */
+public class HealthRoutes(
+    private val operatorToken: String,
+    private val metrics: RelayMetrics,
+    private val isReady: () -> Boolean,
+) : RouteGroup {
+    override fun addTo(routes: RoutesConfig) {
+        routes.get("/healthz") { ctx -> ctx.result("ok\n") }
+        routes.get("/readyz") { ctx ->
+            if (isReady()) ctx.result("ready\n") else ctx.problem(RelayError(ErrorKind.NOT_READY))
+        }
+        routes.get("/metrics") { ctx ->
+            ctx.requireToken(operatorToken).fold({ ctx.problem(it) }) {
+                ctx.contentType("text/plain; version=0.0.4; charset=utf-8").result(metrics.scrape())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HttpServer.kt
@@ -0,0 +1,78 @@
+package org.arbutusrelay.daemon.http
+
+import io.javalin.Javalin
+import io.javalin.compression.CompressionStrategy
+import org.apache.logging.log4j.LogManager
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.error.RelayError
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+
+/**
+ * The HTTP server for callers, operators and backend servers.
+ *
+ * Its threads read requests and never wait for a response. [idleTimeoutMs] bounds each read and each write that makes
+ * no progress.
+ */
+public class HttpServer(
+    private val bindAddress: String,
+    private val bindPort: Int,
+    private val idleTimeoutMs: Long,
+    private val groups: List<RouteGroup>,
+    private val maxThreads: Int = 64,
+) {
+    private val logger = LogManager.getLogger(HttpServer::class.java)
+    private val javalin: Javalin = Javalin.create { config ->
+        config.startup.showJavalinBanner = false
+        config.startup.showOldJavalinVersionWarning = false
+        config.http.compressionStrategy = CompressionStrategy.NONE
+        config.http.asyncTimeout = 0
+        config.jetty.threadPool = QueuedThreadPool(maxThreads, MIN_THREADS).apply { name = "http" }
+        config.jetty.addConnector { server, http ->
+            ServerConnector(server, ACCEPTORS, SELECTORS, HttpConnectionFactory(http.apply(::restrict))).apply {
+                host = bindAddress
+                port = bindPort
+                idleTimeout = idleTimeoutMs
+            }
+        }
+        groups.forEach { it.addTo(config.routes) }
+        config.routes.error(NOT_FOUND) { ctx ->
+            if (!ctx.res().isCommitted && ctx.res().contentType?.startsWith("application/problem") != true) {
+                ctx.problem(RelayError(ErrorKind.NOT_FOUND, "${ctx.method()} ${ctx.path()}"))
+            }
+        }
+        config.routes.exception(Exception::class.java) { e, ctx ->
+            logger.error("{} {} failed", ctx.method(), ctx.path(), e)
+            if (!ctx.res().isCommitted) ctx.problem(RelayError(ErrorKind.INTERNAL))
+        }
+    }
+
+    /** Port in use; differs from the settings when they say 0. */
+    public val port: Int get() = javalin.port()
+
+    /** Opens the port; throws when it is in use. */
+    public fun start() {
+        javalin.start()
+    }
+
+    /** Closes all connections. */
+    public fun stop() {
+        javalin.stop()
+    }
+
+    private fun restrict(http: HttpConfiguration) {
+        http.sendServerVersion = false
+        http.requestHeaderSize = MAX_HEADER_BYTES
+        http.idleTimeout = idleTimeoutMs
+    }
+
+    private companion object {
+        private const val MIN_THREADS = 4
+        private const val ACCEPTORS = 1
+        private const val SELECTORS = 2
+        private const val NOT_FOUND = 404
+        private const val MAX_HEADER_BYTES = 16_384
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/OperatorRoutes.kt
@@ -0,0 +1,94 @@
+package org.arbutusrelay.daemon.http
+
+import io.javalin.config.RoutesConfig
+import io.javalin.http.Context
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.future.future
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.daemon.RelayClock
+import org.arbutusrelay.daemon.manifest.ManifestService
+import org.arbutusrelay.daemon.membership.MembershipService
+import org.arbutusrelay.schema.api.BackendServerList
+import org.arbutusrelay.schema.api.BackendServerView
+import org.arbutusrelay.schema.api.HostList
+import org.arbutusrelay.schema.api.ManifestPublishResult
+import org.arbutusrelay.schema.api.ManifestStatus
+import org.arbutusrelay.schema.message.BackendServerState
+
+/** The routes of operators; each needs the operator token. */
+public class OperatorRoutes(
+    private val operatorToken: String,
+    private val manifests: ManifestService,
+    private val membership: MembershipService,
+    private val scope: CoroutineScope,
+    clock: RelayClock,
+    receiveTimeoutMs: Long,
+) : RouteGroup {
+    private val bodies = BodyReader(clock, receiveTimeoutMs)
+
+    override fun addTo(routes: RoutesConfig) {
+        routes.post("/v1/manifest", ::publish)
+        routes.get("/v1/manifest") { ctx -> authorized(ctx) { sendManifest(ctx) } }
+        routes.get("/v1/manifest/status") { ctx ->
+            authorized(ctx) { ctx.sendJson(ManifestStatus.serializer(), manifests.status()) }
+        }
+        routes.get("/v1/hosts") { ctx -> authorized(ctx) { ctx.sendJson(HostList.serializer(), membership.hosts()) } }
+        routes.get("/v1/backend-servers") { ctx -> authorized(ctx) { sendBackendServers(ctx) } }
+    }
+
+    private fun publish(ctx: Context) = authorized(ctx) {
+        bodies.read(ctx, MAX_MANIFEST_BYTES).fold({ ctx.problem(it) }) { body ->
+            ctx.future {
+                scope.future { manifests.publish(body.decodeToString()) }.thenAccept { result ->
+                    result.fold({ ctx.problem(it) }, { sendResult(ctx, it) })
+                }
+            }
+        }
+    }
+
+    private fun sendResult(ctx: Context, result: ManifestPublishResult) {
+        val inForce = "in force: number ${result.number}, digest ${result.digest}"
+        when (result.decision) {
+            ManifestPublishResult.Decision.ACCEPTED -> ctx.sendJson(ManifestPublishResult.serializer(), result)
+
+            ManifestPublishResult.Decision.DIGEST_CONFLICT ->
+                ctx.problem(RelayError(ErrorKind.MANIFEST_CONFLICT, inForce))
+
+            ManifestPublishResult.Decision.STALE_NUMBER ->
+                ctx.problem(RelayError(ErrorKind.MANIFEST_NUMBER_STALE, inForce))
+        }
+    }
+
+    private fun sendManifest(ctx: Context) {
+        val text = manifests.text
+        if (text == null) {
+            ctx.problem(RelayError(ErrorKind.NOT_FOUND, "no manifest is in force"))
+        } else {
+            ctx.contentType("application/toml").result(text)
+        }
+    }
+
+    private fun sendBackendServers(ctx: Context) {
+        val available = membership.availableBackendServers().map { it.name }.toSet()
+        val views = membership.backendServers().map { it.toView(it.name in available) }
+        ctx.sendJson(BackendServerList.serializer(), BackendServerList(views))
+    }
+
+    private fun BackendServerState.toView(isAvailable: Boolean) = BackendServerView(
+        name, service, region, availabilityZone, address, incarnation, capacity, running, queued, 0,
+        when {
+            isAvailable -> BackendServerView.State.AVAILABLE
+            isLeaving -> BackendServerView.State.LEAVING
+            else -> BackendServerView.State.LAPSED
+        },
+    )
+
+    private fun authorized(ctx: Context, action: () -> Unit) {
+        ctx.requireToken(operatorToken).fold({ ctx.problem(it) }, { action() })
+    }
+
+    private companion object {
+        private const val MAX_MANIFEST_BYTES = 8L shl 20
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/RelayMetrics.kt
@@ -0,0 +1,90 @@
+package org.arbutusrelay.daemon.observe
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.Timer
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.error.Outcome
+import org.arbutusrelay.core.invariant.Guarantee
+import org.arbutusrelay.daemon.backend.DropReason
+import java.util.concurrent.TimeUnit
+
+/** Counts what the daemon does; every meter exists from the start, so that a rate is known from the first event. */
+public class RelayMetrics(
+    private val registry: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
+) {
+    private val errors = ErrorKind.entries.map { counter("arbutus.errors", "kind", it.id) }
+    private val outcomes = Outcome.entries.map { counter("arbutus.requests", "outcome", it.id) }
+    private val violations = Guarantee.entries.map { counter("arbutus.guarantee.violations", "guarantee", it.id) }
+    private val drops = DropReason.entries.map { counter("arbutus.responses.dropped", "reason", it.id) }
+    private val stages = Stage.entries.map(::timer)
+    private val retries = counter("arbutus.attempts", "type", "retry")
+    private val hedges = counter("arbutus.attempts", "type", "hedge")
+    private val forwards = counter("arbutus.attempts", "type", "forward")
+
+    /** Counts a request that ended with an error of [kind]. */
+    public fun countError(kind: ErrorKind): Unit = errors[kind.ordinal].increment()
+
+    /** Counts a request that ended with [outcome]. */
+    public fun countOutcome(outcome: Outcome): Unit = outcomes[outcome.ordinal].increment()
+
+    /** Counts a violation of [guarantee]. */
+    public fun countViolation(guarantee: Guarantee): Unit = violations[guarantee.ordinal].increment()
+
+    /** Counts a part of a response that was dropped. */
+    public fun countDrop(reason: DropReason): Unit = drops[reason.ordinal].increment()
+
+    /** Counts a second or later attempt. */
+    public fun countRetry(): Unit = retries.increment()
+
+    /** Counts a hedge. */
+    public fun countHedge(): Unit = hedges.increment()
+
+    /** Counts a request that was sent to another region. */
+    public fun countForward(): Unit = forwards.increment()
+
+    /** Records the duration of a stage, in milliseconds. */
+    public fun recordStage(stage: Stage, durationMs: Long): Unit =
+        stages[stage.ordinal].record(durationMs, TimeUnit.MILLISECONDS)
+
+    /** Registers a gauge that reads [value] when metrics are scraped. */
+    public fun gauge(name: String, value: () -> Number) {
+        Gauge.builder(name, value).register(registry)
+    }
+
+    /** Returns the number of requests that ended with an error of [kind]. */
+    public fun errorCount(kind: ErrorKind): Long = errors[kind.ordinal].count().toLong()
+
+    /** Returns the number of parts of responses that were dropped for [reason]. */
+    public fun dropCount(reason: DropReason): Long = drops[reason.ordinal].count().toLong()
+
+    /** Returns all meters in the text format of Prometheus. */
+    public fun scrape(): String = registry.scrape()
+
+    private fun counter(name: String, tag: String, value: String): Counter =
+        Counter.builder(name).tag(tag, value).register(registry)
+
+    private fun timer(stage: Stage): Timer =
+        Timer.builder("arbutus.stage").tag("stage", stage.id).publishPercentileHistogram().register(registry)
+}
+
+/** The stages of a request whose durations are recorded. */
+public enum class Stage {
+    /** From acceptance to placement on a backend server or region. */
+    QUEUE,
+
+    /** The ledger's decision on a grant. */
+    GRANT,
+
+    /** From placement to the first byte of the response. */
+    FIRST_BYTE,
+
+    /** From acceptance to the end of the response. */
+    TOTAL,
+    ;
+
+    /** Name in metrics, such as `first_byte`. */
+    public val id: String = name.lowercase()
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestResolver.kt
@@ -0,0 +1,82 @@
+package org.arbutusrelay.daemon.request
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.core.manifest.ManifestView
+import org.arbutusrelay.core.request.RequestId
+import org.arbutusrelay.core.routing.RequestProfile
+import org.arbutusrelay.daemon.RelayClock
+import org.arbutusrelay.daemon.observe.HopSpan
+import org.arbutusrelay.schema.manifest.Service
+
+/** Finds the service and kind of a request and sets its deadline, allowed regions and routing profile. */
+public class RequestResolver(private val clock: RelayClock) {
+    /** Resolves a request that this host accepted from its caller. */
+    public fun resolve(
+        incoming: IncomingRequest,
+        id: RequestId,
+        manifest: ManifestView,
+        span: HopSpan,
+    ): Either<RelayError, ResolvedRequest> = resolve(incoming, id, manifest, span, null)
+
+    /** Resolves a request that another region forwarded; [forward] replaces what acceptance sets. */
+    internal fun resolve(
+        incoming: IncomingRequest,
+        id: RequestId,
+        manifest: ManifestView,
+        span: HopSpan,
+        forward: ForwardedFrom?,
+    ): Either<RelayError, ResolvedRequest> = either {
+        val service = ensureNotNull(manifest.service(incoming.serviceName)) {
+            RelayError(ErrorKind.UNKNOWN_SERVICE, "the manifest has no service ${incoming.serviceName}")
+        }
+        ensure((service.service.type == Service.Type.ENGINE) == incoming.isChat) {
+            RelayError(ErrorKind.MALFORMED_REQUEST, "engines, and only they, are called at ${ChatBody.PATH}")
+        }
+        val kind = ensureNotNull(service.kind(incoming.kindName)) {
+            RelayError(ErrorKind.UNKNOWN_KIND, "the service ${incoming.serviceName} has no kind ${incoming.kindName}")
+        }
+        ensure(incoming.body.size <= service.service.maxBodyBytes) { RelayError(ErrorKind.BODY_TOO_LARGE) }
+        ensure(kind.kind.isIdempotent || incoming.idempotencyKey != null || forward != null) {
+            RelayError(ErrorKind.MISSING_IDEMPOTENCY_KEY)
+        }
+        val nowMs = clock.nowMs()
+        val deadlineMs = nowMs + (forward?.remainingMs ?: kind.waits.waitMs(clock.instant()))
+        val regions = manifest.allowedRegions(incoming.caller, service)
+        ensure(regions.isNotEmpty()) {
+            RelayError(ErrorKind.REGION_UNREACHABLE, "no region is allowed for the caller and the service")
+        }
+        val profile = RequestProfile(
+            id = id,
+            callerName = incoming.caller.name,
+            serviceName = service.service.name,
+            kindName = kind.kind.name,
+            priority = kind.kind.priority.toInt(),
+            isIdempotent = kind.kind.isIdempotent,
+            deadlineMs = deadlineMs,
+            allowedRegions = regions,
+            prefixHashes = PrefixHasher.hashes(incoming.prompt),
+            promptTokens = incoming.prompt.length / PrefixHasher.CHARS_PER_TOKEN,
+            responseTokens = incoming.maxTokens,
+            digest = digest(incoming, kind.kind.name),
+            isForwarded = forward != null,
+        )
+        ResolvedRequest(
+            incoming, id, manifest.number, service, kind, deadlineMs, profile, span, nowMs,
+            forward?.path.orEmpty(), forward?.isGranted ?: false,
+        )
+    }
+
+    private fun digest(incoming: IncomingRequest, kindName: String): String = sha256Hex(
+        listOf(incoming.caller.name, incoming.serviceName, kindName, incoming.method, incoming.target, "")
+            .joinToString("\u0000").encodeToByteArray(),
+        incoming.body,
+    )
+}
+
+/** What a forwarded request brings from the host that accepted it. */
+internal class ForwardedFrom(val remainingMs: Long, val path: List<String>, val isGranted: Boolean)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ResolvedRequest.kt
@@ -0,0 +1,58 @@
+package org.arbutusrelay.daemon.request
+
+import org.arbutusrelay.core.manifest.KindView
+import org.arbutusrelay.core.manifest.ServiceView
+import org.arbutusrelay.core.request.RequestId
+import org.arbutusrelay.core.routing.RequestProfile
+import org.arbutusrelay.daemon.observe.HopSpan
+import org.arbutusrelay.schema.manifest.Caller
+import org.arbutusrelay.schema.manifest.Service
+import org.arbutusrelay.schema.message.HeaderField
+import org.arbutusrelay.schema.message.LedgerKey
+
+/** A request as it arrived: received completely, not yet resolved. */
+public class IncomingRequest(
+    public val caller: Caller,
+    public val serviceName: String,
+    /** Null selects the service's first kind. */
+    public val kindName: String?,
+    public val idempotencyKey: String?,
+    public val method: String,
+    /** Path and query for the backend server, beginning with a slash. */
+    public val target: String,
+    public val headers: List<HeaderField>,
+    public val body: ByteArray,
+    /** Text of the prompt; empty for plain services. */
+    public val prompt: String = "",
+    /** Longest response in tokens that the request allows; 0 when it names none. */
+    public val maxTokens: Int = 0,
+    /** True for a chat completion, which only engines run. */
+    public val isChat: Boolean = false,
+)
+
+/** A request with everything that the manifest decides about it. */
+public class ResolvedRequest(
+    public val incoming: IncomingRequest,
+    public val id: RequestId,
+    public val manifestNumber: Long,
+    public val service: ServiceView,
+    public val kind: KindView,
+    /** When the response must be complete, on the local monotonic clock, in milliseconds. */
+    public val deadlineMs: Long,
+    public val profile: RequestProfile,
+    public val span: HopSpan,
+    /** Acceptance on the local monotonic clock, in milliseconds. */
+    public val acceptedAtMs: Long,
+    /** Hosts that the request has passed before this one. */
+    public val path: List<String> = emptyList(),
+    /** True when another host holds the ledger grant of this request. */
+    public val isGrantedElsewhere: Boolean = false,
+) {
+    public val isIdempotent: Boolean get() = kind.kind.isIdempotent
+
+    public val isEngine: Boolean get() = service.service.type == Service.Type.ENGINE
+
+    /** Key of the request in the ledger; null for idempotent kinds. */
+    public val ledgerKey: LedgerKey? =
+        incoming.idempotencyKey?.takeIf { !isIdempotent }?.let { LedgerKey(incoming.caller.name, it) }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/SuspectTracker.kt
@@ -0,0 +1,28 @@
+package org.arbutusrelay.daemon.request
+
+/** Tracks requests that may crash the backend servers that run them. */
+public interface SuspectTracker {
+    /** Returns how a request with [digest] may run now. */
+    public fun decide(digest: String, nowMs: Long): SuspectDecision
+
+    /** Records that a request was sent to a backend server. */
+    public fun started(digest: String, backendServer: String, nowMs: Long)
+
+    /** Records that a run ended without a crash of the backend server. */
+    public fun finished(digest: String, backendServer: String, nowMs: Long)
+
+    /** Records that the connection to a backend server was lost during a run; all requests there become suspects. */
+    public fun crashed(digest: String, backendServer: String, nowMs: Long)
+}
+
+/** How a request may run. */
+public enum class SuspectDecision {
+    /** The request is not suspected. */
+    RUN,
+
+    /** The request may run on a backend server with nothing else in flight. */
+    RUN_ISOLATED,
+
+    /** The request is refused. */
+    REFUSE,
+}
