--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
@@ -88,7 +88,7 @@
     /** True when this host serves requests: it has started, has a manifest and is not stopping. */
     public val isReady: Boolean get() = isStarted && parts.manifests.current != null
 
-    /** Opens the port and begins to serve; throws when the port is in use. */
+    /** Opens the port and begins to serve; throws [java.io.IOException] when the port cannot be opened. */
     public fun start() {
         server.start()
         parts.network.addReceiver(responses)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HttpResponseSink.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HttpResponseSink.kt
@@ -6,7 +6,6 @@
 import org.arbutusrelay.daemon.backend.CallerGoneException
 import org.arbutusrelay.daemon.backend.ResponseHead
 import org.arbutusrelay.daemon.backend.ResponseListener
-import org.arbutusrelay.schema.api.Problem
 import org.eclipse.jetty.ee10.servlet.ServletContextRequest
 import java.io.IOException
 
@@ -60,7 +59,7 @@
             return
         }
         if (isEventStream) {
-            val problem = json.encodeToString(Problem.serializer(), error.toProblem(requestId))
+            val problem = error.toJson(requestId)
             response.outputStream.write("event: error\ndata: $problem\n\n".encodeToByteArray())
             response.outputStream.flush()
         }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HttpServer.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HttpServer.kt
@@ -2,6 +2,7 @@
 
 import io.javalin.Javalin
 import io.javalin.compression.CompressionStrategy
+import io.javalin.util.JavalinException
 import org.apache.logging.log4j.LogManager
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
@@ -9,6 +10,7 @@
 import org.eclipse.jetty.server.HttpConnectionFactory
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.io.IOException
 
 /**
  * The HTTP server for callers, operators and backend servers.
@@ -52,9 +54,13 @@
     /** Port in use; differs from the settings when they say 0. */
     public val port: Int get() = javalin.port()
 
-    /** Opens the port; throws when it is in use. */
+    /** Opens the port; throws [IOException] when it cannot be opened. */
     public fun start() {
-        javalin.start()
+        try {
+            javalin.start()
+        } catch (e: JavalinException) {
+            throw IOException("$bindAddress:$bindPort cannot be opened: ${e.message}", e)
+        }
     }
 
     /** Closes all connections. */
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/Problems.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/Problems.kt
@@ -14,7 +14,7 @@
 }
 
 /** Returns the problem body of this error. */
-internal fun RelayError.toProblem(requestId: String?): Problem = Problem(
+private fun RelayError.toProblem(requestId: String?): Problem = Problem(
     type = kind.id,
     title = kind.title,
     status = kind.statusCode.toLong(),
@@ -25,21 +25,30 @@
     requestId = requestId,
 )
 
-/** Writes [error] as the whole response. */
-internal fun HttpServletResponse.writeProblem(error: RelayError, requestId: String? = null) {
+/** Writes [error] as the whole response of a handler that has returned. */
+internal fun HttpServletResponse.writeProblem(error: RelayError, requestId: String) {
+    describe(error)
+    setHeader("Arbutus-Request-Id", requestId)
+    outputStream.write(error.toJson(requestId).encodeToByteArray())
+}
+
+/** Makes [error] the whole response of a handler that is still running; replaces an earlier result. */
+internal fun Context.problem(error: RelayError) {
+    status(error.kind.statusCode)
+    res().describe(error)
+    result(error.toJson(null))
+}
+
+/** Returns the problem body of this error as JSON. */
+internal fun RelayError.toJson(requestId: String?): String =
+    json.encodeToString(Problem.serializer(), toProblem(requestId))
+
+private fun HttpServletResponse.describe(error: RelayError) {
     status = error.kind.statusCode
     contentType = "application/problem+json"
     setHeader("Arbutus-Outcome", error.kind.outcome.id)
-    requestId?.let { setHeader("Arbutus-Request-Id", it) }
     error.retryAfterMs?.let { setHeader("Retry-After", ((it + MS_PER_SECOND - 1) / MS_PER_SECOND).toString()) }
     if (error.kind == ErrorKind.UNAUTHENTICATED) setHeader("WWW-Authenticate", "Bearer")
-    outputStream.write(json.encodeToString(Problem.serializer(), error.toProblem(requestId)).encodeToByteArray())
-}
-
-/** Writes [error] as the whole response of a handler that is still running. */
-internal fun Context.problem(error: RelayError) {
-    status(error.kind.statusCode)
-    res().writeProblem(error)
 }
 
 private const val MS_PER_SECOND = 1_000
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestAttempts.kt
@@ -40,6 +40,7 @@
         val claim = ResponseClaim(request, sink, invariants, metrics::countDrop)
         var profile = request.profile.copy(isIsolated = isIsolated)
         var openEnd: AttemptEnd.Failed? = null
+        var attempts = 0
         while (true) {
             val placement = place(request, profile)
             val placed = placement.attempt()
@@ -51,7 +52,8 @@
             if (end !is AttemptEnd.Failed) return end
             if (end.mayHaveRun && openEnd == null) openEnd = end
             val next = placed?.let { profile.without(it) }
-            if (next == null || claim.isTaken || !mayRetry(request, next, openEnd)) {
+            val isLast = claim.isTaken || ++attempts >= MAX_ATTEMPTS
+            if (next == null || isLast || !mayRetry(request, next, openEnd)) {
                 return honest(request, end, openEnd)
             }
             metrics.countRetry()
@@ -113,4 +115,9 @@
         is Placement.SendAway -> attempt
         else -> null
     }
+
+    private companion object {
+        // Bounds what one request costs when every attempt fails at once, whatever the retry budget allows.
+        private const val MAX_ATTEMPTS = 4
+    }
 }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestPipeline.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestPipeline.kt
@@ -28,17 +28,22 @@
     }
 
     private suspend fun decideAndRun(request: ResolvedRequest, sink: ResponseListener): AttemptEnd {
-        val decision = suspects.decide(request.profile.digest, clock.nowMs())
-        val isIsolated = decision == SuspectDecision.RUN_ISOLATED
         val key = request.ledgerKey
         return when {
-            decision == SuspectDecision.REFUSE -> refuse(ErrorKind.REQUEST_SUSPECTED)
-            request.isIdempotent || request.isGrantedElsewhere -> attempts.run(request, sink, isIsolated)
+            request.isIdempotent || request.isGrantedElsewhere -> attempt(request, sink)
             key == null -> refuse(ErrorKind.MISSING_IDEMPOTENCY_KEY)
-            else -> gate.run(request, key, sink) { attempts.run(request, it, isIsolated) }
+            else -> gate.run(request, key, sink) { attempt(request, it) }
         }
     }
 
+    /** Runs the request unless it is suspected; a resend of a key that may have run never gets here. */
+    private suspend fun attempt(request: ResolvedRequest, sink: ResponseListener): AttemptEnd =
+        when (suspects.decide(request.profile.digest, clock.nowMs())) {
+            SuspectDecision.REFUSE -> refuse(ErrorKind.REQUEST_SUSPECTED)
+            SuspectDecision.RUN_ISOLATED -> attempts.run(request, sink, isIsolated = true)
+            SuspectDecision.RUN -> attempts.run(request, sink)
+        }
+
     private fun refuse(kind: ErrorKind): AttemptEnd =
         AttemptEnd.Failed(RelayError(kind), AttemptResult.REFUSED, mayHaveRun = false)
 
--- /dev/null
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/FakeLinks.kt
@@ -0,0 +1,67 @@
+package org.arbutusrelay.daemon
+
+import org.arbutusrelay.core.routing.PlacedAttempt
+import org.arbutusrelay.core.routing.Placement
+import org.arbutusrelay.core.routing.RequestProfile
+import org.arbutusrelay.core.routing.RequestScheduler
+import org.arbutusrelay.daemon.link.FrameReceiver
+import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.daemon.link.LinkNetwork
+import org.arbutusrelay.daemon.request.LocalRequestScheduler
+import org.arbutusrelay.schema.message.LinkFrame
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.Executors
+
+/** Links between daemons of one test; [change] may drop, repeat or reorder the frames that are sent. */
+class FakeLinks {
+    private val nodes = ConcurrentHashMap<String, Node>()
+
+    @Volatile
+    var change: (LinkFrame) -> List<LinkFrame> = { listOf(it) }
+
+    fun join(self: HostIdentity): Node = Node(self).also { nodes[self.hostName] = it }
+
+    inner class Node(override val self: HostIdentity) : LinkNetwork {
+        private val receivers = CopyOnWriteArrayList<FrameReceiver>()
+        private val inbox = Executors.newSingleThreadExecutor { Thread(it).apply { isDaemon = true } }
+
+        @Volatile
+        var isUp = true
+
+        override fun send(hostName: String, frame: LinkFrame): Boolean {
+            val to = nodes[hostName]?.takeIf { it.isUp && isUp } ?: return false
+            change(frame).forEach { sent -> to.inbox.execute { to.receivers.forEach { it.onFrame(self, sent) } } }
+            return true
+        }
+
+        override fun connected(): Map<String, HostIdentity> =
+            if (isUp) nodes.filterValues { it !== this && it.isUp }.mapValues { it.value.self } else emptyMap()
+
+        override fun connect(hostName: String, address: String) = Unit
+
+        override fun addReceiver(receiver: FrameReceiver) {
+            receivers += receiver
+        }
+
+        /** Cuts this node off and tells the others. */
+        fun goDown() {
+            isUp = false
+            nodes.values.filter { it !== this }.forEach { other ->
+                other.inbox.execute { other.receivers.forEach { it.onLinkDown(self) } }
+            }
+        }
+    }
+}
+
+/** Sends every request that may leave to [region]. */
+class AwayScheduler(private val region: String, private val own: RequestScheduler = LocalRequestScheduler("hue", 10)) :
+    RequestScheduler by own {
+    private var attempts = 1_000L
+
+    override fun submit(profile: RequestProfile, nowMs: Long): Placement {
+        if (profile.isForwarded || region !in profile.allowedRegions) return own.submit(profile, nowMs)
+        val attempt = PlacedAttempt(profile, "", 0, "", ++attempts, nowMs, region = region)
+        return Placement.SendAway(attempt, region)
+    }
+}
