Count a crash once for each suspect and bound slow senders

Cause: a refused connection cleared a request of suspicion, and two requests that broke in the same crash counted it twice for each other. A slow sender could occupy every thread of the HTTP server. The end of a forwarded response was lost when the link's queue was full, and a body over the frame bound could be sent away. Change: SuspectTracker.withdrawn; a run is blamed once; shares of the receiving threads; the end frame is offered until the link takes it; bodies over 900,000 bytes stay in the region.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
@@ -76,7 +76,7 @@
     private val queue = PlacementQueue(parts.scheduler, clock)
     private val responses = ForwardResponses(metrics::countDrop)
     private val pipeline = pipeline()
-    private val resolver = RequestResolver(clock)
+    private val resolver = RequestResolver(clock, settings.region)
     private val server = httpServer()
 
     @Volatile
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/BackendServerRoutes.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/BackendServerRoutes.kt
@@ -23,7 +23,7 @@
     clock: RelayClock,
     receiveTimeoutMs: Long,
 ) : RouteGroup {
-    private val bodies = BodyReader(clock, receiveTimeoutMs)
+    private val bodies = BodyReader(clock, receiveTimeoutMs, MAX_READERS)
 
     override fun addTo(routes: RoutesConfig) {
         routes.post("/v1/backend-servers/announce", ::announce)
@@ -49,6 +49,7 @@
     }
 
     private companion object {
+        private const val MAX_READERS = 8
         private const val MAX_BODY_BYTES = 1L shl 20
         private const val NO_CONTENT = 204
     }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/BodyReader.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/BodyReader.kt
@@ -9,12 +9,30 @@
 import org.arbutusrelay.daemon.RelayClock
 import java.io.ByteArrayOutputStream
 import java.io.IOException
+import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeoutException
 
 /** Reads request bodies within a size and a time. */
-internal class BodyReader(private val clock: RelayClock, private val timeoutMs: Long) {
-    /** Returns the body, `BODY_TOO_LARGE`, `SLOW_SENDER`, or `MALFORMED_REQUEST` when it breaks off. */
+internal class BodyReader(private val clock: RelayClock, private val timeoutMs: Long, maxReaders: Int) {
+    // A slow sender occupies a thread of the server, so a group of routes may use only its share of them.
+    private val readers = Semaphore(maxReaders)
+
+    /** Returns the body, `BODY_TOO_LARGE`, `SLOW_SENDER`, `OVERLOADED`, or `MALFORMED_REQUEST` when it breaks off. */
     fun read(ctx: Context, maxBytes: Long): Either<RelayError, ByteArray> {
+        if (!readers.tryAcquire()) {
+            return RelayError(
+                ErrorKind.OVERLOADED,
+                "too many requests are being received",
+            ).left()
+        }
+        return try {
+            receive(ctx, maxBytes)
+        } finally {
+            readers.release()
+        }
+    }
+
+    private fun receive(ctx: Context, maxBytes: Long): Either<RelayError, ByteArray> {
         val announced = ctx.req().contentLengthLong
         if (announced > maxBytes) return tooLarge(maxBytes)
         val deadlineMs = clock.nowMs() + timeoutMs
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/CallerRoutes.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/CallerRoutes.kt
@@ -50,7 +50,7 @@
     receiveTimeoutMs: Long,
 ) : RouteGroup {
     private val authenticator = Authenticator(manifests)
-    private val bodies = BodyReader(clock, receiveTimeoutMs)
+    private val bodies = BodyReader(clock, receiveTimeoutMs, MAX_READERS)
     private val requestNumbers = AtomicLong()
 
     override fun addTo(routes: RoutesConfig) {
@@ -161,6 +161,7 @@
         AttemptEnd.Failed(RelayError(ErrorKind.INTERNAL), AttemptResult.CANCELLED, mayHaveRun = true)
 
     private companion object {
+        private const val MAX_READERS = 40
         private const val SERVICES = "/v1/services"
         private const val DEFAULT_BODY_BYTES = 1_048_576L
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HttpServer.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HttpServer.kt
@@ -8,6 +8,7 @@
 import org.arbutusrelay.core.error.RelayError
 import org.eclipse.jetty.server.HttpConfiguration
 import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.NetworkConnectionLimit
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import java.io.IOException
@@ -32,6 +33,7 @@
         config.http.compressionStrategy = CompressionStrategy.NONE
         config.http.asyncTimeout = 0
         config.jetty.threadPool = QueuedThreadPool(maxThreads, MIN_THREADS).apply { name = "http" }
+        config.jetty.modifyServer { it.addBean(NetworkConnectionLimit(MAX_CONNECTIONS, it)) }
         config.jetty.addConnector { server, http ->
             ServerConnector(server, ACCEPTORS, SELECTORS, HttpConnectionFactory(http.apply(::restrict))).apply {
                 host = bindAddress
@@ -75,6 +77,7 @@
     }
 
     private companion object {
+        private const val MAX_CONNECTIONS = 20_000
         private const val MIN_THREADS = 4
         private const val ACCEPTORS = 1
         private const val SELECTORS = 2
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/OperatorRoutes.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/OperatorRoutes.kt
@@ -25,7 +25,7 @@
     clock: RelayClock,
     receiveTimeoutMs: Long,
 ) : RouteGroup {
-    private val bodies = BodyReader(clock, receiveTimeoutMs)
+    private val bodies = BodyReader(clock, receiveTimeoutMs, MAX_READERS)
 
     override fun addTo(routes: RoutesConfig) {
         routes.post("/v1/manifest", ::publish)
@@ -89,6 +89,7 @@
     }
 
     private companion object {
+        private const val MAX_READERS = 8
         private const val MAX_MANIFEST_BYTES = 8L shl 20
     }
 }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ForwardServer.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ForwardServer.kt
@@ -60,7 +60,7 @@
         inFlight.tryEnter().fold(
             { error ->
                 served.remove(from to forward.correlation)
-                sink.end(error)
+                scope.launch { sink.end(error) }
             },
             { slot -> scope.launch { slot.use { serve(from, forward, sink) } } },
         )
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ForwardSink.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ForwardSink.kt
@@ -1,5 +1,6 @@
 package org.arbutusrelay.daemon.request
 
+import kotlinx.coroutines.delay
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.backend.CallerGoneException
@@ -63,10 +64,13 @@
     }
 
     /** Ends the response; [error] is null when it is complete. */
-    fun end(error: RelayError?) {
+    suspend fun end(error: RelayError?) {
         val frame = LinkFrame(forwardEnd = ForwardEnd(forward.correlation, error?.kind?.id, error?.detail, chunks))
-        // When this is lost the receiver ends the request at its deadline, with an unknown outcome.
-        network.send(to.hostName, frame)
+        // A link that is down has told the receiver that the response broke off.
+        while (!network.send(to.hostName, frame)) {
+            if (clock.nowMs() >= deadlineMs || to.hostName !in network.connected()) return
+            delay(FULL_QUEUE_WAIT_MS)
+        }
     }
 
     private fun takeCredit(bytes: Int) = lock.withLock {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/LocalSuspectTracker.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/LocalSuspectTracker.kt
@@ -9,22 +9,25 @@
     SuspectTracker {
     private class Suspect(val crashes: Int, val changedMs: Long)
 
+    private class Run(val digest: String) {
+        // True once a crash of the backend server was counted for this run.
+        var isBlamed = false
+    }
+
     private val suspects = LinkedHashMap<String, Suspect>()
-    private val running = HashMap<String, MutableList<String>>()
+    private val running = HashMap<String, MutableList<Run>>()
 
     @Synchronized
-    override fun decide(digest: String, nowMs: Long): SuspectDecision {
-        val suspect = suspects[digest]?.takeIf { nowMs - it.changedMs < lifetimeMs }
-        return when (suspect?.crashes ?: 0) {
+    override fun decide(digest: String, nowMs: Long): SuspectDecision =
+        when (crashes(digest, nowMs)) {
             0 -> SuspectDecision.RUN
             1 -> SuspectDecision.RUN_ISOLATED
             else -> SuspectDecision.REFUSE
         }
-    }
 
     @Synchronized
     override fun started(digest: String, backendServer: String, nowMs: Long) {
-        running.getOrPut(backendServer, ::ArrayList).add(digest)
+        running.getOrPut(backendServer, ::ArrayList).add(Run(digest))
     }
 
     @Synchronized
@@ -34,17 +37,30 @@
     }
 
     @Synchronized
-    override fun crashed(digest: String, backendServer: String, nowMs: Long) {
-        val others = running[backendServer].orEmpty().filter { it != digest }
+    override fun withdrawn(digest: String, backendServer: String, nowMs: Long) {
         remove(digest, backendServer)
-        raise(digest, nowMs, (suspects[digest]?.crashes ?: 0) + 1)
-        others.filter { it !in suspects }.forEach { raise(it, nowMs, 1) }
     }
 
-    private fun remove(digest: String, backendServer: String) {
-        val digests = running[backendServer] ?: return
-        digests.remove(digest)
-        if (digests.isEmpty()) running.remove(backendServer)
+    @Synchronized
+    override fun crashed(digest: String, backendServer: String, nowMs: Long) {
+        val own = remove(digest, backendServer) ?: return
+        if (own.isBlamed) return
+        raise(digest, nowMs, crashes(digest, nowMs) + 1)
+        for (other in running[backendServer].orEmpty().filterNot(Run::isBlamed)) {
+            other.isBlamed = true
+            if (crashes(other.digest, nowMs) == 0) raise(other.digest, nowMs, 1)
+        }
+    }
+
+    private fun crashes(digest: String, nowMs: Long): Int =
+        suspects[digest]?.takeIf { nowMs - it.changedMs < lifetimeMs }?.crashes ?: 0
+
+    private fun remove(digest: String, backendServer: String): Run? {
+        val runs = running[backendServer] ?: return null
+        val run = runs.firstOrNull { it.digest == digest } ?: return null
+        runs.remove(run)
+        if (runs.isEmpty()) running.remove(backendServer)
+        return run
     }
 
     private fun raise(digest: String, nowMs: Long, crashes: Int) {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestResolver.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestResolver.kt
@@ -14,7 +14,7 @@
 import org.arbutusrelay.schema.manifest.Service
 
 /** Finds the service and kind of a request and sets its deadline, allowed regions and routing profile. */
-public class RequestResolver(private val clock: RelayClock) {
+public class RequestResolver(private val clock: RelayClock, private val ownRegion: String) {
     /** Resolves a request that this host accepted from its caller. */
     public fun resolve(
         incoming: IncomingRequest,
@@ -47,8 +47,12 @@
         val nowMs = clock.nowMs()
         val deadlineMs = nowMs + (forward?.remainingMs ?: kind.waits.waitMs(clock.instant()))
         val regions = manifest.allowedRegions(incoming.caller, service)
+            .filter { it == ownRegion || incoming.body.size <= MAX_FORWARDED_BYTES }
         ensure(regions.isNotEmpty()) {
-            RelayError(ErrorKind.REGION_UNREACHABLE, "no region is allowed for the caller and the service")
+            RelayError(
+                ErrorKind.REGION_UNREACHABLE,
+                "no region is allowed for the caller, the service and the size of the body",
+            )
         }
         val profile = RequestProfile(
             id = id,
@@ -76,6 +80,11 @@
             .joinToString("\u0000").encodeToByteArray(),
         incoming.body,
     )
+
+    private companion object {
+        // A forwarded request is one link frame of at most 1 MiB, which also holds its headers.
+        private const val MAX_FORWARDED_BYTES = 900_000
+    }
 }
 
 /** What a forwarded request brings from the host that accepted it. */
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ResponseBuffer.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ResponseBuffer.kt
@@ -6,7 +6,7 @@
 import java.io.ByteArrayOutputStream
 
 /** Keeps a response of at most [maxBytes] until the ledger has stored it; reads and drops the rest of a larger one. */
-internal class ResponseBuffer(private val maxBytes: Int = 16 shl 20) : ResponseListener {
+internal class ResponseBuffer(private val maxBytes: Int = 4 shl 20) : ResponseListener {
     private val bytes = ByteArrayOutputStream()
 
     var head: ResponseHead = ResponseHead(0, "")
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RunningAttempt.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RunningAttempt.kt
@@ -45,13 +45,18 @@
         override suspend fun run(listener: ResponseListener): AttemptEnd {
             val digest = request.profile.digest
             suspects.started(digest, placed.backendServer, clock.nowMs())
-            val end = withContext(threads) { exchange.run(listener) }
-            if (end.isCrash()) {
-                suspects.crashed(digest, placed.backendServer, clock.nowMs())
-            } else {
-                suspects.finished(digest, placed.backendServer, clock.nowMs())
+            var end: AttemptEnd? = null
+            try {
+                return withContext(threads) { exchange.run(listener) }.also { end = it }
+            } finally {
+                report(end, digest)
             }
-            return end
+        }
+
+        private fun report(end: AttemptEnd?, digest: String) = when {
+            end.isCrash() -> suspects.crashed(digest, placed.backendServer, clock.nowMs())
+            end.isAnswer() -> suspects.finished(digest, placed.backendServer, clock.nowMs())
+            else -> suspects.withdrawn(digest, placed.backendServer, clock.nowMs())
         }
 
         override fun cancel() = exchange.cancel()
@@ -72,6 +77,12 @@
         )
 
     // A refused connection is no crash: nothing ran, and the circuit breaker handles it.
-    private fun AttemptEnd.isCrash(): Boolean =
+    private fun AttemptEnd?.isCrash(): Boolean =
         this is AttemptEnd.Failed && mayHaveRun && result == AttemptResult.CONNECTION_LOST
+
+    private fun AttemptEnd?.isAnswer(): Boolean = when (this) {
+        is AttemptEnd.Complete -> true
+        is AttemptEnd.Failed -> mayHaveRun && result == AttemptResult.SERVER_ERROR
+        else -> false
+    }
 }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/SuspectTracker.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/SuspectTracker.kt
@@ -8,10 +8,17 @@
     /** Records that a request was sent to a backend server. */
     public fun started(digest: String, backendServer: String, nowMs: Long)
 
-    /** Records that a run ended without a crash of the backend server. */
+    /** Records that the backend server responded to a request, which clears it of suspicion. */
     public fun finished(digest: String, backendServer: String, nowMs: Long)
 
-    /** Records that the connection to a backend server was lost during a run; all requests there become suspects. */
+    /** Records that a run ended without evidence: it was not run, was cancelled or timed out. */
+    public fun withdrawn(digest: String, backendServer: String, nowMs: Long)
+
+    /**
+     * Records that the connection to a backend server was lost during a run; all requests there become suspects.
+     *
+     * Each request that was in flight there reports the same crash, which must count once for each of them.
+     */
     public fun crashed(digest: String, backendServer: String, nowMs: Long)
 }
 
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/TestDaemon.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/TestDaemon.kt
@@ -10,6 +10,7 @@
 import org.arbutusrelay.daemon.link.LocalLinkNetwork
 import org.arbutusrelay.daemon.manifest.LocalManifestService
 import org.arbutusrelay.daemon.membership.LocalMembershipService
+import org.arbutusrelay.daemon.observe.Tracing
 import org.arbutusrelay.daemon.request.LocalRequestScheduler
 import org.arbutusrelay.daemon.request.LocalSuspectTracker
 import org.arbutusrelay.schema.api.Announcement
@@ -79,6 +80,7 @@
     scheduler: RequestScheduler = LocalRequestScheduler(self.region, 100),
     slowSenderTimeoutMs: Long = 10_000,
     maxInFlight: Long = 64,
+    tracing: Tracing = Tracing(self.hostName),
 ) : AutoCloseable {
     private val clock = RelayClock()
     val manifests = LocalManifestService(self.hostName, self.region) { manifest(waitMs, it.toLong()).right() }
@@ -97,6 +99,7 @@
         ),
         DaemonParts(manifests, membership, ledger, network, scheduler, LocalSuspectTracker()),
         clock,
+        tracing = tracing,
     )
     private val http = HttpClient.newHttpClient()
 
