--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/Arbutusd.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/Arbutusd.kt
@@ -12,7 +12,6 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.Callable
-import java.util.concurrent.CountDownLatch
 
 /** Parses the text of a settings file; the error names line and key. */
 public typealias SettingsParser = (String) -> Either<RelayError, DaemonSettings>
@@ -28,7 +27,7 @@
     private val parser: SettingsParser,
     private val makeDaemon: (DaemonSettings) -> Daemon,
     private val errors: PrintWriter = PrintWriter(System.err, true),
-    private val awaitStop: () -> Unit = ::awaitSigterm,
+    private val awaitStop: () -> Unit,
 ) : Callable<Int> {
     @Option(names = ["--settings"], required = true, paramLabel = "FILE", description = ["Settings in TOML."])
     private lateinit var settingsFile: Path
@@ -75,16 +74,3 @@
             CommandLine(command).execute(*arguments)
     }
 }
-
-/** Blocks until the process is told to end, and keeps it alive until the main thread has ended the daemon. */
-private fun awaitSigterm() {
-    val isStopping = CountDownLatch(1)
-    val main = Thread.currentThread()
-    Runtime.getRuntime().addShutdownHook(
-        Thread {
-            isStopping.countDown()
-            main.join()
-        },
-    )
-    isStopping.await()
-}
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/EventStreamReader.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/EventStreamReader.kt
@@ -34,7 +34,7 @@
 
     private fun readLine(raw: Buffer): String? {
         val line = try {
-            source.readUtf8LineStrict(maxEventBytes - raw.size)
+            source.readUtf8LineStrict((maxEventBytes - raw.size).coerceAtLeast(0))
         } catch (_: EOFException) {
             return null
         }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ForwardServer.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ForwardServer.kt
@@ -40,6 +40,7 @@
     private val clock: RelayClock,
     private val scope: CoroutineScope,
 ) : FrameReceiver {
+    private val received = LinkedHashSet<Pair<HostIdentity, Long>>()
     private val served = ConcurrentHashMap<Pair<HostIdentity, Long>, ForwardSink>()
 
     override fun onFrame(from: HostIdentity, frame: LinkFrame) {
@@ -55,8 +56,8 @@
     private fun begin(from: HostIdentity, forward: ForwardRequest) {
         val deadlineMs = clock.nowMs() + forward.remainingMs
         val sink = ForwardSink(network, from, forward, deadlineMs, clock)
-        // A repeated correlation would let two runs answer one request.
-        if (served.putIfAbsent(from to forward.correlation, sink) != null) return
+        if (!isFirst(from, forward.correlation)) return
+        served[from to forward.correlation] = sink
         inFlight.tryEnter().fold(
             { error ->
                 served.remove(from to forward.correlation)
@@ -66,6 +67,13 @@
         )
     }
 
+    /** Returns false for a request that was received before; running it again could break at-most-once. */
+    private fun isFirst(from: HostIdentity, correlation: Long): Boolean = synchronized(received) {
+        if (!received.add(from to correlation)) return false
+        if (received.size > MAX_REMEMBERED) received.remove(received.first())
+        true
+    }
+
     private suspend fun serve(from: HostIdentity, forward: ForwardRequest, sink: ForwardSink) {
         val end = try {
             resolve(from, forward).fold(
@@ -134,6 +142,7 @@
 
     private companion object {
         private const val HEX = 16
+        private const val MAX_REMEMBERED = 65_536
         private const val MANIFEST_WAIT_MS = 500L
     }
 }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestResolver.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestResolver.kt
@@ -44,6 +44,9 @@
         ensure(kind.kind.isIdempotent || incoming.idempotencyKey != null || forward != null) {
             RelayError(ErrorKind.MISSING_IDEMPOTENCY_KEY)
         }
+        ensure((incoming.idempotencyKey?.length ?: 0) <= MAX_KEY_CHARS) {
+            RelayError(ErrorKind.MALFORMED_REQUEST, "an Idempotency-Key has at most $MAX_KEY_CHARS characters")
+        }
         val nowMs = clock.nowMs()
         val deadlineMs = nowMs + (forward?.remainingMs ?: kind.waits.waitMs(clock.instant()))
         val regions = manifest.allowedRegions(incoming.caller, service)
@@ -82,6 +85,9 @@
     )
 
     private companion object {
+        // The ledger keeps each key for its retention.
+        private const val MAX_KEY_CHARS = 256
+
         // A forwarded request is one link frame of at most 1 MiB, which also holds its headers.
         private const val MAX_FORWARDED_BYTES = 900_000
     }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/ForwardTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/ForwardTest.kt
@@ -55,6 +55,13 @@
         assertEquals(1, it.received.size)
     }
 
+    @Test
+    fun `a request frame that arrives twice is run once`() = serving({ respond(200, "ticket") }) {
+        links.change = { if (it.forwardRequest != null) listOf(it, it) else listOf(it) }
+        assertEquals("ticket", hue.post().body())
+        assertEquals(1, it.received.size)
+    }
+
     @Test
     fun `repeated parts are dropped and a missing part breaks the response visibly`() {
         links.change = { if (it.forwardChunk != null) listOf(it, it) else listOf(it) }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/TestDaemon.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/TestDaemon.kt
@@ -137,24 +137,4 @@
         send("POST", "/v1/chat/completions", """{"model":"draft","messages":[{"role":"user","content":"hi"}]$extra}""")
 
     override fun close() = daemon.close()
-
-    companion object {
-        /** Returns a daemon with local parts and without a manifest. */
-        fun of(settings: DaemonSettings): Daemon {
-            val clock = RelayClock()
-            val self = HostIdentity(settings.hostName, settings.region, settings.availabilityZone, 1)
-            val manifests = LocalManifestService(self.hostName, self.region) { manifest().right() }
-            val membership = LocalMembershipService(clock, { 0 }) { error("not asked for") }
-            val scheduler = LocalRequestScheduler(self.region, 10)
-            val parts = DaemonParts(
-                manifests,
-                membership,
-                LocalLedgerClient(),
-                LocalLinkNetwork(self),
-                scheduler,
-                LocalSuspectTracker(),
-            )
-            return Daemon(settings, parts, clock)
-        }
-    }
 }
