--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/SuspectTracker.kt
@@ -0,0 +1,35 @@
+package org.arbutusrelay.daemon.request
+
+/** Tracks requests that may crash the backend servers that run them. */
+public interface SuspectTracker {
+    /** Returns how a request with [digest] may run now. */
+    public fun decide(digest: String, nowMs: Long): SuspectDecision
+
+    /** Records that a request was sent to a backend server. */
+    public fun started(digest: String, backendServer: String, nowMs: Long)
+
+    /** Records that the backend server responded to a request, which clears it of suspicion. */
+    public fun finished(digest: String, backendServer: String, nowMs: Long)
+
+    /** Records that a run ended without evidence: it was not run, was cancelled or timed out. */
+    public fun withdrawn(digest: String, backendServer: String, nowMs: Long)
+
+    /**
+     * Records that the connection to a backend server was lost during a run; all requests there become suspects.
+     *
+     * Each request that was in flight there reports the same crash, which must count once for each of them.
+     */
+    public fun crashed(digest: String, backendServer: String, nowMs: Long)
+}
+
+/** How a request may run. */
+public enum class SuspectDecision {
+    /** The request is not suspected. */
+    RUN,
+
+    /** The request may run on a backend server with nothing else in flight. */
+    RUN_ISOLATED,
+
+    /** The request is refused. */
+    REFUSE,
+}
