Assemble a daemon from its settings

Cause: the parts of a daemon were built side by side and nothing connected them into one process.

Change: package daemon.node makes links, membership, manifests, the ledger, orders, suspects and the scheduler from the settings and starts them. The setting isFounding tells a new deployment from a host that lost its disk; the manifest names changes of a caller's home region.

Conclusion: the demo and multi-process tests can start from here.

--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
@@ -0,0 +1,240 @@
+package org.arbutusrelay.daemon.node
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.arbutusrelay.core.invariant.Invariants
+import org.arbutusrelay.core.ledger.LedgerRules
+import org.arbutusrelay.core.manifest.ManifestPeers
+import org.arbutusrelay.core.orders.OrderScheduler
+import org.arbutusrelay.core.routing.DefaultRequestScheduler
+import org.arbutusrelay.daemon.Daemon
+import org.arbutusrelay.daemon.DaemonParts
+import org.arbutusrelay.daemon.RelayClock
+import org.arbutusrelay.daemon.backend.BackendClient
+import org.arbutusrelay.daemon.ledger.LedgerService
+import org.arbutusrelay.daemon.ledger.LinkLedgerClient
+import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.daemon.link.SocketLinkNetwork
+import org.arbutusrelay.daemon.manifest.FileManifestStore
+import org.arbutusrelay.daemon.manifest.LinkManifestService
+import org.arbutusrelay.daemon.manifest.ManifestVoter
+import org.arbutusrelay.daemon.membership.LinkMembershipService
+import org.arbutusrelay.daemon.membership.MembershipListener
+import org.arbutusrelay.daemon.observe.RelayMetrics
+import org.arbutusrelay.daemon.orders.OrderLoop
+import org.arbutusrelay.schema.message.HostState
+import org.arbutusrelay.schema.settings.DaemonSettings
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.security.SecureRandom
+
+/**
+ * All parts of one daemon process, made from its settings and connected with each other.
+ *
+ * A node is started once with [start] and ended with [stop]; [close] ends it without the graceful part.
+ */
+public class Node(private val settings: DaemonSettings) {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val clock = RelayClock()
+
+    /** Metrics of this process. */
+    public val metrics: RelayMetrics = RelayMetrics()
+    private val invariants = Invariants(settings.isInvariantFatal) { guarantee, _ -> metrics.countViolation(guarantee) }
+    private val identity = HostIdentity(
+        hostName = settings.hostName,
+        region = settings.region,
+        availabilityZone = settings.availabilityZone,
+        epoch = SecureRandom().nextLong() and Long.MAX_VALUE,
+    )
+    private val stateHosts = StateHosts(settings)
+    private val network = SocketLinkNetwork(identity, settings.sharedSecret.toByteArray(), scope)
+    private val dataFolder = settings.dataFolder?.let(Path::of)
+    private val state = dataFolder?.let { ReplicatedState(settings, it, network, invariants) }
+    private val orderClient = BackendClient(metrics::countDrop)
+
+    private var running: Running? = null
+
+    /** Port for callers, operators and backend servers; valid after [start]. */
+    public val callerPort: Int get() = checkNotNull(running) { "the node is not started" }.daemon.callerPort
+
+    /** Port for other daemons; valid after [start]. */
+    public val linkPort: Int get() = checkNotNull(running) { "the node is not started" }.linkPort
+
+    /** True when this host serves requests. */
+    public val isReady: Boolean get() = running?.daemon?.isReady == true
+
+    /** Opens the ports, loads the replicated state and starts all parts. */
+    public suspend fun start(): Either<StartError, Unit> {
+        dataFolder?.let { folder -> folderError(folder)?.let { return fail("dataFolder", it) } }
+        val linkPort = try {
+            network.listen(settings.bindAddress, settings.linkPort)
+        } catch (e: IOException) {
+            return fail("linkPort", "${settings.bindAddress}:${settings.linkPort}: ${e.message}")
+        }
+        state?.start()?.leftOrNull()?.let { return fail("dataFolder", it.toString()) }
+        val started = connect(linkPort)
+        running = started
+        try {
+            started.daemon.start()
+        } catch (e: IOException) {
+            return fail("callerPort", "${settings.bindAddress}:${settings.callerPort}: ${e.message}")
+        }
+        startParts(started)
+        return Unit.right()
+    }
+
+    /** Stops gracefully; returns false when requests were still in flight after the shutdown timeout. */
+    public suspend fun stop(): Boolean = running?.daemon?.stop() ?: true
+
+    /** Ends at once. */
+    public fun close() {
+        running?.daemon?.close()
+        scope.cancel()
+        network.close()
+        orderClient.close()
+    }
+
+    private suspend fun fail(key: String, message: String): Either<StartError, Unit> {
+        state?.stop()
+        close()
+        return StartError(key, message).left()
+    }
+
+    private fun folderError(folder: Path): String? = try {
+        Files.createDirectories(folder)
+        if (Files.isWritable(folder)) null else "$folder is not writable"
+    } catch (e: IOException) {
+        "$folder cannot be used: ${e.message}"
+    }
+
+    private fun connect(linkPort: Int): Running {
+        val membership =
+            LinkMembershipService(network, selfState(linkPort), settings.peers, scope, invariants = invariants)
+        val manifests = manifestService(membership)
+        val ledgerService = ledgerService(manifests)
+        val ledger = LinkLedgerClient(network, { stateHosts.of(it).toList() }, ledgerService, scope)
+        val suspects = RegionSuspectTracker(
+            incarnationOf = { name -> membership.backendServers().firstOrNull { it.name == name }?.incarnation ?: 0 },
+            report = membership::reportSuspect,
+            nowMs = clock::nowMs,
+        )
+        val scheduler = DefaultRequestScheduler({ manifests.current?.caller(it) }, invariants)
+        val parts = DaemonParts(manifests, membership, ledger, network, scheduler, suspects, ::drained)
+        val daemon = Daemon(settings, parts, clock, metrics)
+        return Running(linkPort, daemon, membership, manifests, ledger, ledgerService, suspects, scheduler)
+    }
+
+    private fun startParts(parts: Running) {
+        val scheme = "http://${settings.bindAddress}"
+        parts.membership.updateSelf { it.copy(callerAddress = "$scheme:${parts.daemon.callerPort}") }
+        parts.membership.addListener(parts.suspects)
+        parts.ledgerService?.let { service -> parts.membership.addListener(ReplacedHosts(service)) }
+        parts.ledger.start()
+        parts.ledgerService?.start()
+        parts.membership.start()
+        parts.manifests.start()
+        orderLoop(parts)?.start()
+        scope.launch { reportLoad(parts) }
+    }
+
+    private suspend fun reportLoad(parts: Running) {
+        while (true) {
+            val loadPermille = parts.scheduler.loadPermille()
+            val number = parts.manifests.current?.number ?: 0
+            parts.membership.updateSelf { it.copy(loadPermille = loadPermille, manifestNumber = number) }
+            delay(LOAD_PERIOD_MS)
+        }
+    }
+
+    private fun selfState(linkPort: Int) = HostState(
+        hostName = identity.hostName,
+        region = identity.region,
+        availabilityZone = identity.availabilityZone,
+        epoch = identity.epoch,
+        version = 1,
+        address = "${settings.bindAddress}:$linkPort",
+        callerAddress = "",
+        manifestNumber = 0,
+        loadPermille = 0,
+        isLeaving = false,
+        isStateHost = stateHosts.isSelf,
+        startedAtMs = System.currentTimeMillis(),
+    )
+
+    private fun manifestService(membership: LinkMembershipService): LinkManifestService {
+        val regionHosts = stateHosts.of(settings.region).ifEmpty { settings.manifestVoters.toSet() }
+        val peers = ManifestPeers(
+            settings.hostName,
+            stateHosts.isSelf,
+            regionHosts,
+            if (stateHosts.isSelf) stateHosts.outside(settings.region) else emptySet(),
+        )
+        return LinkManifestService(
+            network = network,
+            membership = membership,
+            peers = peers,
+            voters = settings.manifestVoters,
+            parser = TomlManifestParser(),
+            store = dataFolder?.let { FileManifestStore(it.resolve("manifest")) },
+            voter = state?.let { owned -> owned.manifestGroup?.let { ManifestVoter(it, owned.manifestLog) } },
+            scope = scope,
+            invariants = invariants,
+        )
+    }
+
+    private fun ledgerService(manifests: LinkManifestService): LedgerService? = state?.let { owned ->
+        LedgerService(
+            owned.ledgerGroup,
+            owned.ledgerMachine,
+            LedgerRules(settings.region),
+            ManifestCallerHomes { manifests.current },
+            network,
+            scope,
+        )
+    }
+
+    private fun orderLoop(parts: Running): OrderLoop? = state?.let { owned ->
+        OrderLoop(
+            group = owned.ledgerGroup,
+            scheduler = OrderScheduler(settings.region, invariants = invariants),
+            sender = HttpOrderSender(orderClient),
+            manifest = { parts.manifests.current?.manifest },
+            servers = parts.membership::availableBackendServers,
+            scope = scope,
+        )
+    }
+
+    private suspend fun drained() {
+        state?.stop()
+        scope.cancel()
+        network.close()
+        orderClient.close()
+    }
+
+    private class ReplacedHosts(private val ledger: LedgerService) : MembershipListener {
+        override fun onHostReplaced(hostName: String, oldEpoch: Long) = ledger.onHostReplaced(hostName, oldEpoch)
+    }
+
+    private class Running(
+        val linkPort: Int,
+        val daemon: Daemon,
+        val membership: LinkMembershipService,
+        val manifests: LinkManifestService,
+        val ledger: LinkLedgerClient,
+        val ledgerService: LedgerService?,
+        val suspects: RegionSuspectTracker,
+        val scheduler: DefaultRequestScheduler,
+    )
+
+    private companion object {
+        private const val LOAD_PERIOD_MS = 500L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/RegionSuspectTracker.kt
@@ -0,0 +1,64 @@
+package org.arbutusrelay.daemon.node
+
+import org.arbutusrelay.core.suspect.SuspectTable
+import org.arbutusrelay.core.suspect.SuspectVerdict
+import org.arbutusrelay.daemon.membership.MembershipListener
+import org.arbutusrelay.daemon.request.SuspectDecision
+import org.arbutusrelay.daemon.request.SuspectTracker
+import org.arbutusrelay.schema.message.SuspectState
+import java.util.concurrent.ConcurrentHashMap
+
+/**
+ * Tracks crash suspects together with the other hosts of the region.
+ *
+ * [incarnationOf] names the incarnation of a backend server, so that one crash counts once whoever reports it. [report]
+ * tells the other hosts.
+ */
+internal class RegionSuspectTracker(
+    private val incarnationOf: (String) -> Long,
+    private val report: (SuspectState) -> Unit,
+    private val nowMs: () -> Long,
+    private val table: SuspectTable = SuspectTable(),
+) : SuspectTracker,
+    MembershipListener {
+    private val running = ConcurrentHashMap<String, List<Run>>()
+
+    override fun decide(digest: String, nowMs: Long): SuspectDecision = when (table.verdict(digest, nowMs)) {
+        SuspectVerdict.CLEAR -> SuspectDecision.RUN
+        SuspectVerdict.ISOLATE -> SuspectDecision.RUN_ISOLATED
+        SuspectVerdict.REFUSE -> SuspectDecision.REFUSE
+    }
+
+    override fun started(digest: String, backendServer: String, nowMs: Long) {
+        val run = Run(digest, incarnationOf(backendServer))
+        running.merge(backendServer, listOf(run)) { old, new -> old + new }
+    }
+
+    override fun finished(digest: String, backendServer: String, nowMs: Long) {
+        end(digest, backendServer)
+        table.recordFinish(digest, nowMs)?.let(report)
+    }
+
+    override fun withdrawn(digest: String, backendServer: String, nowMs: Long) {
+        end(digest, backendServer)
+    }
+
+    override fun crashed(digest: String, backendServer: String, nowMs: Long) {
+        val beside = running[backendServer].orEmpty()
+        val run = beside.firstOrNull { it.digest == digest } ?: return
+        val digests = beside.filter { it.incarnation == run.incarnation }.map { it.digest }
+        end(digest, backendServer)
+        table.recordCrash(backendServer, run.incarnation, digests, nowMs).forEach(report)
+    }
+
+    override fun onSuspect(suspect: SuspectState): Unit = table.merge(suspect, nowMs())
+
+    private fun end(digest: String, backendServer: String) {
+        running.computeIfPresent(backendServer) { _, runs ->
+            val ended = runs.indexOfFirst { it.digest == digest }
+            runs.filterIndexed { index, _ -> index != ended }.ifEmpty { null }
+        }
+    }
+
+    private data class Run(val digest: String, val incarnation: Long)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/ReplicatedState.kt
@@ -0,0 +1,82 @@
+package org.arbutusrelay.daemon.node
+
+import arrow.core.Either
+import arrow.core.flatMap
+import org.arbutusrelay.core.consensus.StateMachine
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.invariant.Invariants
+import org.arbutusrelay.core.ledger.LedgerStateMachine
+import org.arbutusrelay.core.manifest.ManifestLog
+import org.arbutusrelay.daemon.consensus.ReplicaGroup
+import org.arbutusrelay.daemon.consensus.ReplicaGroupOptions
+import org.arbutusrelay.daemon.link.LinkNetwork
+import org.arbutusrelay.daemon.storage.FileConsensusStorage
+import org.arbutusrelay.daemon.storage.StorageError
+import org.arbutusrelay.schema.settings.DaemonSettings
+import java.nio.file.Path
+import java.security.SecureRandom
+import kotlin.random.asKotlinRandom
+
+/** The replicas that a state host runs: of the group `manifest`, when it votes there, and of its region's ledger. */
+internal class ReplicatedState(
+    private val settings: DaemonSettings,
+    dataFolder: Path,
+    private val network: LinkNetwork,
+    private val invariants: Invariants,
+) {
+    val manifestLog: ManifestLog = ManifestLog()
+    val ledgerMachine: LedgerStateMachine = LedgerStateMachine(invariants = invariants)
+
+    val manifestGroup = if (settings.hostName in settings.manifestVoters) {
+        group("manifest", dataFolder.resolve("manifest-group"), manifestLog, settings.manifestVoters, MANIFEST_OPTIONS)
+    } else {
+        null
+    }
+
+    val ledgerGroup = group(
+        "ledger/${settings.region}",
+        dataFolder.resolve("ledger-group"),
+        ledgerMachine,
+        settings.ledgerVoters,
+        ReplicaGroupOptions(),
+    )
+
+    private val groups = listOfNotNull(manifestGroup, ledgerGroup)
+
+    /** Loads all replicas and starts them. */
+    fun start(): Either<StorageError, Unit> = groups.fold(Either.Right(Unit) as Either<StorageError, Unit>) {
+            started,
+            next,
+        ->
+        started.flatMap { next.start() }
+    }
+
+    /** Hands over leadership, syncs and closes the files. */
+    suspend fun stop(): Unit = groups.forEach { it.stop() }
+
+    private fun <R> group(
+        name: String,
+        folder: Path,
+        machine: StateMachine<R>,
+        voters: List<String>,
+        options: ReplicaGroupOptions,
+    ): ReplicaGroup<R> = ReplicaGroup(
+        name = name,
+        storage = FileConsensusStorage(folder),
+        stateMachine = machine,
+        network = network,
+        stateHosts = voters.toSet(),
+        random = SecureRandom().asKotlinRandom(),
+        foundingVoters = voters.takeIf { settings.isFounding },
+        options = options,
+        invariants = invariants,
+    )
+
+    private companion object {
+        private val MANIFEST_OPTIONS = ReplicaGroupOptions(
+            snapshotEntries = 1_000,
+            unavailableKind = ErrorKind.MANIFEST_GROUP_UNAVAILABLE,
+            unknownKind = ErrorKind.MANIFEST_OUTCOME_UNKNOWN,
+        )
+    }
+}
