Run the demo on the real daemon

Cause: the first run of the demo did not become ready: the manifest store did not create its folder.

--- a/ctl/src/main/kotlin/org/arbutusrelay/ctl/ArbutusCtl.kt
+++ b/ctl/src/main/kotlin/org/arbutusrelay/ctl/ArbutusCtl.kt
@@ -1,5 +1,6 @@
 package org.arbutusrelay.ctl
 
+import org.arbutusrelay.ctl.demo.DemoCommand
 import picocli.AutoComplete
 import picocli.CommandLine
 import picocli.CommandLine.Command
@@ -18,6 +19,7 @@
         ManifestCommand::class,
         HostsCommand::class,
         BackendServersCommand::class,
+        DemoCommand::class,
         StandInCommand::class,
         LoadCommand::class,
         AutoComplete.GenerateCompletion::class,
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -107,7 +107,8 @@
     }
 
     override suspend fun transferLeadership() {
-        if (status.value.role != ConsensusRole.LEADER) return
+        // A group of one voter has nobody to take over; waiting would only delay the stop.
+        if (status.value.role != ConsensusRole.LEADER || voters.size < 2) return
         driver?.requestTransfer()
         withTimeoutOrNull(options.transferWaitMs) { status.first { it.role != ConsensusRole.LEADER } }
     }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/manifest/ManifestStore.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/manifest/ManifestStore.kt
@@ -39,6 +39,7 @@
     }
 
     override suspend fun save(record: ManifestRecord): Unit = withContext(Dispatchers.IO) {
+        Files.createDirectories(folder)
         val temporary = folder.resolve("manifest.cbor.new")
         FileChannel.open(temporary, CREATE, WRITE, TRUNCATE_EXISTING).use { channel ->
             val bytes = ByteBuffer.wrap(Cbor.encodeToByteArray(ManifestRecord.serializer(), record))
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/ReplicatedState.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/ReplicatedState.kt
@@ -2,6 +2,8 @@
 
 import arrow.core.Either
 import arrow.core.flatMap
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import org.arbutusrelay.core.consensus.StateMachine
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.invariant.Invariants
@@ -52,7 +54,7 @@
     }
 
     /** Hands over leadership, syncs and closes the files. */
-    suspend fun stop(): Unit = groups.forEach { it.stop() }
+    suspend fun stop(): Unit = coroutineScope { groups.forEach { launch { it.stop() } } }
 
     private fun <R> group(
         name: String,
