--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
@@ -74,7 +74,7 @@
 
     /** Runs until a stop is requested or an invariant is violated. */
     suspend fun run(otherHosts: Set<String>) {
-        var reason: String? = null
+        var reason: String? = "unexpected error"
         try {
             while (true) {
                 val input = select {
@@ -90,8 +90,9 @@
             }
         } catch (e: IllegalStateException) {
             reason = e.message ?: e.toString()
+        } finally {
+            finish(reason)
         }
-        finish(reason)
     }
 
     private fun finish(reason: String?) {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
@@ -10,6 +11,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
@@ -62,9 +64,10 @@
     private val configure: (ConsensusConfig) -> ConsensusConfig = { it },
 ) : ConsensusGroup<R> {
     private val startMark = timeSource.markNow()
-    private val scope = CoroutineScope(SupervisorJob())
     private val listeners = CopyOnWriteArrayList<(Long, R) -> Unit>()
     private val status = MutableStateFlow(ReplicaStatus())
+    private val onError = CoroutineExceptionHandler { _, error -> status.update { it.copy(failure = "$error") } }
+    private val scope = CoroutineScope(SupervisorJob() + onError)
     private var driver: ReplicaDriver<R>? = null
     private var jobs: List<Job> = emptyList()
 
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupTest.kt
@@ -77,6 +77,18 @@
         (groups - lost + joined).forEach { it.stop() }
     }
 
+    /** Guards against proposals that wait forever after the state machine failed. */
+    @Test
+    fun `a failing state machine stops the replica and ends proposals as unknown`() = runTest {
+        val group = start("a", MemoryConsensusStorage(), listOf("a"))
+        val leader = awaitLeader(listOf(group))
+        machines.getValue("a").isBroken = true
+        assertEquals(Outcome.UNKNOWN, leader.propose(command(1)).leftOrNull()?.kind?.outcome)
+        assertNotNull(group.failure)
+        assertEquals(false, group.isLeaseHeld())
+        group.stop()
+    }
+
     private fun ReplicaGroup<Long>.name(groups: List<ReplicaGroup<Long>>) = names[groups.indexOf(this)]
 
     private fun TestScope.start(host: String, storage: ConsensusStorage, founding: List<String>?): ReplicaGroup<Long> {
@@ -113,8 +125,10 @@
 
     private class SumMachine : StateMachine<Long> {
         var sum = 0L
+        var isBroken = false
 
         override fun apply(index: Long, command: ReplicatedCommand): Long {
+            require(!isBroken) { "broken" }
             sum += command.manifest?.number ?: 0
             return sum
         }
