Place waiting requests by cached prefix and smooth load reports

Change: the queue offers its first 8 requests to the server choice; requests of other hosts are a mean over reports; queued requests that would miss their deadline are refused; sending away starts after lasting misses; slots of absent backend servers are kept while requests are in flight.

--- a/core/src/main/kotlin/org/arbutusrelay/core/admission/DeadlineQueue.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/admission/DeadlineQueue.kt
@@ -27,7 +27,10 @@
     }
 
     /** Returns the entry that is served next, or null when the queue is empty. */
-    public fun peek(): Entry<T>? = lanes.firstEntry()?.value?.next(fairnessLag)
+    public fun peek(): Entry<T>? = head(1).firstOrNull()
+
+    /** Returns up to [count] entries of the most urgent priority in the order in which they are served. */
+    public fun head(count: Int): List<Entry<T>> = lanes.firstEntry()?.value?.head(fairnessLag, count).orEmpty()
 
     /** Removes an entry; [isServed] counts it towards its caller's share. Returns false when it is not in the queue. */
     public fun remove(entry: Entry<T>, isServed: Boolean): Boolean {
@@ -62,7 +65,7 @@
     )
 
     private class Waiting<T : Any>(var served: Long) {
-        val entries = TreeSet(compareBy<Entry<T>>({ it.deadlineMs }, { it.sequence }))
+        val entries = TreeSet<Entry<T>>(ORDER)
     }
 
     private class Lane<T : Any> {
@@ -84,14 +87,10 @@
             return true
         }
 
-        fun next(fairnessLag: Long): Entry<T>? {
+        fun head(fairnessLag: Long, count: Int): List<Entry<T>> {
             val bound = leastServed() + fairnessLag
-            var best: Entry<T>? = null
-            for (waiting in callers.values) {
-                val first = waiting.entries.first()
-                if (waiting.served <= bound && (best == null || first.deadlineMs < best.deadlineMs)) best = first
-            }
-            return best
+            return callers.values.asSequence().filter { it.served <= bound }.flatMap { it.entries.take(count) }
+                .sortedWith(ORDER).take(count).toList()
         }
 
         fun countBefore(deadlineMs: Long): Int = callers.values.sumOf { waiting ->
@@ -104,4 +103,8 @@
 
         private fun leastServed(): Long = callers.values.minOfOrNull { it.served } ?: 0
     }
+
+    private companion object {
+        private val ORDER = compareBy<Entry<*>>({ it.deadlineMs }, { it.sequence })
+    }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
@@ -13,7 +13,7 @@
  *
  * The object outlives changes of the routing table, so that no slot is lost when the table is replaced.
  */
-public class BackendSlots(state: BackendServerState, private val ramp: SlowRamp, historyBlocks: Int) {
+public class BackendSlots(state: BackendServerState, ramp: SlowRamp, historyBlocks: Int) {
     /** Name of the backend server. */
     public val name: String = state.name
 
@@ -25,6 +25,9 @@
     public var state: BackendServerState = state
         private set
 
+    @Volatile
+    private var ramp = ramp
+
     /** Requests that it runs at the same time, as announced. */
     public val capacity: Int = state.capacity.toInt()
 
@@ -38,25 +41,42 @@
     internal val cacheSequence = CacheSequence(this)
 
     private val own = AtomicInteger()
-    private val netSinceReport = AtomicInteger()
+
+    /** Smoothed requests of other hosts. */
+    @Volatile
+    private var others = (state.running + state.queued).toDouble()
     private val claim = AtomicReference<RequestId?>(null)
 
-    /** Takes over a newer report; what was sent before it is assumed to be part of it. */
+    /**
+     * Takes over a newer report.
+     *
+     * What the report exceeds this host's own requests by belongs to other hosts. The report lags, so a single one is
+     * off by what this host started and ended meanwhile; the mean over several reports is not.
+     */
     public fun update(newer: BackendServerState) {
         val old = state
         state = newer
         val isReport = newer.version != old.version || newer.running != old.running || newer.queued != old.queued
-        if (isReport) netSinceReport.set(0)
+        if (!isReport) return
+        val excess = (newer.running + newer.queued - ownInFlight()).toDouble()
+        others += (excess - others) * REPORT_WEIGHT
+    }
+
+    /** Returns true when [newer] is about the same incarnation with the same service and capacity. */
+    public fun isFor(newer: BackendServerState): Boolean =
+        state.incarnation == newer.incarnation && state.service == newer.service && capacity == newer.capacity.toInt()
+
+    /** Takes work again after an absence, along a new [ramp]. */
+    public fun resume(newer: BackendServerState, ramp: SlowRamp) {
+        this.ramp = ramp
+        update(newer)
     }
 
     /** Requests in flight from this host. */
     public fun ownInFlight(): Int = own.get().let { if (it == ISOLATED) 1 else it }
 
-    /** Estimated requests in flight from all hosts: the report plus what this host started and ended since. */
-    public fun load(): Int {
-        val latest = state
-        return maxOf(ownInFlight(), (latest.running + latest.queued).toInt() + netSinceReport.get())
-    }
+    /** Estimated requests in flight from all hosts: the own ones plus what the reports say of others. */
+    public fun load(): Int = ownInFlight() + maxOf(0.0, others + HALF).toInt()
 
     /** Requests that may be in flight at [nowMs]. */
     public fun limitAt(nowMs: Long): Int =
@@ -79,7 +99,6 @@
             own.decrementAndGet()
             return false
         }
-        netSinceReport.incrementAndGet()
         return true
     }
 
@@ -87,18 +106,17 @@
     public fun tryAcquireIsolated(id: RequestId, nowMs: Long): Boolean {
         val claimant = claim.get()
         if (claimant != null && claimant != id) return false
-        if (state.isLeaving || load() != 0 || !breaker.isReady(nowMs)) return false
+        val latest = state
+        if (latest.isLeaving || latest.running + latest.queued > 0 || !breaker.isReady(nowMs)) return false
         if (!own.compareAndSet(0, ISOLATED)) return false
         dropClaim(id)
         breaker.tryAdmit(nowMs)
-        netSinceReport.incrementAndGet()
         return true
     }
 
     /** Frees a slot. */
     public fun release() {
         own.updateAndGet { if (it == ISOLATED) 0 else it - 1 }
-        netSinceReport.decrementAndGet()
     }
 
     /** Keeps new work away until [id] has run in isolation here. */
@@ -115,6 +133,8 @@
 
     internal companion object {
         private const val ISOLATED = -1
+        private const val REPORT_WEIGHT = 0.2
+        private const val HALF = 0.5
         private const val PERMILLE = 1_000L
         private const val MIX = -0x4b47d0c5a1a6e5b3L
         private const val SHIFT = 31
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -22,7 +22,7 @@
     callerOf: (String) -> Caller?,
     private val invariants: Invariants = Invariants(),
     private val settings: SchedulerSettings = SchedulerSettings(),
-    serverChoice: ServerChoice = FinishChoice(),
+    private val serverChoice: ServerChoice = FinishChoice(),
     regionChoice: RegionChoice = FinishRegionChoice(),
 ) : RequestScheduler {
     private val snapshot = AtomicReference(SchedulerSnapshot.EMPTY)
@@ -195,21 +195,27 @@
     ) {
         val first = sink.size
         if (isExpiring) queue.expire({ refuseIfLate(it, nowMs) }, sink)
-        queue.drain({ placeQueued(it, nowMs) }, sink)
+        queue.drain(serverChoice.window, { prefer(it, nowMs) }, { placeQueued(it, nowMs) }, sink)
         for (index in first until sink.size) {
             if (sink[index].placement is Placement.Refused) endQueued(sink[index].profile)
         }
     }
 
+    private fun prefer(waiting: List<RequestProfile>, nowMs: Long): Int {
+        val servers = snapshot.get().services[waiting[0].serviceName] ?: return 0
+        return serverChoice.prefer(waiting, servers, nowMs)
+    }
+
     private fun placeQueued(profile: RequestProfile, nowMs: Long): Placement? {
         refuseIfLate(profile, nowMs)?.let { return it }
         if (profile.isIsolated) return local.tryRunIsolated(profile, nowMs)?.let(Placement::Run)
         return placeNow(profile, nowMs)
     }
 
+    /** Refuses a queued request that would miss its deadline if it began now. */
     private fun refuseIfLate(profile: RequestProfile, nowMs: Long): Placement? {
-        val fastestMs = timesOf(profile.serviceName).predictMs(0, profile.responseTokens)
-        if (nowMs + fastestMs <= profile.deadlineMs) return null
+        val needMs = timesOf(profile.serviceName).predictTypicalMs(profile.promptTokens, profile.responseTokens)
+        if (nowMs + needMs * settings.startFactor <= profile.deadlineMs) return null
         return refused(ErrorKind.DEADLINE_UNREACHABLE)
     }
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FinishChoice.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FinishChoice.kt
@@ -8,7 +8,7 @@
  * backend server with a cold cache. Between equal predictions rendezvous hashing on the first block decides, so that
  * hosts that have not seen a prefix send it to the same backend server.
  */
-public class FinishChoice : ServerChoice {
+public class FinishChoice(override val window: Int = 8, private val spareMs: Long = 1_000) : ServerChoice {
     override fun choose(profile: RequestProfile, servers: ServiceServers, nowMs: Long): BackendSlots? {
         var best: BackendSlots? = null
         var bestMs = Double.MAX_VALUE
@@ -24,6 +24,17 @@
         return best
     }
 
+    override fun prefer(waiting: List<RequestProfile>, servers: ServiceServers, nowMs: Long): Int {
+        val first = waiting[0]
+        val typicalMs = servers.times.predictTypicalMs(first.promptTokens, first.responseTokens)
+        // The first request yields only while it has time to spare.
+        if (nowMs + typicalMs + spareMs > first.deadlineMs) return 0
+        return waiting.indices.maxBy { index ->
+            val profile = waiting[index]
+            choose(profile, servers, nowMs)?.let { profile.promptTokens - uncachedTokens(profile, it) } ?: -1
+        }
+    }
+
     private fun score(profile: RequestProfile, slots: BackendSlots, times: ServiceTimes, nowMs: Long): Double {
         val finishMs = predictMs(profile, slots, times, nowMs)
         val triedPenalty = if (slots.name in profile.triedBackendServers) TRIED_PENALTY_MS else 0.0
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FinishRegionChoice.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FinishRegionChoice.kt
@@ -5,20 +5,23 @@
 /**
  * Keeps requests at home unless the predicted finish there misses the deadline and the one elsewhere meets it.
  *
- * Hysteresis: sending away begins when a prediction misses by more than [startShare] of the time left, and continues
- * for any miss until none was seen for [holdMs]. Of the regions that meet the deadline the cheapest is taken, and the
- * earliest of equal ones.
+ * Hysteresis: sending away begins when predictions have missed by more than [missFactor] for [startMs], and ends when
+ * none has for [holdMs]. Without a backend server or room in the queue at home it begins at once. Of the regions that
+ * meet the deadline the cheapest is taken, and the earliest of equal ones.
  */
 public class FinishRegionChoice(
-    private val startShare: Double = 0.1,
+    private val missFactor: Double = 1.1,
+    private val startMs: Long = 500,
     private val holdMs: Long = 2_000,
     private val safety: Double = 1.1,
 ) : RegionChoice {
-    private val lastMissMs = ConcurrentHashMap<String, Long>()
+    private val missesByService = ConcurrentHashMap<String, Misses>()
 
     override fun choose(query: RegionQuery): RegionSlots? {
         val leftMs = (query.profile.deadlineMs - query.nowMs).toDouble()
-        if (query.localMs <= leftMs || !mayStart(query, leftMs)) return null
+        if (query.localMs <= leftMs * missFactor) return null
+        val isLost = query.localMs == Double.POSITIVE_INFINITY
+        if (!isLasting(query.profile.serviceName, query.nowMs) && !isLost) return null
         var best: RegionSlots? = null
         var bestCost = Double.MAX_VALUE
         for (region in query.regions) {
@@ -33,17 +36,17 @@
         return best
     }
 
-    private fun mayStart(query: RegionQuery, leftMs: Double): Boolean {
-        val service = query.profile.serviceName
-        val isActive = query.nowMs - (lastMissMs[service] ?: NEVER) <= holdMs
-        if (!isActive && query.localMs <= leftMs * (1 + startShare)) return false
-        lastMissMs[service] = query.nowMs
-        return true
+    /** Returns true when misses of the service have lasted for [startMs] without a pause of [holdMs]. */
+    private fun isLasting(service: String, nowMs: Long): Boolean {
+        val misses = missesByService.compute(service) { _, old ->
+            if (old == null || nowMs - old.lastMs > holdMs) Misses(nowMs, nowMs) else Misses(old.firstMs, nowMs)
+        }
+        return misses != null && nowMs - misses.firstMs >= startMs
     }
 
-    private companion object {
-        private const val NEVER = Long.MIN_VALUE / 2
+    private class Misses(val firstMs: Long, val lastMs: Long)
 
+    private companion object {
         // Makes the cost decide first; the predicted finish, in milliseconds, only breaks ties.
         private const val COST_WEIGHT = 1e6
     }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
@@ -16,6 +16,8 @@
     val hedgeAfterFactor: Double = 2.0,
     /** A request is refused when its predicted time exceeds the time left by more than this factor. */
     val refuseFactor: Double = 1.1,
+    /** A queued request is refused when less than this share of its predicted time is left. */
+    val startFactor: Double = 1.2,
     /** Prompt blocks remembered for all backend servers together; bounds the memory of the prefix history. */
     val historyBlocks: Int = 262_144,
     /** Duration of the slow ramp of a returning backend server or region, in milliseconds. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
@@ -9,6 +9,8 @@
     val slotsByName: Map<String, BackendSlots>,
     val services: Map<String, ServiceServers>,
     val regions: Map<String, RegionSlots>,
+    /** Backend servers that left the table while requests of this host were in flight on them. */
+    val departed: List<BackendSlots> = emptyList(),
 ) {
     /** Returns true when [slots] may take new work. */
     fun isCurrent(slots: BackendSlots): Boolean = slotsByName[slots.name] === slots && !slots.state.isLeaving
@@ -36,7 +38,11 @@
         val regions = table.otherRegions.mapValues { (name, region) ->
             old.regions[name]?.apply { update(region) } ?: RegionSlots(region, ramp())
         }
-        return SchedulerSnapshot(table, slots, services, regions)
+        // A backend server that comes back in the same incarnation must not start from zero requests in flight.
+        val departed = (old.departed + old.slotsByName.values).filter { gone ->
+            slots[gone.name] !== gone && gone.ownInFlight() > 0
+        }
+        return SchedulerSnapshot(table, slots, services, regions, departed)
     }
 
     private fun slotsOf(
@@ -45,10 +51,9 @@
         ramp: () -> SlowRamp,
         historyBlocks: Int,
     ): BackendSlots {
-        val known = old.slotsByName[state.name]
-        val isSame = known != null && known.state.incarnation == state.incarnation &&
-            known.state.service == state.service && known.capacity == state.capacity.toInt()
-        return if (isSame) known.apply { update(state) } else BackendSlots(state, ramp(), historyBlocks)
+        old.slotsByName[state.name]?.takeIf { it.isFor(state) }?.let { return it.apply { update(state) } }
+        val returning = old.departed.find { it.name == state.name && it.isFor(state) }
+        return returning?.apply { resume(state, ramp()) } ?: BackendSlots(state, ramp(), historyBlocks)
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerChoice.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerChoice.kt
@@ -4,6 +4,12 @@
 public fun interface ServerChoice {
     /** Returns the backend server for [profile], or null when none has room; it reserves nothing. */
     public fun choose(profile: RequestProfile, servers: ServiceServers, nowMs: Long): BackendSlots?
+
+    /** How many waiting requests [prefer] chooses from. */
+    public val window: Int get() = 1
+
+    /** Returns the index of the waiting request that is placed next; [waiting] is in the order of the queue. */
+    public fun prefer(waiting: List<RequestProfile>, servers: ServiceServers, nowMs: Long): Int = 0
 }
 
 /** The backend servers of one service in this region, and what is known of the service's times. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceQueue.kt
@@ -36,12 +36,20 @@
     /**
      * Takes out the requests for which [decide] returns a placement, in the order of the queue.
      *
-     * It stops at the first request that has to wait on. A request that waits for isolation does not hold up others.
+     * [prefer] may take another one of the first [window] requests instead of the first. Draining stops at the first
+     * request that has to wait on; a request that waits for isolation does not hold up others.
      */
-    fun drain(decide: (RequestProfile) -> Placement?, sink: MutableList<QueuedPlacement>): Unit = lock.withLock {
+    fun drain(
+        window: Int,
+        prefer: (List<RequestProfile>) -> Int,
+        decide: (RequestProfile) -> Placement?,
+        sink: MutableList<QueuedPlacement>,
+    ): Unit = lock.withLock {
         listOf(isolated, waiting).forEach { queue ->
             while (true) {
-                val entry = queue.peek() ?: break
+                val head = queue.head(window)
+                if (head.isEmpty()) break
+                val entry = if (head.size == 1) head[0] else head[prefer(head.map { it.value })]
                 val placement = decide(entry.value) ?: break
                 remove(entry, isServed = placement !is Placement.Refused)
                 sink += QueuedPlacement(entry.value, placement)
--- a/standin/src/main/kotlin/org/arbutusrelay/standin/policy/PolicyMeasurement.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/policy/PolicyMeasurement.kt
@@ -9,7 +9,7 @@
 public object PolicyMeasurement {
     private class Case(val scenario: Scenario, val loadPermille: Int)
 
-    private val cases: List<Case> = LOADS.map { Case(Scenario.STEADY, it) } +
+    private val cases = LOADS.map { Case(Scenario.STEADY, it) } +
         Scenario.entries.drop(1).map { Case(it, FAILURE_LOAD) }
 
     /** Runs each of the TOML [files] with [seeds] seeds, [threads] runs at a time. */
--- a/standin/src/main/kotlin/org/arbutusrelay/standin/policy/RegionModel.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/policy/RegionModel.kt
@@ -77,7 +77,10 @@
 
     private fun applyReport(states: List<BackendServerState>) {
         val link = workload.link
-        val reachable = others.filterValues { (_, atMs) -> clock.nowMs - atMs < SILENCE_MS && !model.isPartitioned }
+        val reachable = others.filterValues { (_, atMs) ->
+            clock.nowMs - atMs < SILENCE_MS + scenario.reportDelayMs &&
+                !model.isPartitioned
+        }
         val remotes = reachable.mapValues { (name, summaryAt) ->
             val (summary, atMs) = summaryAt
             RemoteRegion(
