--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -154,6 +154,8 @@
         servers: ServiceServers,
         nowMs: Long,
     ): Placement {
+        val fastestMs = servers.times.predictMs(0, profile.responseTokens)
+        if (nowMs + fastestMs > profile.deadlineMs) return refused(ErrorKind.DEADLINE_UNREACHABLE, fastestMs.toLong())
         val queue = queueOf(profile.serviceName)
         if (profile.isIsolated) return if (queue.offer(profile)) Placement.Queued else refused(ErrorKind.OVERLOADED)
         if (queue.size == 0) placeNow(profile, nowMs)?.let { return it }
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/DefaultRequestSchedulerTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/DefaultRequestSchedulerTest.kt
@@ -27,6 +27,7 @@
             Triple("full server, long wait", table(full), request(1)) to "Queued",
             Triple("no server", table(), request(1)) to "NO_BACKEND_SERVER",
             Triple("passed deadline", table(server("a")), request(1, deadlineMs = 0)) to "DEADLINE_UNREACHABLE",
+            Triple("no time to run", table(server("a")), request(1, deadlineMs = 20)) to "DEADLINE_UNREACHABLE",
             Triple("full server, no time to wait", table(full), request(1, deadlineMs = 300)) to "DEADLINE_UNREACHABLE",
             Triple("first miss", table(full, remotes = listOf(remote("danang"))), request(1, 300)) to
                 "DEADLINE_UNREACHABLE",
