--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/AttemptRace.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/AttemptRace.kt
@@ -102,10 +102,14 @@
         ) {
             "${request.id} was placed in ${placed.region}"
         }
-        val isAway = placed.backendServer.isEmpty()
-        return isRegionAllowed && invariants.check(Guarantee.SINGLE_HOP, !isAway || !request.profile.isForwarded) {
-            "${request.id} was forwarded before"
+        val isGranted = invariants.check(Guarantee.AT_MOST_ONCE, request.isIdempotent || request.isGranted) {
+            "${request.id} was about to be sent without a grant"
         }
+        val isAway = placed.backendServer.isEmpty()
+        return isRegionAllowed && isGranted &&
+            invariants.check(Guarantee.SINGLE_HOP, !isAway || !request.profile.isForwarded) {
+                "${request.id} was forwarded before"
+            }
     }
 
     private fun recordFirstByte(placed: PlacedAttempt) {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/LedgerGate.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/LedgerGate.kt
@@ -61,6 +61,7 @@
         sink: ResponseListener,
         attempt: suspend (ResponseListener) -> AttemptEnd,
     ): AttemptEnd {
+        request.markGranted()
         val buffer = ResponseBuffer()
         var end: AttemptEnd? = null
         try {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ResolvedRequest.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ResolvedRequest.kt
@@ -9,6 +9,7 @@
 import org.arbutusrelay.schema.manifest.Service
 import org.arbutusrelay.schema.message.HeaderField
 import org.arbutusrelay.schema.message.LedgerKey
+import java.util.concurrent.atomic.AtomicBoolean
 
 /** A request as it arrived: received completely, not yet resolved. */
 public class IncomingRequest(
@@ -48,6 +49,11 @@
     /** True when another host holds the ledger grant of this request. */
     public val isGrantedElsewhere: Boolean = false,
 ) {
+    private val granted = AtomicBoolean(isGrantedElsewhere)
+
+    /** True once the ledger has granted this request, here or at the host that forwarded it. */
+    public val isGranted: Boolean get() = granted.get()
+
     public val isIdempotent: Boolean get() = kind.kind.isIdempotent
 
     public val isEngine: Boolean get() = service.service.type == Service.Type.ENGINE
@@ -55,4 +61,7 @@
     /** Key of the request in the ledger; null for idempotent kinds. */
     public val ledgerKey: LedgerKey? =
         incoming.idempotencyKey?.takeIf { !isIdempotent }?.let { LedgerKey(incoming.caller.name, it) }
+
+    /** Records the ledger's grant; a non-idempotent request is sent only after this. */
+    internal fun markGranted() = granted.set(true)
 }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/NotRunHonestyTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/NotRunHonestyTest.kt
@@ -1,12 +1,20 @@
 package org.arbutusrelay.daemon
 
+import org.arbutusrelay.daemon.backend.AttemptEnd
+import org.arbutusrelay.daemon.backend.BackendClient
+import org.arbutusrelay.daemon.backend.BackendRequest
+import org.arbutusrelay.daemon.backend.ResponseHead
+import org.arbutusrelay.daemon.backend.ResponseListener
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
+import kotlin.test.assertIs
 
 /**
  * Guards against a request that is reported as not run although it may have run, and against a non-idempotent request
@@ -87,22 +95,50 @@
     }
 
     @Test
-    fun `a reset before the body was read leaves the outcome unknown`() {
-        ServerSocket(0, 5, InetAddress.getLoopbackAddress()).use { socket ->
-            val accepts = AtomicInteger()
-            kotlin.concurrent.thread(isDaemon = true) {
+    fun `a reset before the body was read leaves the outcome unknown and no second connection gets a byte`() {
+        val reached = AtomicInteger()
+        resetting({ if (it.getInputStream().read() >= 0) reached.incrementAndGet() }) { address, _ ->
+            daemon.announce("b1", "board", address)
+            val response = daemon.post()
+            assertEquals("unknown", response.headers().firstValue("Arbutus-Outcome").get())
+            assertEquals(1, reached.get())
+        }
+    }
+
+    /** A reset may come before the first byte was written; the call fails and must not connect again by itself. */
+    @Test
+    fun `a call that is reset at once is not repeated by the HTTP client`() = resetting({
+    }) { address, accepts ->
+        val request = BackendRequest("r", address, "POST", "/x", emptyList(), ByteArray(9), 5_000, false, false)
+        BackendClient().use { client ->
+            repeat(CALLS) {
+                val end = client.exchange(request).run(object : ResponseListener {
+                    override fun onHead(head: ResponseHead) = true
+
+                    override fun onData(data: ByteArray) = Unit
+                })
+                assertIs<AttemptEnd.Failed>(end)
+            }
+        }
+        // Connections are accepted in order, so this one comes after all that the client opened.
+        Socket("127.0.0.1", address.substringAfterLast(':').toInt()).use { it.getInputStream().runCatching { read() } }
+        assertEquals(CALLS + 1, accepts.get())
+    }
+
+    private fun resetting(onAccept: (Socket) -> Unit, action: (String, AtomicInteger) -> Unit) {
+        val accepts = AtomicInteger()
+        ServerSocket(0, 50, InetAddress.getLoopbackAddress()).use { socket ->
+            thread(isDaemon = true) {
                 while (!socket.isClosed) {
                     runCatching { socket.accept() }.onSuccess {
                         accepts.incrementAndGet()
+                        onAccept(it)
                         it.setSoLinger(true, 0)
                         it.close()
                     }
                 }
             }
-            daemon.announce("b1", "board", "http://127.0.0.1:${socket.localPort}")
-            val response = daemon.post()
-            assertEquals("unknown", response.headers().firstValue("Arbutus-Outcome").get())
-            assertEquals(1, accepts.get())
+            action("http://127.0.0.1:${socket.localPort}", accepts)
         }
     }
 
@@ -140,4 +176,8 @@
             }
         }
     }
+
+    private companion object {
+        private const val CALLS = 300
+    }
 }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/TestDaemon.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/TestDaemon.kt
@@ -80,6 +80,7 @@
     scheduler: RequestScheduler = LocalRequestScheduler(self.region, 100),
     slowSenderTimeoutMs: Long = 10_000,
     maxInFlight: Long = 64,
+    isPublished: Boolean = true,
     tracing: Tracing = Tracing(self.hostName),
 ) : AutoCloseable {
     private val clock = RelayClock()
@@ -105,7 +106,7 @@
 
     init {
         daemon.start()
-        publish(1)
+        if (isPublished) publish(1)
     }
 
     fun publish(number: Long) = runBlocking { manifests.publish(number.toString()) }
