Pass region summaries on once within a region

Cause: each host sent the summaries that one aggregator gave it to the other aggregator, and both aggregators pushed them, so that a daemon's bytes hardly depended on its region.

Change: a host passes on to its aggregators only what came from another region; aggregators pass on to other availability zones what came from another region or their own zone; only the primary aggregator pushes summaries.

--- a/core/src/main/kotlin/org/arbutusrelay/core/membership/MembershipNode.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/membership/MembershipNode.kt
@@ -102,7 +102,7 @@
         frame.heartbeat?.let { heartbeat(neighbour, it, nowMs) }
         frame.hostPulse?.let { pulse(neighbour, it, nowMs) }
         frame.regionDigest?.let { digest(neighbour, it, nowMs) }
-        frame.regionSummary?.let { summary(it, nowMs) }
+        frame.regionSummary?.let { summary(neighbour, it, nowMs) }
         return frame.leavingNotice?.let { leave(it, from, nowMs) }.orEmpty()
     }
 
@@ -186,9 +186,14 @@
         noteManifest(digest.manifestNumber)
     }
 
-    private fun summary(summary: RegionSummary, nowMs: Long) {
+    private fun summary(from: Neighbour, summary: RegionSummary, nowMs: Long) {
         if (summary.region == own.region) return
-        summaries.learn(summary, nowMs)
+        val distance = when {
+            from.region != own.region -> RegionSummaries.Distance.OTHER_REGION
+            from.availabilityZone == own.availabilityZone -> RegionSummaries.Distance.OWN_ZONE
+            else -> RegionSummaries.Distance.OTHER_ZONE
+        }
+        summaries.learn(summary, distance, nowMs)
         noteManifest(summary.manifestNumber)
     }
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/membership/RegionSummaries.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/membership/RegionSummaries.kt
@@ -16,23 +16,34 @@
  */
 internal class RegionSummaries {
     private val newest = HashMap<String, Pair<RegionSummary, Long>>()
+    private val distances = HashMap<String, Distance>()
     private val told = HashMap<String, HashMap<String, Told>>()
 
     /** The newest summary of each region, with the time of its arrival. */
     val all: Map<String, Pair<RegionSummary, Long>> get() = newest
 
-    /** Takes [summary]; false when the known one is as new, unless that has not been renewed for 3 s. */
-    fun learn(summary: RegionSummary, nowMs: Long): Boolean {
+    /**
+     * Takes [summary] that came from [distance].
+     *
+     * Returns false when the known one is as new, unless that has not been renewed for 3 s.
+     */
+    fun learn(summary: RegionSummary, distance: Distance, nowMs: Long): Boolean {
         val old = newest[summary.region]
         if (old != null && summary.sequence <= old.first.sequence && nowMs - old.second < RESTART_MS) return false
         val hosts = summary.hosts.ifEmpty { old?.first?.hosts.orEmpty() }
         newest[summary.region] = summary.copy(hosts = hosts) to nowMs
+        distances[summary.region] = distance
         return true
     }
 
-    /** Returns what [neighbour] lacks, and notes that it is sent. */
-    fun next(neighbour: String): List<RegionSummary> =
-        newest.values.mapNotNull { (summary, _) -> next(neighbour, summary) }
+    /**
+     * Returns what [neighbour] lacks of the summaries that came from at most [distance], and notes that it is sent.
+     *
+     * Without this bound each host would send the summaries that one aggregator gave it to the other aggregator.
+     */
+    fun next(neighbour: String, distance: Distance): List<RegionSummary> =
+        newest.values.filter { (summary, _) -> distances.getValue(summary.region) <= distance }
+            .mapNotNull { (summary, _) -> next(neighbour, summary) }
 
     /** Returns [summary] as [neighbour] needs it, or null when it has it. */
     fun next(neighbour: String, summary: RegionSummary): RegionSummary? {
@@ -48,6 +59,9 @@
         told.remove(neighbour)
     }
 
+    /** Where a summary came from. */
+    enum class Distance { OTHER_REGION, OWN_ZONE, OTHER_ZONE }
+
     private class Told(val sequence: Long, val hosts: List<Triple<String, Long, Boolean>>)
 
     companion object {
--- a/core/src/main/kotlin/org/arbutusrelay/core/membership/Reports.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/membership/Reports.kt
@@ -30,21 +30,21 @@
         if (heartbeats.isDue(nowMs)) {
             aggregators.mapNotNull(neighbours::get).forEach {
                 add(heartbeat(it, nowMs))
-                addAll(summaries(it))
+                addAll(summaries(it, RegionSummaries.Distance.OTHER_REGION))
             }
         }
         val isPrimary = aggregators.firstOrNull() == self().hostName
         if (zoneDigests.isDue(nowMs) && self().hostName in aggregators) {
             topology.otherAggregators(nowMs).forEach {
                 add(zoneDigest(it, nowMs, newestManifest, isPrimary))
-                addAll(summaries(it))
+                addAll(summaries(it, RegionSummaries.Distance.OWN_ZONE))
             }
         }
         if (regionDigests.isDue(nowMs)) {
             val subscribers = neighbours.values.filter { nowMs - it.heardMs < SUSPECT_AFTER_MS }
             subscribers.forEach {
                 add(regionDigest(it, nowMs, newestManifest, isPrimary))
-                addAll(summaries(it))
+                if (isPrimary) addAll(summaries(it, RegionSummaries.Distance.OTHER_ZONE))
             }
         }
         if (summaryTimer.isDue(nowMs)) addAll(ownSummaries(nowMs))
@@ -93,8 +93,8 @@
     private fun suspectsFor(to: Neighbour, nowMs: Long) =
         suspects.since(to.suspectCursor, nowMs).let { (found, cursor) -> found.also { to.suspectCursor = cursor } }
 
-    private fun summaries(to: Neighbour): List<Outgoing> =
-        summaries.next(to.hostName).map { Outgoing(to.hostName, LinkFrame(regionSummary = it)) }
+    private fun summaries(to: Neighbour, distance: RegionSummaries.Distance): List<Outgoing> =
+        summaries.next(to.hostName, distance).map { Outgoing(to.hostName, LinkFrame(regionSummary = it)) }
 
     private fun ownSummaries(nowMs: Long): List<Outgoing> {
         val receivers = topology.summaryReceivers(nowMs)
