Number the members of link messages in CBOR

Cause: control bytes miss their budget at the design size, and the names of members make up most of a digest.

Change: the code generator gives each member of a link message a CBOR label, its position in the schema; links encode labels in place of names. Files on disk keep names.

FrameCodecTest and the link, ledger, manifest and consensus tests of the daemon pass.

Conclusion: new members must go to the end of a schema; the generator's KDoc says so.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/FrameCodec.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/FrameCodec.kt
@@ -17,6 +17,8 @@
         encodeDefaults = false
         alwaysUseByteString = true
         useDefiniteLengthEncoding = true
+        // Names of members made up most of a digest.
+        preferCborLabelsOverNames = true
     }
 
     /** Returns the CBOR body of [frame], without the length. */
--- /dev/null
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/link/FrameCodecTest.kt
@@ -0,0 +1,51 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package org.arbutusrelay.daemon.link
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.cbor.CborLabel
+import org.arbutusrelay.schema.message.Attempt
+import org.arbutusrelay.schema.message.LedgerFinish
+import org.arbutusrelay.schema.message.LedgerKey
+import org.arbutusrelay.schema.message.LedgerRequest
+import org.arbutusrelay.schema.message.LinkFrame
+import org.arbutusrelay.schema.message.Ping
+import org.arbutusrelay.schema.message.StoredResponse
+import kotlin.test.Test
+import kotlin.test.assertContentEquals
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class FrameCodecTest {
+    /** A frame of a later release: a known member with an additional member inside, and an additional member. */
+    @Serializable
+    private data class LaterFrame(@CborLabel(2) val ping: LaterPing, @CborLabel(900) val added: List<String>)
+
+    @Serializable
+    private data class LaterPing(@CborLabel(0) val sequence: Long, @CborLabel(77) val addedNumber: Long)
+
+    @Test
+    fun `a nested frame comes back as it was, without the names of its members`() {
+        val finish = LedgerFinish(
+            LedgerKey("office", "key"),
+            Attempt("hue-1", 7, 9),
+            StoredResponse(200, "application/json", byteArrayOf(1, 2, 3)),
+        )
+        val body = FrameCodec.encode(LinkFrame(ledgerRequest = LedgerRequest(4, "ledger/hue", finish = finish)))
+        val decoded = FrameCodec.decode(body)?.ledgerRequest
+        assertEquals(finish.key, decoded?.finish?.key)
+        assertEquals(finish.attempt, decoded?.finish?.attempt)
+        assertContentEquals(byteArrayOf(1, 2, 3), decoded?.finish?.response?.body)
+        assertTrue("ledgerRequest" !in body.decodeToString(), "the frame carries the name of a member")
+    }
+
+    /** Guards against a rolling upgrade in which hosts of the older release close the links of newer ones. */
+    @Test
+    fun `members that a later release added are skipped`() {
+        val cbor = Cbor { preferCborLabelsOverNames = true }
+        val body = cbor.encodeToByteArray(LaterFrame.serializer(), LaterFrame(LaterPing(5, 6), listOf("a", "b")))
+        assertEquals(Ping(5), FrameCodec.decode(body)?.ping)
+    }
+}
--- a/schema-codegen/src/main/kotlin/org/arbutusrelay/codegen/GenerateSchema.kt
+++ b/schema-codegen/src/main/kotlin/org/arbutusrelay/codegen/GenerateSchema.kt
@@ -8,7 +8,7 @@
  *
  * Arguments: the schema root, the output folder and the base package. Each folder below the root becomes a
  * subpackage. The generator writes implicit visibility and lower-case enum constants; [adapt] changes both so that
- * the result compiles in explicit API mode and keeps the wire names.
+ * the result compiles in explicit API mode and keeps the wire names. [label] numbers the members of link messages.
  */
 public fun main(args: Array<String>) {
     require(args.size == 3) { "expected: SCHEMA_ROOT OUTPUT_FOLDER BASE_PACKAGE" }
@@ -18,7 +18,10 @@
     root.listFiles().orEmpty().filter(File::isDirectory).sorted().forEach { folder ->
         generatePackage(root, folder, output, "${args[2]}.${folder.name}")
     }
-    output.walk().filter { it.extension == "kt" }.forEach { it.writeText(adapt(it.readText())) }
+    output.walk().filter { it.extension == "kt" }.forEach { file ->
+        val adapted = adapt(file.readText())
+        file.writeText(if (file.parentFile.name == LABELLED_FOLDER) label(adapted) else adapted)
+    }
 }
 
 private fun generatePackage(root: File, folder: File, output: File, packageName: String) {
@@ -47,9 +50,30 @@
     }
 }
 
+/**
+ * Gives each member a CBOR label, so that link frames carry a small number in place of the member's name.
+ *
+ * The label is the position in the schema: new members go to the end, and none is removed.
+ */
+private fun label(source: String): String {
+    val head = source.substringBefore("\n) {").substringBefore("\n)\n")
+    var next = 0
+    val labelled = Regex("""(?m)^    public val """).replace(head) { "    @CborLabel(${next++})\n    public val " }
+    val imports = "import kotlinx.serialization.ExperimentalSerializationApi\n"
+    return "@file:OptIn(ExperimentalSerializationApi::class)\n\n" + (labelled + source.substring(head.length))
+        .replaceFirst("import kotlinx.serialization.", imports + "import kotlinx.serialization.")
+        .replace("import kotlinx.serialization.Serializable\n", "$LABEL_IMPORT\n")
+}
+
 private fun renameConstants(constants: String): String = constants.split(",").joinToString(",") { constant ->
     val name = constant.trim().trim('`')
     "\n        @SerialName(\"$name\")\n        ${name.uppercase()}"
 } + ",\n    "
 
 private const val SERIAL_IMPORTS = "import kotlinx.serialization.SerialName\nimport kotlinx.serialization.Serializable"
+
+private const val LABEL_IMPORT =
+    "import kotlinx.serialization.Serializable\nimport kotlinx.serialization.cbor.CborLabel"
+
+/** Schema folder whose types travel on links. */
+private const val LABELLED_FOLDER = "message"
