Ramp up only backend servers that appear after the host has started

Cause: a host that started before its backend servers gave each of them a quarter of its work for 20 s.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -27,6 +27,7 @@
 ) : RequestScheduler {
     private val snapshot = AtomicReference(SchedulerSnapshot.EMPTY)
     private val latestMs = AtomicLong()
+    private val startedAtMs = AtomicLong(NOT_STARTED)
     private val times = ConcurrentHashMap<String, ServiceTimes>()
     private val queues = ConcurrentHashMap<String, ServiceQueue>()
     private val attempts = OpenAttempts()
@@ -39,11 +40,13 @@
     private val remote = RemotePlacement(regionChoice, attempts, invariants, awayBudget)
 
     override fun updateTable(table: RoutingTable): Unit = synchronized(builder) {
-        snapshot.set(builder.build(snapshot.get(), table, latestMs.get()))
+        val nowMs = latestMs.get()
+        val isStarting = startedAtMs.get() == NOT_STARTED || nowMs - startedAtMs.get() < settings.rampMs
+        snapshot.set(builder.build(snapshot.get(), table, nowMs, isStarting))
     }
 
     override fun submit(profile: RequestProfile, nowMs: Long): Placement {
-        latestMs.set(nowMs)
+        recordTime(nowMs)
         if (profile.deadlineMs <= nowMs) return refused(ErrorKind.DEADLINE_UNREACHABLE)
         val isRepeated = profile.isForwarded || profile.triedBackendServers.isNotEmpty()
         val waitMs = callers.tryAcquire(profile.callerName, nowMs, isRateFree = isRepeated)
@@ -59,7 +62,7 @@
     }
 
     override fun complete(attempt: PlacedAttempt, result: AttemptResult, nowMs: Long): List<QueuedPlacement> {
-        latestMs.set(nowMs)
+        recordTime(nowMs)
         val open = attempts.take(attempt.attemptNumber) ?: return emptyList()
         AttemptRecorder.end(open, attempt, result, nowMs)
         if (!attempt.isHedge) callers.release(attempt.profile.callerName)
@@ -69,7 +72,7 @@
     }
 
     override fun poll(nowMs: Long): List<QueuedPlacement> {
-        latestMs.set(nowMs)
+        recordTime(nowMs)
         var placed: MutableList<QueuedPlacement>? = null
         for (queue in queues.values) {
             if (queue.size == 0) continue
@@ -94,14 +97,15 @@
         val open = attempts.find(attempt.attemptNumber) ?: return null
         val profile = attempt.profile
         val mayHedge = profile.isIdempotent && !profile.isIsolated && !attempt.isHedge && open.slots != null
-        val isWaiting = !open.isHedged && open.firstByteMs == OpenAttempt.NONE &&
+        val isWaiting = !open.hedged.get() && open.firstByteMs == OpenAttempt.NONE &&
             nowMs - attempt.placedAtMs >= open.predictedMs * settings.hedgeAfterFactor
         if (!mayHedge || !isWaiting) return null
         if ((queues[profile.serviceName]?.size ?: 0) > 0 || !hedgeBudget.canSpend()) return null
-        val hedge = local.tryHedge(attempt, nowMs) ?: return null
-        open.isHedged = true
+        if (!open.hedged.compareAndSet(false, true)) return null
+        val hedge = local.tryHedge(attempt, nowMs)
+        if (hedge == null) open.hedged.set(false)
         // A lost race for the last unit overdraws the budget by one hedge, which the next requests pay back.
-        hedgeBudget.trySpend()
+        if (hedge != null) hedgeBudget.trySpend()
         return hedge
     }
 
@@ -125,6 +129,11 @@
     /** Number of waiting requests. */
     public fun queuedRequests(): Int = queues.values.sumOf { it.size }
 
+    private fun recordTime(nowMs: Long) {
+        latestMs.set(nowMs)
+        if (startedAtMs.get() == NOT_STARTED) startedAtMs.compareAndSet(NOT_STARTED, nowMs)
+    }
+
     private fun recordRequest() {
         retryBudget.recordRequest(settings.retryPermille)
         hedgeBudget.recordRequest(settings.hedgePermille)
@@ -238,6 +247,7 @@
     private fun queueOf(serviceName: String) = queues.computeIfAbsent(serviceName) { ServiceQueue(settings) }
 
     private companion object {
+        private const val NOT_STARTED = Long.MIN_VALUE
         private const val PERMILLE = 1_000L
         private const val MIN_RETRY_MS = 100L
         private const val MAX_RETRY_MS = 60_000L
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/OpenAttempts.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/OpenAttempts.kt
@@ -1,6 +1,7 @@
 package org.arbutusrelay.core.routing
 
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicLong
 
 /** Holds the attempts that occupy a slot, so that each slot is freed exactly once. */
@@ -36,8 +37,8 @@
     @Volatile
     var firstByteMs: Long = NONE
 
-    @Volatile
-    var isHedged: Boolean = false
+    /** True once a hedge was placed; an attempt has at most one. */
+    val hedged = AtomicBoolean()
 
     companion object {
         const val NONE = -1L
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/PrefixHashes.kt
@@ -0,0 +1,25 @@
+package org.arbutusrelay.core.routing
+
+import com.dynatrace.hash4j.hashing.Hashing
+
+/**
+ * Computes the chained block hashes of a prompt.
+ *
+ * Each hash covers its block and all blocks before it, so equal hashes mean equal prefixes. Only whole blocks are
+ * hashed, as engines cache whole blocks. Source of the hash function: XXH3, 64 bits.
+ */
+public object PrefixHashes {
+    /** Returns the hashes of the first [maxBlocks] blocks of [blockBytes] bytes of [prompt]. */
+    public fun of(prompt: ByteArray, blockBytes: Int = 256, maxBlocks: Int = 128): List<Long> {
+        require(blockBytes > 0) { "blockBytes $blockBytes is below 1" }
+        var previous = 0L
+        return List(minOf(prompt.size / blockBytes, maxBlocks)) { block ->
+            val hash = Hashing.xxh3_64().hashBytesToLong(prompt, block * blockBytes, blockBytes)
+            // 0 marks an empty entry of the prefix history.
+            previous = BackendSlots.mix(previous * CHAIN_FACTOR + hash).let { if (it == 0L) 1L else it }
+            previous
+        }
+    }
+
+    private const val CHAIN_FACTOR = -0x61c8864680b583ebL
+}
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
@@ -25,10 +25,12 @@
     private val settings: SchedulerSettings,
     private val timesOf: (String) -> ServiceTimes,
 ) {
-    /** Joins [table] with the counters of [old]. What is new at [nowMs] is ramped up, but not in the first table. */
-    fun build(old: SchedulerSnapshot, table: RoutingTable, nowMs: Long): SchedulerSnapshot {
-        val isFirst = old === SchedulerSnapshot.EMPTY
-        val ramp = { if (isFirst) SlowRamp.ended() else SlowRamp(nowMs, settings.rampMs) }
+    /**
+     * Joins [table] with the counters of [old]. What is new at [nowMs] is ramped up, unless this host is [isStarting]:
+     * then backend servers are new to it because it has only begun to learn of them.
+     */
+    fun build(old: SchedulerSnapshot, table: RoutingTable, nowMs: Long, isStarting: Boolean): SchedulerSnapshot {
+        val ramp = { if (isStarting) SlowRamp.ended() else SlowRamp(nowMs, settings.rampMs) }
         val active = table.backendServers.filter { !it.isLeaving && it.region == table.region }
         val historyBlocks = minOf(MAX_BLOCKS, settings.historyBlocks / maxOf(1, active.size))
         val slots = active.associate { it.name to slotsOf(old, it, ramp, historyBlocks) }
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/DefaultRequestSchedulerTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/DefaultRequestSchedulerTest.kt
@@ -107,6 +107,21 @@
         assertEquals("NO_BACKEND_SERVER", nameOf(scheduler.submit(request(1), 0)))
     }
 
+    @Test
+    fun `a server that appears later is ramped up, one that appears while the host starts is not`() {
+        for ((appearsAtMs, expected) in listOf(1_000L to 4, 30_000L to 1)) {
+            val scheduler = DefaultRequestScheduler({ null })
+            scheduler.poll(500)
+            scheduler.updateTable(table())
+            scheduler.poll(appearsAtMs)
+            scheduler.updateTable(table(server("a")))
+            val placed = (1L..6L).count {
+                scheduler.submit(request(it, appearsAtMs + 60_000), appearsAtMs) is Placement.Run
+            }
+            assertEquals(expected, placed, "appears at $appearsAtMs ms")
+        }
+    }
+
     @Test
     fun `hedges run elsewhere, once, for idempotent requests that are late`() {
         scheduler.updateTable(table(server("a"), server("b")))
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/RoutingPartsTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/RoutingPartsTest.kt
@@ -30,6 +30,14 @@
         assertEquals(1, history.leadingRun(listOf(1_000)), "the latest block is kept")
     }
 
+    @Test
+    fun `chained hashes are equal for equal prefixes only`() {
+        val hashes = { text: String -> PrefixHashes.of(text.toByteArray(), blockBytes = 2, maxBlocks = 3) }
+        assertEquals(listOf(0, 1, 3, 3), listOf("a", "abc", "abcdef", "abcdefgh").map { hashes(it).size })
+        assertEquals(hashes("abcd").take(1), hashes("abXX").take(1))
+        assertTrue(hashes("abcdef").last() !in hashes("XXcdef"), "a block counts only after the same blocks")
+    }
+
     @Test
     fun `cache events correct the history and a gap discards it`() {
         val event = { sequence: Long, type: CacheEvent.Type, prefix: String ->
--- a/standin/src/main/kotlin/org/arbutusrelay/standin/policy/PolicyMeasurement.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/policy/PolicyMeasurement.kt
@@ -52,7 +52,7 @@
             spread(runs, "%.1f") { it.ofAllowed() * HUNDRED },
             spread(runs, "%.1f") { it.late * HUNDRED / it.arrivals },
             spread(runs, "%.0f") { it.costPerAnswer() },
-            spread(runs, "%.1f") { it.sentAwayShare() * HUNDRED },
+            spread(runs, "%.2f") { it.sentAwayShare() * HUNDRED },
             spread(runs, "%.1f") { it.hitShare() * HUNDRED },
         )
         return cells.joinToString(" | ", "| ", " |")
