Send a request again after a newer manifest refused it elsewhere

Cause: a receiver refuses what was decided by another manifest number.

Change: the sender waits up to a second for the newer manifest, checks the request against it and sends it once more; nothing was run before.

Figures: the new case of ForwardTest fails without the change (503 in place of the response) and passes with it.

Conclusion: a change of the manifest no longer refuses requests in transit, unless the newer manifest forbids them.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
@@ -30,6 +30,7 @@
 import org.arbutusrelay.daemon.request.ForwardServer
 import org.arbutusrelay.daemon.request.InFlight
 import org.arbutusrelay.daemon.request.LedgerGate
+import org.arbutusrelay.daemon.request.ManifestRenewal
 import org.arbutusrelay.daemon.request.PlacementQueue
 import org.arbutusrelay.daemon.request.RequestAttempts
 import org.arbutusrelay.daemon.request.RequestPipeline
@@ -150,6 +151,7 @@
             metrics,
             tracing,
             invariants,
+            ManifestRenewal(parts.manifests),
         )
         return RequestPipeline(attempts, LedgerGate(parts.ledger, clock, metrics), parts.suspects, clock, metrics)
     }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestAttempts.kt
@@ -32,6 +32,7 @@
     private val metrics: RelayMetrics,
     private val tracing: Tracing,
     private val invariants: Invariants,
+    private val renewal: ManifestRenewal,
 ) {
     private val race = AttemptRace(scheduler, queue, factory, clock, metrics, tracing, invariants)
 
@@ -41,6 +42,7 @@
         var profile = request.profile.copy(isIsolated = isIsolated)
         var openEnd: AttemptEnd.Failed? = null
         var attempts = 0
+        var mayRenew = true
         while (true) {
             val placement = place(request, profile)
             val placed = placement.attempt()
@@ -51,6 +53,12 @@
             }
             if (end !is AttemptEnd.Failed) return end
             if (end.mayHaveRun && openEnd == null) openEnd = end
+            val renewed = if (mayRenew && end.isManifestStale()) renewal.renew(request) else null
+            if (renewed != null) {
+                mayRenew = false
+                profile = profile.copy(allowedRegions = profile.allowedRegions.filter(renewed::contains))
+                continue
+            }
             val next = placed?.let { profile.without(it) }
             val isLast = claim.isTaken || ++attempts >= MAX_ATTEMPTS
             if (next == null || isLast || !mayRetry(request, next, openEnd)) {
@@ -110,6 +118,8 @@
         return reported.copy(mayHaveRun = openEnd != null)
     }
 
+    private fun AttemptEnd.Failed.isManifestStale() = error.kind == ErrorKind.MANIFEST_STALE && !mayHaveRun
+
     private fun Placement.attempt(): PlacedAttempt? = when (this) {
         is Placement.Run -> attempt
         is Placement.SendAway -> attempt
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ResolvedRequest.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ResolvedRequest.kt
@@ -35,7 +35,7 @@
 public class ResolvedRequest(
     public val incoming: IncomingRequest,
     public val id: RequestId,
-    public val manifestNumber: Long,
+    manifestNumber: Long,
     public val service: ServiceView,
     public val kind: KindView,
     /** When the response must be complete, on the local monotonic clock, in milliseconds. */
@@ -58,10 +58,20 @@
 
     public val isEngine: Boolean get() = service.service.type == Service.Type.ENGINE
 
+    /** Manifest that the request was last checked against. */
+    @Volatile
+    public var manifestNumber: Long = manifestNumber
+        private set
+
     /** Key of the request in the ledger; null for idempotent kinds. */
     public val ledgerKey: LedgerKey? =
         incoming.idempotencyKey?.takeIf { !isIdempotent }?.let { LedgerKey(incoming.caller.name, it) }
 
     /** Records the ledger's grant; a non-idempotent request is sent only after this. */
     internal fun markGranted() = granted.set(true)
+
+    /** Records that a newer manifest still allows the request. */
+    internal fun renewManifest(number: Long) {
+        manifestNumber = number
+    }
 }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/ForwardTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/ForwardTest.kt
@@ -106,6 +106,18 @@
         assertEquals(0, it.received.size)
     }
 
+    @Test
+    fun `a request that a newer manifest refused is sent again once that manifest is in force here`() =
+        serving({ respond(200, "ticket") }) {
+            danang.publish(2)
+            links.change = { frame ->
+                if (frame.forwardEnd?.errorKind == ErrorKind.MANIFEST_STALE.id) hue.publish(2)
+                listOf(frame)
+            }
+            assertEquals("ticket", hue.post().body())
+            assertEquals(1, it.received.size)
+        }
+
     @Test
     fun `loops, second hops and requests without a grant are refused before they are run`() =
         serving({ respond(200, "x") }) {
