Run a whole node as arbutusd

Cause: arbutusd ran a daemon of in-memory stand-ins and read its settings without line and key. Node and Daemon each had their own Invariants, and isInvariantFatal only failed the request.

Change: Arbutusd reads the settings with TomlReader and runs a Node. Every settings error and every StartError is printed with file, line and key, exit code 2. Peers' addresses, the data folder, the stored manifest and the replicas are checked as StartError. SIGTERM is noticed from the start of the process on: before, one that arrived during the start ended it with 143. Node passes its Invariants to Daemon; a fatal violation halts the process with exit code 3 through an injected function.

Tests: mvn verify -pl daemon,ctl -am.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/Arbutusd.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/Arbutusd.kt
@@ -1,9 +1,11 @@
 package org.arbutusrelay.daemon
 
-import arrow.core.Either
 import kotlinx.coroutines.runBlocking
-import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.daemon.node.Node
+import org.arbutusrelay.daemon.node.StartError
 import org.arbutusrelay.schema.settings.DaemonSettings
+import org.arbutusrelay.schema.toml.TomlError
+import org.arbutusrelay.schema.toml.TomlReader
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.Option
@@ -13,49 +15,45 @@
 import java.nio.file.Path
 import java.util.concurrent.Callable
 
-/** Parses the text of a settings file; the error names line and key. */
-public typealias SettingsParser = (String) -> Either<RelayError, DaemonSettings>
-
 /**
  * The command `arbutusd`.
  *
  * Exit codes: 0 after a graceful shutdown, 1 when requests were interrupted, 2 for settings that cannot be used;
- * nothing is started then. [awaitStop] blocks until the process shall stop.
+ * nothing is started then, and each error names file, line and key. [awaitStop] blocks until the process shall stop.
  */
 @Command(name = "arbutusd", mixinStandardHelpOptions = true, description = ["Runs the gateway on this host."])
 public class Arbutusd(
-    private val parser: SettingsParser,
-    private val makeDaemon: (DaemonSettings) -> Daemon,
+    private val makeNode: (DaemonSettings) -> Node = ::Node,
     private val errors: PrintWriter = PrintWriter(System.err, true),
-    private val awaitStop: () -> Unit,
+    private val awaitStop: (Node) -> Unit,
 ) : Callable<Int> {
     @Option(names = ["--settings"], required = true, paramLabel = "FILE", description = ["Settings in TOML."])
     private lateinit var settingsFile: Path
 
     override fun call(): Int {
-        val settings = readSettings() ?: return EXIT_SETTINGS
-        val daemon = makeDaemon(settings)
-        try {
-            daemon.start()
-        } catch (e: IOException) {
-            return unusable("$settingsFile: bindAddress, callerPort: ${e.message}").also { daemon.close() }
-        }
-        awaitStop()
-        return if (runBlocking { daemon.stop() }) EXIT_DONE else EXIT_INTERRUPTED
-    }
-
-    private fun readSettings(): DaemonSettings? {
         val text = try {
             Files.readString(settingsFile)
         } catch (e: IOException) {
-            unusable("$settingsFile: cannot be read: $e")
-            return null
+            return unusable("$settingsFile: cannot be read: $e")
         }
-        return parser(text).fold({ null.also { _ -> unusable("$settingsFile: ${it.detail}") } }, { it })
+        return reader.read(text).fold(
+            { errors -> unusable(*errors.map { it.describe("$settingsFile") }.toTypedArray()) },
+            { settings -> run(settings, text) },
+        )
     }
 
-    private fun unusable(message: String): Int {
-        errors.println("arbutusd: $message")
+    private fun run(settings: DaemonSettings, text: String): Int {
+        val node = makeNode(settings)
+        runBlocking { node.start() }.onLeft { return unusable(describe(it, text)) }
+        awaitStop(node)
+        return if (runBlocking { node.stop() }) EXIT_DONE else EXIT_INTERRUPTED
+    }
+
+    private fun describe(error: StartError, text: String): String =
+        TomlError(TomlReader.lineOf(text, error.key), error.key, error.message).describe("$settingsFile")
+
+    private fun unusable(vararg messages: String): Int {
+        messages.forEach { errors.println("arbutusd: $it") }
         return EXIT_SETTINGS
     }
 
@@ -69,6 +67,8 @@
         /** Exit code for wrong usage or settings. */
         public const val EXIT_SETTINGS: Int = 2
 
+        private val reader = TomlReader.ofDaemonSettings()
+
         /** Runs the command and returns its exit code. */
         public fun run(command: Arbutusd, vararg arguments: String): Int =
             CommandLine(command).execute(*arguments)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
@@ -57,6 +57,7 @@
 public class Daemon(
     private val settings: DaemonSettings,
     private val parts: DaemonParts,
+    private val invariants: Invariants,
     private val clock: RelayClock = RelayClock(),
     public val metrics: RelayMetrics = RelayMetrics(),
     private val tracing: Tracing = Tracing(settings.hostName, settings.traces),
@@ -64,11 +65,6 @@
     private val logger = LogManager.getLogger(Daemon::class.java)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
 
-    /** Counts violated guarantees; they are also metrics and log lines. */
-    public val invariants: Invariants = Invariants(settings.isInvariantFatal) { guarantee, detail ->
-        metrics.countViolation(guarantee)
-        logger.error("guarantee {} violated: {}", guarantee.id, detail)
-    }
     private val executor = requestThreads()
     private val threads = executor.asCoroutineDispatcher()
     private val inFlight = InFlight(settings.maxInFlight, clock)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/Main.kt
@@ -1,12 +1,10 @@
 package org.arbutusrelay.daemon
 
-import kotlin.system.exitProcess
-
 /** Runs `arbutusd` with the arguments of the command line. */
 public fun main(arguments: Array<String>) {
+    // A signal during the start must also end in a graceful stop: callers may be served before the start is complete.
     val signal = TerminationSignal()
-    val exitCode =
-        Arbutusd.run(Arbutusd(LocalToml::settings, ::localDaemon, awaitStop = signal::await), *arguments)
-    // A second exit would wait for the one that the signal began, and that one's exit code is not 0.
-    if (signal.isReceived) Runtime.getRuntime().halt(exitCode) else exitProcess(exitCode)
+    val exitCode = Arbutusd.run(Arbutusd(awaitStop = { signal.await() }), *arguments)
+    // An orderly exit would wait for the signal's hook, which waits for this thread.
+    Runtime.getRuntime().halt(exitCode)
 }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/TerminationSignal.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/TerminationSignal.kt
@@ -2,15 +2,15 @@
 
 import java.util.concurrent.CountDownLatch
 
-/** Waits for SIGTERM or SIGINT and keeps the process alive until it is halted. */
+/**
+ * Notices SIGTERM and SIGINT from its construction on, and keeps the process alive until it is halted.
+ *
+ * The thread that constructs it must end the process with [Runtime.halt].
+ */
 public class TerminationSignal {
     private val received = CountDownLatch(1)
 
-    /** True once the process was told to end. */
-    public val isReceived: Boolean get() = received.count == 0L
-
-    /** Blocks until the process is told to end; the caller then ends it with [Runtime.halt]. */
-    public fun await() {
+    init {
         val waiting = Thread.currentThread()
         Runtime.getRuntime().addShutdownHook(
             Thread {
@@ -18,6 +18,8 @@
                 waiting.join()
             },
         )
-        received.await()
     }
+
+    /** Blocks until the process is told to end. */
+    public fun await(): Unit = received.await()
 }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetwork.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetwork.kt
@@ -185,6 +185,9 @@
     }
 }
 
+/** Returns true when [address] is an IP address and a port. */
+internal fun isLinkAddress(address: String): Boolean = parseAddress(address) != null
+
 /** Splits `127.0.0.1:7000` or `[::1]:7000`; null when it is neither. */
 private fun parseAddress(address: String): Pair<String, Int>? {
     val port = address.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..65_535 } ?: return null
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
@@ -32,7 +32,7 @@
 import org.arbutusrelay.schema.message.HostState
 import org.arbutusrelay.schema.settings.DaemonSettings
 import java.io.IOException
-import java.nio.file.Files
+import java.nio.channels.UnresolvedAddressException
 import java.nio.file.Path
 import java.security.SecureRandom
 
@@ -40,14 +40,15 @@
  * All parts of one daemon process, made from its settings and connected with each other.
  *
  * A node is started once with [start] and ended with [stop]; [close] ends it without the graceful part.
+ * Several nodes may run in one process. [halt] ends the process with an exit code, at once.
  */
-public class Node(private val settings: DaemonSettings) {
+public class Node(private val settings: DaemonSettings, halt: (Int) -> Unit = { Runtime.getRuntime().halt(it) }) {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val clock = RelayClock()
 
     /** Metrics of this process. */
     public val metrics: RelayMetrics = RelayMetrics()
-    private val invariants = Invariants(settings.isInvariantFatal) { guarantee, _ -> metrics.countViolation(guarantee) }
+    private val invariants: Invariants = processInvariants(settings.isInvariantFatal, metrics, halt)
     private val identity = HostIdentity(
         hostName = settings.hostName,
         region = settings.region,
@@ -57,6 +58,7 @@
     private val stateHosts = StateHosts(settings)
     private val network = SocketLinkNetwork(identity, settings.sharedSecret.toByteArray(), scope)
     private val dataFolder = settings.dataFolder?.let(Path::of)
+    private val manifestStore = dataFolder?.let { FileManifestStore(it.resolve("manifest")) }
     private val state = dataFolder?.let { ReplicatedState(settings, it, network, invariants) }
     private val orderClient = BackendClient(metrics::countDrop)
 
@@ -71,21 +73,17 @@
     /** True when this host serves requests. */
     public val isReady: Boolean get() = running?.daemon?.isReady == true
 
-    /** Opens the ports, loads the replicated state and starts all parts. */
+    /** Opens the ports, loads the replicated state and starts all parts; after an error nothing keeps running. */
     public suspend fun start(): Either<StartError, Unit> {
-        dataFolder?.let { folder -> folderError(folder)?.let { return fail("dataFolder", it) } }
-        val linkPort = try {
-            network.listen(settings.bindAddress, settings.linkPort)
-        } catch (e: IOException) {
-            return fail("linkPort", "${settings.bindAddress}:${settings.linkPort}: ${e.message}")
-        }
-        state?.start()?.leftOrNull()?.let { return fail("dataFolder", it.toString()) }
+        findError()?.let { return fail(it) }
+        val linkPort = openLinkPort().fold({ return fail(it) }, { it })
+        state?.start()?.onLeft { return fail(StartChecks.of(it)) }
         val started = connect(linkPort)
         running = started
         try {
             started.daemon.start()
         } catch (e: IOException) {
-            return fail("callerPort", "${settings.bindAddress}:${settings.callerPort}: ${e.message}")
+            return fail(StartError("callerPort", "${settings.bindAddress}:${settings.callerPort}: ${e.message}"))
         }
         startParts(started)
         return Unit.right()
@@ -102,17 +100,22 @@
         orderClient.close()
     }
 
-    private suspend fun fail(key: String, message: String): Either<StartError, Unit> {
-        state?.stop()
-        close()
-        return StartError(key, message).left()
-    }
+    private fun findError(): StartError? = StartChecks.settingsError(settings)
+        ?: dataFolder?.let(StartChecks::folderError)
+        ?: manifestStore?.let(StartChecks::manifestError)
 
-    private fun folderError(folder: Path): String? = try {
-        Files.createDirectories(folder)
-        if (Files.isWritable(folder)) null else "$folder is not writable"
+    private suspend fun openLinkPort(): Either<StartError, Int> = try {
+        network.listen(settings.bindAddress, settings.linkPort).right()
     } catch (e: IOException) {
-        "$folder cannot be used: ${e.message}"
+        StartError("linkPort", "${settings.bindAddress}:${settings.linkPort}: ${e.message}").left()
+    } catch (_: UnresolvedAddressException) {
+        StartError("bindAddress", "${settings.bindAddress} is not an address of this host").left()
+    }
+
+    private suspend fun fail(error: StartError): Either<StartError, Unit> {
+        state?.stop()
+        close()
+        return error.left()
     }
 
     private fun connect(linkPort: Int): Running {
@@ -128,7 +131,7 @@
         )
         val scheduler = DefaultRequestScheduler({ manifests.current?.caller(it) }, invariants)
         val parts = DaemonParts(manifests, membership, ledger, network, scheduler, suspects, ::drained)
-        val daemon = Daemon(settings, parts, clock, metrics)
+        val daemon = Daemon(settings, parts, invariants, clock, metrics)
         return Running(linkPort, daemon, membership, manifests, ledger, ledgerService, suspects, scheduler)
     }
 
@@ -183,7 +186,7 @@
             peers = peers,
             voters = settings.manifestVoters,
             parser = TomlManifestParser(),
-            store = dataFolder?.let { FileManifestStore(it.resolve("manifest")) },
+            store = manifestStore,
             voter = state?.let { owned -> owned.manifestGroup?.let { ManifestVoter(it, owned.manifestLog) } },
             scope = scope,
             invariants = invariants,
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/TestDaemon.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/TestDaemon.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.right
 import kotlinx.coroutines.runBlocking
+import org.arbutusrelay.core.invariant.Invariants
 import org.arbutusrelay.core.routing.RequestScheduler
 import org.arbutusrelay.daemon.ledger.LedgerClient
 import org.arbutusrelay.daemon.ledger.LocalLedgerClient
@@ -96,9 +97,9 @@
             self.hostName, self.region, self.availabilityZone, "127.0.0.1", 0, 0, sharedSecret = "s",
             operatorToken = "operator", backendServerToken = "backend", manifestVoters = emptyList(),
             ledgerVoters = emptyList(), slowSenderTimeoutMs = slowSenderTimeoutMs, maxInFlight = maxInFlight,
-            isInvariantFatal = true,
         ),
         DaemonParts(manifests, membership, ledger, network, scheduler, LocalSuspectTracker()),
+        Invariants(),
         clock,
         tracing = tracing,
     )
--- a/schema/src/main/kotlin/org/arbutusrelay/schema/toml/TomlReader.kt
+++ b/schema/src/main/kotlin/org/arbutusrelay/schema/toml/TomlReader.kt
@@ -50,6 +50,9 @@
         public fun ofLoadWorkload(): TomlReader<LoadWorkload> =
             TomlReader(LoadWorkload.serializer(), "settings/load-workload")
 
+        /** Returns the line of [key] in [text], from 1, or of its nearest parent; 0 when the document has neither. */
+        public fun lineOf(text: String, key: String): Int = TomlLines.of(text).lineOf(key)
+
         private fun parse(text: String): Either<TomlError, TomlTable> = try {
             Toml.parseToTomlTable(text).right()
         } catch (e: SerializationException) {
