Keep the settings' address for hosts of other regions

Cause: a host announces the address that it binds, and the announcement replaced the address in the settings also for hosts of other regions. Change: the announced address wins within the region, the address in the settings wins for other regions. Hosts that no settings name are still reached by their announcement.

--- a/core/src/main/kotlin/org/arbutusrelay/core/membership/Topology.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/membership/Topology.kt
@@ -49,7 +49,12 @@
         }
     }
 
-    /** Returns the link addresses of the hosts that this host shall be connected to, by name. */
+    /**
+     * Returns the link addresses of the hosts that this host shall be connected to, by name.
+     *
+     * A host announces the address that its own region reaches it by. For a host of another region the address in the
+     * settings wins, because the link between two regions may translate addresses.
+     */
     fun wanted(nowMs: Long): Map<String, String> {
         val zones = if (isAggregator(nowMs)) otherZones() + zone else setOf(zone)
         val inRegion = zones.flatMap { aggregators(it, nowMs) }.mapNotNull { hosts[it]?.state } +
@@ -58,10 +63,13 @@
             val byName = summary.hosts.associateBy { it.hostName }
             Rendezvous.rank(self().hostName, byName.keys).take(SPEAKERS).mapNotNull(byName::get)
         }
-        val known = (inRegion + elsewhere).associate { it.hostName to it.address }
-        return (peers.associate { it.hostName to it.address } + known) - self().hostName
+        val announced = (inRegion + elsewhere).associate { it.hostName to it.address }
+        val (near, far) = peers.partition { it.region == region }
+        return addresses(near) + announced + addresses(far) - self().hostName
     }
 
+    private fun addresses(of: List<PeerSettings>): Map<String, String> = of.associate { it.hostName to it.address }
+
     private fun otherZones(): Set<String> {
         val known = hosts.all.map { it.state.availabilityZone } +
             neighbours.values.filter { it.region == region }.map { it.availabilityZone }
