End the replicas of a node that is closed

Cause: Node.close ended the daemon and the links but not the consensus replicas. They ran on in the process, held the lease of a group with one voter, and kept the files of the data folder open beside a successor on the same folder. Change: ReplicaGroup.close cancels the replica and waits for the write that is being synced; Node.close calls it. Test: ReplicaGroupTest, "closing ends the replica and its storage at once".

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.encodeToByteArray
@@ -124,6 +125,16 @@
         scope.cancel()
     }
 
+    /**
+     * Ends at once, without handing over leadership, and closes the storage. Open proposals end as unknown.
+     *
+     * Blocks for the write that is being synced, so that another process may open the data folder afterwards.
+     */
+    public fun close() {
+        scope.cancel()
+        runBlocking { jobs.joinAll() }
+    }
+
     private fun loadOrCreate(): Either<StorageError, StoredReplica> = storage.load().fold(
         { it.left() },
         { stored ->
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
@@ -97,6 +97,7 @@
     /** Ends at once. */
     public fun close() {
         running?.daemon?.close()
+        state?.close()
         scope.cancel()
         network.close()
         orderClient.close()
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/ReplicatedState.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/ReplicatedState.kt
@@ -56,6 +56,9 @@
     /** Hands over leadership, syncs and closes the files. */
     suspend fun stop(): Unit = coroutineScope { groups.forEach { launch { it.stop() } } }
 
+    /** Ends all replicas at once. */
+    fun close(): Unit = groups.forEach { it.close() }
+
     private fun <R> group(
         name: String,
         folder: Path,
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.test.StandardTestDispatcher
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
@@ -89,6 +90,38 @@
         group.stop()
     }
 
+    /** Guards against a replica that runs on in a closed daemon beside its successor on the same folder. */
+    @Test
+    fun `closing ends the replica and its storage at once`() = runBlocking {
+        val storage = ClosableStorage()
+        networks["a"] = FakeNetwork("a", networks)
+        val group = ReplicaGroup(
+            name = "manifest",
+            storage = storage,
+            stateMachine = SumMachine(),
+            network = networks.getValue("a"),
+            stateHosts = setOf("a"),
+            random = Random(1),
+            foundingVoters = listOf("a"),
+        )
+        assertEquals(null, group.start().leftOrNull())
+        val leader = awaitLeader(listOf(group))
+        group.close()
+        assertTrue(storage.isClosed)
+        assertEquals(false, leader.isLeaseHeld())
+        assertEquals(true, leader.propose(command(1)).isLeft())
+    }
+
+    private class ClosableStorage(private val inner: MemoryConsensusStorage = MemoryConsensusStorage()) :
+        ConsensusStorage by inner {
+        @Volatile
+        var isClosed = false
+
+        override fun close() {
+            isClosed = true
+        }
+    }
+
     private fun ReplicaGroup<Long>.name(groups: List<ReplicaGroup<Long>>) = names[groups.indexOf(this)]
 
     private fun TestScope.start(host: String, storage: ConsensusStorage, founding: List<String>?): ReplicaGroup<Long> {
