Report each request of a load run with all of its sendings

Cause: a site run compares what callers were told with what backend servers ran, and the load generator reported only sums. Idempotent plain requests that ran twice, as they may, counted as wrong. Change: an optional listener gets each outcome with its sendings and request identifiers.

--- a/standin/src/main/kotlin/org/arbutusrelay/standin/load/LoadGenerator.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/load/LoadGenerator.kt
@@ -14,14 +14,21 @@
  *
  * Latency counts from the intended arrival. The run ends by itself after the workload's duration and the last response.
  */
-public class LoadGenerator(private val workload: LoadWorkload, entryHosts: List<String>) {
+public class LoadGenerator(
+    private val workload: LoadWorkload,
+    entryHosts: List<String>,
+    /** True when a response that broke off is requested again from the next entry host. */
+    isBrokenResent: Boolean = false,
+    /** Called once for each request, from several threads. */
+    private val onOutcome: (LoadOutcome) -> Unit = {},
+) {
     private val http = OkHttpClient.Builder()
         .connectionPool(ConnectionPool(MAX_IN_FLIGHT, 1, TimeUnit.MINUTES))
         .connectTimeout(CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS)
         .readTimeout(READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)
         .retryOnConnectionFailure(false)
         .build()
-    private val client = LoadClient(http, EntryHostChooser(http, entryHosts))
+    private val client = LoadClient(http, EntryHostChooser(http, entryHosts), isBrokenResent)
 
     /** Runs the workload and returns its report. */
     public fun run(): LoadReport {
@@ -43,7 +50,9 @@
     }
 
     private fun send(request: LoadRequest, dueNanos: Long, report: LoadReport) {
-        val result = client.send(request)
+        val outcome = client.send(request)
+        onOutcome(outcome)
+        val result = outcome.result
         val latencyMicros = (System.nanoTime() - dueNanos) / NANOS_PER_MICRO
         val isLate = latencyMicros > request.loadClass.waitMs * MICROS_PER_MS
         report.record(
