--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
@@ -95,6 +95,7 @@
     /** Ends at once. */
     public fun close() {
         running?.daemon?.close()
+        state?.close()
         scope.cancel()
         network.close()
         orderClient.close()
