Decide on crash suspects before each attempt

Cause: a request was checked against the crash suspects once, before its first attempt. Its retries after a crash ran beside other requests, so that one sending crashed up to four engines. Change: RequestAttempts asks the tracker before each attempt. The retry after the first crash runs in isolation, and after the second one no further attempt follows. Test: CrashSuspectRetryTest.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestAttempts.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestAttempts.kt
@@ -35,14 +35,22 @@
 ) {
     private val race = AttemptRace(scheduler, queue, factory, clock, metrics, tracing, invariants)
 
-    /** Runs [request] and passes its response to [sink]. */
-    public suspend fun run(request: ResolvedRequest, sink: ResponseListener, isIsolated: Boolean = false): AttemptEnd {
+    /**
+     * Runs [request] and passes its response to [sink].
+     *
+     * [decide] is asked before each attempt, because the attempt before may have crashed its backend server.
+     */
+    public suspend fun run(
+        request: ResolvedRequest,
+        sink: ResponseListener,
+        decide: () -> SuspectDecision = { SuspectDecision.RUN },
+    ): AttemptEnd {
         val claim = ResponseClaim(request, sink, invariants, metrics::countDrop)
-        var profile = request.profile.copy(isIsolated = isIsolated)
+        var profile = request.profile
         var openEnd: AttemptEnd.Failed? = null
         var attempts = 0
         while (true) {
-            val placement = place(request, profile)
+            val placement = place(request, profile, decide())
             val placed = placement.attempt()
             val end = when {
                 placed == null -> refused(placement)
@@ -61,10 +69,15 @@
         }
     }
 
-    private suspend fun place(request: ResolvedRequest, profile: RequestProfile): Placement {
+    private suspend fun place(
+        request: ResolvedRequest,
+        profile: RequestProfile,
+        decision: SuspectDecision,
+    ): Placement {
+        if (decision == SuspectDecision.REFUSE) return Placement.Refused(RelayError(ErrorKind.REQUEST_SUSPECTED))
         val span = tracing.startChild("queue", request.span)
         val startMs = clock.nowMs()
-        val placement = queue.place(profile)
+        val placement = queue.place(profile.copy(isIsolated = decision == SuspectDecision.RUN_ISOLATED))
         metrics.recordStage(Stage.QUEUE, clock.nowMs() - startMs)
         span.end((placement as? Placement.Refused)?.error?.kind?.id)
         return placement
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestPipeline.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestPipeline.kt
@@ -38,11 +38,7 @@
 
     /** Runs the request unless it is suspected; a resend of a key that may have run never gets here. */
     private suspend fun attempt(request: ResolvedRequest, sink: ResponseListener): AttemptEnd =
-        when (suspects.decide(request.profile.digest, clock.nowMs())) {
-            SuspectDecision.REFUSE -> refuse(ErrorKind.REQUEST_SUSPECTED)
-            SuspectDecision.RUN_ISOLATED -> attempts.run(request, sink, isIsolated = true)
-            SuspectDecision.RUN -> attempts.run(request, sink)
-        }
+        attempts.run(request, sink) { suspects.decide(request.profile.digest, clock.nowMs()) }
 
     private fun refuse(kind: ErrorKind): AttemptEnd =
         AttemptEnd.Failed(RelayError(kind), AttemptResult.REFUSED, mayHaveRun = false)
--- /dev/null
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/CrashSuspectRetryTest.kt
@@ -0,0 +1,37 @@
+package org.arbutusrelay.daemon
+
+import org.arbutusrelay.core.routing.RequestProfile
+import org.arbutusrelay.core.routing.RequestScheduler
+import org.arbutusrelay.daemon.request.LocalRequestScheduler
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+
+/** Guards against retries of one request that crash a further backend server each. */
+class CrashSuspectRetryTest {
+    private class RecordingScheduler(private val own: RequestScheduler = LocalRequestScheduler("hue", 100)) :
+        RequestScheduler by own {
+        val isIsolated = CopyOnWriteArrayList<Boolean>()
+
+        override fun submit(profile: RequestProfile, nowMs: Long) =
+            own.submit(profile, nowMs).also { isIsolated += profile.isIsolated }
+    }
+
+    @Test
+    fun `a retry after a crash runs in isolation and none follows the second crash`() {
+        val engines = List(4) { StandInServer { reset() } }
+        val scheduler = RecordingScheduler()
+        TestDaemon(scheduler = scheduler).use { daemon ->
+            engines.forEachIndexed { index, engine -> daemon.announce("engine-$index", "draft", engine.address) }
+            val first = daemon.chat()
+            assertEquals(502, first.statusCode(), first.body())
+            assertEquals(listOf(false, true), scheduler.isIsolated.toList())
+            assertEquals(2, engines.sumOf { it.count("POST") })
+            val resent = daemon.chat()
+            assertContains(resent.body(), "request_suspected")
+            assertEquals(2, engines.sumOf { it.count("POST") })
+        }
+        engines.forEach(StandInServer::close)
+    }
+}
