Open the circuit breaker on the first refused connection

Cause: a backend server that refuses connections has nothing in flight, so that placement preferred it until its lease ended, and the breaker opened only after five failures on each host. Each request sent there used up a retry of a budget that starts with two, and the next ones were answered backend_refused although other engines were free. Change: AttemptResult.UNREACHABLE stands for a connection that could not be opened, and opens the breaker at once for its 2 s; the first request after that probes. Test: DefaultRequestSchedulerTest, "one refused connection keeps work away from a backend server until a probe is due".

--- a/core/src/main/kotlin/org/arbutusrelay/core/admission/CircuitBreaker.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/admission/CircuitBreaker.kt
@@ -33,6 +33,14 @@
         if (failures.incrementAndGet() >= failureThreshold) probeAtMs.set(nowMs + openMs)
     }
 
+    /**
+     * Opens the breaker after one failure that leaves no doubt.
+     *
+     * A backend server that refuses connections has nothing in flight, so that it would be preferred until its lease
+     * ends, and each request sent there would use up a retry.
+     */
+    public fun open(nowMs: Long): Unit = probeAtMs.set(nowMs + openMs)
+
     private companion object {
         private const val CLOSED = Long.MIN_VALUE
     }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
@@ -38,6 +38,8 @@
 
             AttemptResult.SERVER_ERROR, AttemptResult.CONNECTION_LOST -> slots.breaker.recordFailure(nowMs)
 
+            AttemptResult.UNREACHABLE -> slots.breaker.open(nowMs)
+
             AttemptResult.REFUSED -> slots.limit.recordOverload(nowMs)
 
             AttemptResult.TIMED_OUT -> {
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestScheduler.kt
@@ -86,9 +86,12 @@
     /** The backend server answered with a server error. */
     SERVER_ERROR,
 
-    /** The connection was refused or broke before the response was complete. */
+    /** The connection broke before the response was complete. */
     CONNECTION_LOST,
 
+    /** No connection could be opened. */
+    UNREACHABLE,
+
     /** The backend server or region did not run the request, because it is overloaded or leaving. */
     REFUSED,
 
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/DefaultRequestSchedulerTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/DefaultRequestSchedulerTest.kt
@@ -50,6 +50,30 @@
         }
     }
 
+    /** Guards against a dead backend server that stays preferred because it has nothing in flight. */
+    @Test
+    fun `one refused connection keeps work away from a backend server until a probe is due`() {
+        scheduler.updateTable(table(server("dead"), server("busy", running = 2)))
+        var number = 0L
+        val run = { nowMs: Long -> assertIs<Placement.Run>(scheduler.submit(request(++number), nowMs)).attempt }
+        var first = run(0)
+        while (first.backendServer != "dead") first = run(0)
+        scheduler.complete(first, AttemptResult.UNREACHABLE, 1)
+        repeat(4) {
+            val next = run(2)
+            assertEquals("busy", next.backendServer)
+            scheduler.complete(next, AttemptResult.COMPLETE, 10)
+        }
+        scheduler.updateTable(table(server("dead")))
+        assertIs<Placement.Queued>(scheduler.submit(request(++number), 1_000))
+        assertEquals(
+            "dead",
+            scheduler.poll(2_002).map {
+                assertIs<Placement.Run>(it.placement).attempt.backendServer
+            }[0],
+        )
+    }
+
     @Test
     fun `lasting misses at home send a request away, unless it was forwarded or is bound to home`() {
         val remotes = listOf(remote("danang"))
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
@@ -7,6 +7,7 @@
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.routing.AttemptResult
 import java.io.IOException
+import java.net.ConnectException
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicReference
 
@@ -134,7 +135,7 @@
         return when {
             isCancelled.get() -> AttemptEnd.Cancelled(isCallerGone = false, mayHaveRun = trace.mayHaveReached)
 
-            !trace.mayHaveReached -> refused(detail, AttemptResult.CONNECTION_LOST)
+            !trace.mayHaveReached -> refused(detail, unsentResult(cause))
 
             remainingMs() <= 0 -> {
                 cancel()
@@ -147,6 +148,10 @@
         }
     }
 
+    // A pooled connection that broke before the first byte says less of the backend server than a failed connect.
+    private fun unsentResult(cause: IOException): AttemptResult =
+        if (cause is ConnectException) AttemptResult.UNREACHABLE else AttemptResult.CONNECTION_LOST
+
     private fun refused(detail: String, result: AttemptResult = AttemptResult.REFUSED): AttemptEnd =
         AttemptEnd.Failed(RelayError(ErrorKind.BACKEND_REFUSED, detail), result, mayHaveRun = false)
 
