Check home moves in the manifest group

Cause: a manifest could change a caller's home region without naming the move, or drop the move within the retention of the ledger. Hosts skip intermediate manifests, so the new home could open without the entries of the former home.

Change: ManifestValidator checks numbers, chain, end and regions of homeMoves. The refusal travels in the optional field ManifestPublishReply.refusal and reaches the operator as MANIFEST_INVALID with the caller's name.

Tests: ManifestLog takes a parser, so three existing tests pass one; their assertions are unchanged. Parsing time was not measured.

--- a/core/src/main/kotlin/org/arbutusrelay/core/manifest/ManifestValidator.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/manifest/ManifestValidator.kt
@@ -17,7 +17,7 @@
             addAll(duplicates("callers", manifest.callers.map { it.name }))
             addAll(duplicates("callers.tokenSha256", manifest.callers.flatMap { it.tokenSha256 }))
             manifest.services.forEach { addAll(serviceErrors(it, regions)) }
-            manifest.callers.forEach { addAll(callerErrors(it, regions)) }
+            manifest.callers.forEach { addAll(callerErrors(it, regions) + moveErrors(it, manifest.number, regions)) }
             manifest.links.forEach { link ->
                 val path = "links[${link.from}-${link.to}]"
                 listOf(link.from, link.to).filter { it !in regions }.forEach { add(unknownRegion(path, it)) }
@@ -46,6 +46,26 @@
         }
     }
 
+    private fun moveErrors(caller: Caller, number: Long, regions: Set<String>): List<ManifestError> = buildList {
+        val path = "callers[${caller.name}].homeMoves"
+        val moves = caller.homeMoves
+        moves.flatMap {
+            listOf(it.from, it.to)
+        }.filter { it !in regions }.distinct().forEach { add(unknownRegion(path, it)) }
+        moves.filter {
+            it.number > number
+        }.forEach { add(ManifestError(path, "manifest ${it.number} is not published yet")) }
+        moves.filter { it.from == it.to }.forEach { add(ManifestError(path, "manifest ${it.number} moves nothing")) }
+        val isChain = moves.zipWithNext().all { (a, b) -> a.to == b.from && a.number < b.number }
+        if (!isChain) {
+            add(
+                ManifestError(path, "each move must start where the one before it ended, with a higher number"),
+            )
+        }
+        val end = moves.lastOrNull()?.to ?: caller.homeRegion
+        if (end != caller.homeRegion) add(ManifestError(path, "the moves end at $end and not at ${caller.homeRegion}"))
+    }
+
     private fun duplicates(path: String, names: List<String>): List<ManifestError> =
         names.groupingBy { it }.eachCount().filterValues { it > 1 }.keys.map { ManifestError(path, "$it stands twice") }
 
--- a/core/src/test/kotlin/org/arbutusrelay/core/manifest/ManifestRandomTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/manifest/ManifestRandomTest.kt
@@ -74,7 +74,7 @@
     private val names = listOf("a", "b").flatMap { r -> List(5) { "$r$it" } }
     private val stateHosts = names.filter { it[1] in '0'..'2' }.toSet()
     private val voters = stateHosts.filter { it[0] == 'a' }
-    private val log = ManifestLog()
+    private val log = ManifestLog(::parse)
     private val stores = HashMap<String, ManifestRecord>()
     private val known = HashMap<String, ManifestRecord>()
     private val served = HashMap<String, Long>()
@@ -187,6 +187,9 @@
         }
     }
 
+    private fun parse(text: String) =
+        Manifest(text.filter(Char::isDigit).toLong(), emptyList(), emptyList(), emptyList(), emptyList()).right()
+
     private fun record(number: Long, text: String) = ManifestRecord(number, ManifestText.digest(text), text)
 
     private inner class Process(private val name: String) : VirtualProcess {
@@ -200,7 +203,8 @@
             ManifestPeers(name, name in stateHosts, seenHosts, stateHosts - region + (region - seenHosts)),
             stores[name],
             Invariants(),
-        ) { Manifest(it.filter(Char::isDigit).toLong(), emptyList(), emptyList(), emptyList(), emptyList()).right() }
+            ::parse,
+        )
 
         override fun linkUp(peer: VirtualHost) = Unit
 
--- a/core/src/test/kotlin/org/arbutusrelay/core/manifest/ManifestTextTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/manifest/ManifestTextTest.kt
@@ -1,5 +1,7 @@
 package org.arbutusrelay.core.manifest
 
+import arrow.core.right
+import org.arbutusrelay.schema.manifest.Manifest
 import org.arbutusrelay.schema.message.ManifestRecord
 import org.arbutusrelay.schema.message.ReplicatedCommand
 import kotlin.random.Random
@@ -38,6 +40,7 @@
 
     @Test
     fun `the log applies the four publication rules and a snapshot keeps them`() {
+        val parser = ManifestParser { if (it == "c") manifest(6).right() else manifest(5).right() }
         val first = record(5, "a")
         val cases = listOf(
             first to ManifestDecision.Kind.ACCEPTED,
@@ -46,14 +49,16 @@
             record(4, "a") to ManifestDecision.Kind.STALE_NUMBER,
             record(6, "c").copy(digest = "wrong") to ManifestDecision.Kind.DIGEST_CONFLICT,
         )
-        var log = ManifestLog()
+        var log = ManifestLog(parser)
         cases.forEachIndexed { i, (record, kind) ->
             assertEquals(kind, log.apply(i + 1L, ReplicatedCommand(manifest = record)).kind, "case $i")
             assertEquals(first, log.accepted)
-            log = ManifestLog().also { it.restore(log.snapshot()) }
+            log = ManifestLog(parser).also { it.restore(log.snapshot()) }
         }
     }
 
+    private fun manifest(number: Long) = Manifest(number, emptyList(), emptyList(), emptyList(), emptyList())
+
     private fun record(number: Long, text: String) = ManifestRecord(number, ManifestText.digest(text), text)
 
     private companion object {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/manifest/LinkManifestService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/manifest/LinkManifestService.kt
@@ -2,6 +2,8 @@
 
 import arrow.core.Either
 import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
@@ -59,7 +61,7 @@
     private val inForceText = AtomicReference<String?>(null)
     private val listeners = CopyOnWriteArrayList<(ManifestView) -> Unit>()
     private val relays = (peers.regionStateHosts - peers.selfName).toList()
-    private val publisher = ManifestPublisher(network, voter?.group, voters, relays, scope, timeSource)
+    private val publisher = ManifestPublisher(network, voter, voters, relays, scope, timeSource)
 
     init {
         require(peers.isStateHost == (store != null)) { "a state host needs a store, and only a state host has one" }
@@ -84,10 +86,12 @@
 
     override suspend fun publish(text: String): Either<RelayError, ManifestPublishResult> {
         val parsed = parser.parse(text).mapLeft { errors ->
-            RelayError(ErrorKind.MANIFEST_INVALID, errors.joinToString("; ") { "${it.path}: ${it.message}" })
+            RelayError(ErrorKind.MANIFEST_INVALID, errors.toText())
         }
         return parsed.flatMap { publisher.publish(ManifestRecord(it.number, ManifestText.digest(text), text)) }
-            .map { it.toResult() }
+            .flatMap { reply ->
+                reply.refusal?.let { RelayError(ErrorKind.MANIFEST_INVALID, it).left() } ?: reply.toResult().right()
+            }
     }
 
     override fun status(): ManifestStatus {
@@ -121,6 +125,7 @@
     }
 
     private fun due(): List<Outgoing> {
+        publisher.tick()
         voter?.log?.accepted?.let(node::committed)
         node.heard(membership.newestManifest)
         return node.tick(origin.elapsedNow().inWholeMilliseconds)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/manifest/ManifestPublisher.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/manifest/ManifestPublisher.kt
@@ -8,10 +8,12 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.arbutusrelay.core.consensus.LeaderClock
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.Outcome
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.manifest.ManifestDecision
+import org.arbutusrelay.core.manifest.ManifestError
 import org.arbutusrelay.daemon.consensus.ConsensusGroup
 import org.arbutusrelay.daemon.link.LinkNetwork
 import org.arbutusrelay.schema.api.ManifestPublishResult
@@ -27,7 +29,7 @@
 /** Brings a publication to the leader of the manifest group, and decides those of other hosts when this one leads. */
 internal class ManifestPublisher(
     private val network: LinkNetwork,
-    private val group: ConsensusGroup<ManifestDecision>?,
+    private val voter: ManifestVoter?,
     private val voters: List<String>,
     private val relays: List<String>,
     private val scope: CoroutineScope,
@@ -35,6 +37,9 @@
 ) {
     private val pending = ConcurrentHashMap<Long, CompletableDeferred<ManifestPublishReply>>()
     private val correlations = AtomicLong()
+    private val group = voter?.group
+    private val clock = LeaderClock()
+    private val origin = timeSource.markNow()
 
     /** Tries the known leader, then the voters, then [relays], until one decides or 5 s have passed. */
     suspend fun publish(record: ManifestRecord, canRelay: Boolean = true): Either<RelayError, ManifestPublishReply> {
@@ -72,6 +77,14 @@
         pending.remove(reply.correlation)?.complete(reply)
     }
 
+    /** Keeps the group time running while this host leads, also between publications. */
+    fun tick() {
+        if (group?.isLeaseHeld() == true) groupTimeMs()
+    }
+
+    private fun groupTimeMs(): Long? =
+        voter?.let { clock.atMs(it.group.term, it.log.timeMs, origin.elapsedNow().inWholeMilliseconds) }
+
     private fun target(hint: String?, attempt: Int, canRelay: Boolean): String? {
         if (group?.isLeaseHeld() == true) return network.self.hostName
         val connected = network.connected().keys
@@ -95,9 +108,16 @@
 
     private suspend fun decide(record: ManifestRecord): Either<RelayError, ManifestPublishReply> {
         val group = group ?: return noLeader().right()
-        return group.propose(ReplicatedCommand(manifest = record)).map { decision ->
+        val timed = record.copy(groupTimeMs = groupTimeMs())
+        return group.propose(ReplicatedCommand(manifest = timed)).map { decision ->
             val accepted = decision.accepted
-            ManifestPublishReply(0, decision.kind.toReply(), accepted?.number ?: 0, accepted?.digest.orEmpty())
+            ManifestPublishReply(
+                0,
+                decision.kind.toReply(),
+                accepted?.number ?: 0,
+                accepted?.digest.orEmpty(),
+                refusal = decision.errors.toText().takeIf { decision.kind == ManifestDecision.Kind.INVALID },
+            )
         }
     }
 
@@ -107,7 +127,7 @@
     private fun ManifestDecision.Kind.toReply() = when (this) {
         ManifestDecision.Kind.ACCEPTED -> ManifestPublishReply.Decision.ACCEPTED
         ManifestDecision.Kind.DIGEST_CONFLICT -> ManifestPublishReply.Decision.DIGEST_CONFLICT
-        ManifestDecision.Kind.STALE_NUMBER -> ManifestPublishReply.Decision.STALE_NUMBER
+        ManifestDecision.Kind.STALE_NUMBER, ManifestDecision.Kind.INVALID -> ManifestPublishReply.Decision.STALE_NUMBER
         ManifestDecision.Kind.NONE -> error("the command of a publication carries a manifest")
     }
 
@@ -118,6 +138,9 @@
     }
 }
 
+/** Returns [errors][ManifestError] as one line for an operator. */
+internal fun List<ManifestError>.toText(): String = joinToString("; ") { "${it.path}: ${it.message}" }
+
 /** Returns the body of an operator's response; NO_LEADER is never a final decision. */
 internal fun ManifestPublishReply.toResult(): ManifestPublishResult = ManifestPublishResult(
     number,
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/ReplicatedState.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/ReplicatedState.kt
@@ -26,7 +26,7 @@
     private val network: LinkNetwork,
     private val invariants: Invariants,
 ) {
-    val manifestLog: ManifestLog = ManifestLog()
+    val manifestLog: ManifestLog = ManifestLog(TomlManifestParser())
     val ledgerMachine: LedgerStateMachine = LedgerStateMachine(invariants = invariants)
 
     val manifestGroup = if (settings.hostName in settings.manifestVoters) {
@@ -76,7 +76,8 @@
 
     private companion object {
         private val MANIFEST_OPTIONS = ReplicaGroupOptions(
-            snapshotEntries = 1_000,
+            // A restart parses each manifest of the log again, and a snapshot holds only one.
+            snapshotEntries = 100,
             unavailableKind = ErrorKind.MANIFEST_GROUP_UNAVAILABLE,
             unknownKind = ErrorKind.MANIFEST_OUTCOME_UNKNOWN,
         )
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/manifest/LinkManifestServiceTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/manifest/LinkManifestServiceTest.kt
@@ -20,6 +20,7 @@
 import org.arbutusrelay.daemon.link.InMemoryLinks
 import org.arbutusrelay.daemon.membership.LinkMembershipService
 import org.arbutusrelay.schema.api.ManifestPublishResult.Decision
+import org.arbutusrelay.schema.manifest.Caller
 import org.arbutusrelay.schema.manifest.Manifest
 import org.arbutusrelay.schema.message.HostState
 import org.arbutusrelay.schema.message.ManifestRecord
@@ -32,7 +33,7 @@
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class LinkManifestServiceTest {
-    private val logs = listOf("s0", "s1", "s2").associateWith { ManifestLog() }
+    private val logs = listOf("s0", "s1", "s2").associateWith { ManifestLog(::parse) }
     private var index = 0L
 
     @Test
@@ -59,6 +60,19 @@
         assertEquals(ErrorKind.MANIFEST_INVALID, diskless.publish("bad").leftOrNull()?.kind)
     }
 
+    /** Guards against a refusal by the group that reaches the operator as another error or without the caller. */
+    @Test
+    fun `a home change without its move is refused with the name of the caller`() = runTest {
+        val links = InMemoryLinks(backgroundScope)
+        val services = NAMES.associateWith { host(links, it) }
+        delay(3_000)
+        assertEquals(Decision.ACCEPTED, services.getValue("d").publish("1 registry:hue").getOrNull()?.decision)
+        val error = services.getValue("d").publish("2 registry:hanoi").leftOrNull()
+        assertEquals(ErrorKind.MANIFEST_INVALID, error?.kind)
+        assertTrue(error?.detail.orEmpty().contains("callers[registry]"), "$error")
+        assertEquals(setOf(1L), logs.values.map { it.accepted?.number }.toSet())
+    }
+
     @Test
     fun `a stored manifest is read back after a restart`() = runTest {
         val folder = Files.createTempDirectory("manifest")
@@ -86,7 +100,9 @@
 
     private fun parse(text: String): Either<List<ManifestError>, Manifest> =
         text.substringBefore(' ').toLongOrNull()?.let { number ->
-            Manifest(number, emptyList(), emptyList(), emptyList(), emptyList()).right()
+            val homes = text.split(' ').filter { ':' in it }.map { it.split(':') }
+            val callers = homes.map { (name, region) -> Caller(name, region, tokenSha256 = emptyList()) }
+            Manifest(number, emptyList(), emptyList(), emptyList(), callers).right()
         } ?: emptyList<ManifestError>().left()
 
     private class MemoryStore : ManifestStore {
