Decide every resend by a grant request

Cause: after in_progress the gate answered with what awaitEnd returned. If the other attempt was released meanwhile and another body took the key, the resend got that body's response. The gate never released its own attempt when it gave up, so that a repeated grant request could arrive later and be granted to nobody. A silent ledger after in_progress was reported as not_run, although the other attempt may have run. Grants carried no service, so that no entry moved with its caller.

Change: the end of another attempt only leads to a new grant request, which compares the digest. Giving up after in_progress releases the own attempt. Errors after in_progress are in_progress, except a reused key. The grant names the service.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/LedgerGate.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/LedgerGate.kt
@@ -1,6 +1,9 @@
 package org.arbutusrelay.daemon.request
 
+import arrow.core.Either
 import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.routing.AttemptResult
@@ -38,22 +41,58 @@
         sink: ResponseListener,
         attempt: suspend (ResponseListener) -> AttemptEnd,
     ): AttemptEnd {
-        repeat(MAX_GRANTS) {
-            val startMs = clock.nowMs()
-            val grant = LedgerGrant(key, request.id.toAttempt(), request.profile.digest, request.remainingMs())
-            val reply = ledger.grant(request.home, grant)
-            metrics.recordStage(Stage.GRANT, clock.nowMs() - startMs)
-            val decided = reply.fold({ return notRun(it) }, { it })
-            if (decided.decision == Decision.GRANTED) return runGranted(request, key, sink, attempt)
-            val ended = if (decided.decision == Decision.IN_PROGRESS) awaitEnd(request, key) else decided
-            if (ended.decision != Decision.RELEASED && ended.decision != Decision.ABSENT) return answer(ended, sink)
+        val decided = awaitDecision(request, key).getOrElse { return notRun(it) }
+        return if (decided.decision == Decision.GRANTED) {
+            runGranted(request, key, sink, attempt)
+        } else {
+            answer(decided, sink)
         }
-        return failed(ErrorKind.IN_PROGRESS)
     }
 
-    private suspend fun awaitEnd(request: ResolvedRequest, key: LedgerKey): LedgerReply =
+    /**
+     * Returns the decision of the ledger; `in_progress` only when the other attempt outlasts the wait.
+     *
+     * The end of another attempt only leads to a new grant request: by then the key may belong to another body, and
+     * only a grant request compares the digest.
+     */
+    private suspend fun awaitDecision(request: ResolvedRequest, key: LedgerKey): Either<RelayError, LedgerReply> {
+        var isOtherKnown = false
+        var isGranted = false
+        try {
+            repeat(MAX_GRANTS) {
+                val reply = grant(request, key).getOrElse { return if (isOtherKnown) afterOther(it) else it.left() }
+                isGranted = reply.decision == Decision.GRANTED
+                if (reply.decision != Decision.IN_PROGRESS) return reply.right()
+                isOtherKnown = true
+                if (!awaitEnd(request, key)) return reply.right()
+            }
+            return LedgerReply(0, Decision.IN_PROGRESS).right()
+        } finally {
+            // A repeated grant request may still arrive after the other attempt was released, and would be granted.
+            if (isOtherKnown && !isGranted) {
+                ledger.release(request.home, LedgerRelease(key, request.id.toAttempt()))
+            }
+        }
+    }
+
+    /** The other attempt of the key may have run, so that only another body may still be reported as not run. */
+    private fun afterOther(error: RelayError): Either<RelayError, LedgerReply> =
+        if (error.kind == ErrorKind.IDEMPOTENCY_KEY_REUSED) {
+            error.left()
+        } else {
+            LedgerReply(0, Decision.IN_PROGRESS).right()
+        }
+
+    private suspend fun grant(request: ResolvedRequest, key: LedgerKey): Either<RelayError, LedgerReply> {
+        val startMs = clock.nowMs()
+        val service = request.service.service.name
+        val grant = LedgerGrant(key, request.id.toAttempt(), request.profile.digest, request.remainingMs(), service)
+        return ledger.grant(request.home, grant).also { metrics.recordStage(Stage.GRANT, clock.nowMs() - startMs) }
+    }
+
+    private suspend fun awaitEnd(request: ResolvedRequest, key: LedgerKey): Boolean =
         ledger.awaitEnd(request.home, key, request.remainingMs())
-            .getOrElse { LedgerReply(0, Decision.IN_PROGRESS) }
+            .fold({ false }, { it.decision != Decision.IN_PROGRESS })
 
     private suspend fun runGranted(
         request: ResolvedRequest,
