Let non-idempotent runs outlast their wait

Cause: the call to the backend server ended with the request's deadline, so a run that took longer was settled as unknown and its response was lost.

Change: the gate answers DEADLINE_EXCEEDED when the wait passes, and the run goes on for at most 60 s more, also in another region. Its late finish makes the response available to a resend. Late runs count as in flight, so that a graceful stop waits for them. Cancelling a local attempt now ends its call, where before only the thread's own call could end it.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
@@ -29,6 +29,7 @@
 import org.arbutusrelay.daemon.request.ForwardResponses
 import org.arbutusrelay.daemon.request.ForwardServer
 import org.arbutusrelay.daemon.request.InFlight
+import org.arbutusrelay.daemon.request.LateRuns
 import org.arbutusrelay.daemon.request.LedgerGate
 import org.arbutusrelay.daemon.request.PlacementQueue
 import org.arbutusrelay.daemon.request.RequestAttempts
@@ -147,7 +148,8 @@
             tracing,
             invariants,
         )
-        return RequestPipeline(attempts, LedgerGate(parts.ledger, clock, metrics), parts.suspects, clock, metrics)
+        val gate = LedgerGate(parts.ledger, clock, metrics, LateRuns(scope, inFlight))
+        return RequestPipeline(attempts, gate, parts.suspects, clock, metrics)
     }
 
     private fun httpServer(): HttpServer {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ForwardAttemptFactory.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ForwardAttemptFactory.kt
@@ -73,7 +73,7 @@
 
         private suspend fun receive(opened: ForwardResponses.Pending, listener: ResponseListener): AttemptEnd {
             while (true) {
-                val remainingMs = request.deadlineMs - clock.nowMs()
+                val remainingMs = request.runUntilMs - clock.nowMs()
                 val received = withTimeoutOrNull(remainingMs) { opened.events.receiveCatching() }
                 if (received == null) {
                     cancel()
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ForwardServer.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ForwardServer.kt
@@ -54,7 +54,8 @@
     }
 
     private fun begin(from: HostIdentity, forward: ForwardRequest) {
-        val deadlineMs = clock.nowMs() + forward.remainingMs
+        val lateMs = if (forward.isGranted) ResolvedRequest.LATE_RUN_MS else 0
+        val deadlineMs = clock.nowMs() + forward.remainingMs + lateMs
         val sink = ForwardSink(network, from, forward, deadlineMs, clock)
         if (!isFirst(from, forward.correlation)) return
         served[from to forward.correlation] = sink
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/InFlight.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/InFlight.kt
@@ -38,6 +38,12 @@
         }
     }
 
+    /** Counts work that outlives its request, so that a graceful stop waits for it; its owner bounds the number. */
+    public fun enterLate(): AutoCloseable {
+        state.update { State(it.open + 1, it.isStopping) }
+        return Slot()
+    }
+
     /** Refuses all later requests. */
     public fun stopAccepting(): Unit = state.update { State(it.open, isStopping = true) }
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/LedgerGate.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/LedgerGate.kt
@@ -27,12 +27,14 @@
  * Runs a non-idempotent request only under a grant of the ledger, and repeats stored responses.
  *
  * The grant is requested before the request is placed, so that a resend gets its stored response even when the system
- * takes no new work. The response is delivered after `finish` has been committed or has timed out.
+ * takes no new work. The response is delivered after `finish` has been committed or has timed out. A run that outlasts
+ * the wait goes on, and its response is stored for a resend.
  */
 public class LedgerGate(
     private val ledger: LedgerClient,
     private val clock: RelayClock,
     private val metrics: RelayMetrics,
+    private val lateRuns: LateRuns,
 ) {
     /** Runs [request] through [attempt] when its key is granted, and passes the response to [sink]. */
     public suspend fun run(
@@ -102,6 +104,23 @@
     ): AttemptEnd {
         request.markGranted()
         val buffer = ResponseBuffer()
+        val waitMs = request.remainingMs() + MIN_FINISH_MS
+        val end = lateRuns.await(waitMs) { runAndRecord(request, key, buffer, attempt) }
+        return when {
+            end == null -> outlasted()
+            end !is AttemptEnd.Complete -> end
+            buffer.isOverflown -> notStored()
+            else -> deliver(buffer.head, buffer.body(), sink)
+        }
+    }
+
+    /** Runs the request and tells the ledger how it ended, which may be after the caller was answered. */
+    private suspend fun runAndRecord(
+        request: ResolvedRequest,
+        key: LedgerKey,
+        buffer: ResponseBuffer,
+        attempt: suspend (ResponseListener) -> AttemptEnd,
+    ): AttemptEnd {
         var end: AttemptEnd? = null
         try {
             end = attempt(buffer)
@@ -116,19 +135,15 @@
                 else -> ledger.settle(request.home, key, request.id.toAttempt())
             }
         }
-        return if (end is AttemptEnd.Complete) finish(request, key, buffer, sink) else end
+        if (end is AttemptEnd.Complete) {
+            val finish = LedgerFinish(key, request.id.toAttempt(), buffer.toStored())
+            ledger.finish(request.home, finish, request.remainingMs().coerceIn(MIN_FINISH_MS, MAX_FINISH_MS))
+        }
+        return end
     }
 
-    private suspend fun finish(
-        request: ResolvedRequest,
-        key: LedgerKey,
-        buffer: ResponseBuffer,
-        sink: ResponseListener,
-    ): AttemptEnd {
-        val finish = LedgerFinish(key, request.id.toAttempt(), buffer.toStored())
-        ledger.finish(request.home, finish, request.remainingMs().coerceIn(MIN_FINISH_MS, MAX_FINISH_MS))
-        return if (buffer.isOverflown) notStored() else deliver(buffer.head, buffer.body(), sink)
-    }
+    private fun outlasted(): AttemptEnd =
+        AttemptEnd.Failed(RelayError(ErrorKind.DEADLINE_EXCEEDED), AttemptResult.TIMED_OUT, mayHaveRun = true)
 
     private fun answer(reply: LedgerReply, sink: ResponseListener): AttemptEnd = when (reply.decision) {
         Decision.FINISHED -> replay(reply.response, sink)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ResolvedRequest.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ResolvedRequest.kt
@@ -58,10 +58,22 @@
 
     public val isEngine: Boolean get() = service.service.type == Service.Type.ENGINE
 
+    /**
+     * When a run is given up, on the local monotonic clock, in milliseconds.
+     *
+     * A non-idempotent run goes on after the deadline, because a resend can only get its response if it is stored.
+     */
+    public val runUntilMs: Long = if (isIdempotent) deadlineMs else deadlineMs + LATE_RUN_MS
+
     /** Key of the request in the ledger; null for idempotent kinds. */
     public val ledgerKey: LedgerKey? =
         incoming.idempotencyKey?.takeIf { !isIdempotent }?.let { LedgerKey(incoming.caller.name, it) }
 
     /** Records the ledger's grant; a non-idempotent request is sent only after this. */
     internal fun markGranted() = granted.set(true)
+
+    internal companion object {
+        /** How long a non-idempotent run may outlast its deadline; bounds the threads that hanging servers hold. */
+        const val LATE_RUN_MS: Long = 60_000
+    }
 }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RunningAttempt.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RunningAttempt.kt
@@ -1,6 +1,10 @@
 package org.arbutusrelay.daemon.request
 
 import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import org.arbutusrelay.core.routing.AttemptResult
 import org.arbutusrelay.core.routing.PlacedAttempt
@@ -9,6 +13,7 @@
 import org.arbutusrelay.daemon.backend.BackendClient
 import org.arbutusrelay.daemon.backend.BackendRequest
 import org.arbutusrelay.daemon.backend.ResponseListener
+import java.util.concurrent.atomic.AtomicBoolean
 
 /** An attempt that can be run once and cancelled from any thread. */
 public interface RunningAttempt {
@@ -47,12 +52,30 @@
             suspects.started(digest, placed.backendServer, clock.nowMs())
             var end: AttemptEnd? = null
             try {
-                return withContext(threads) { exchange.run(listener) }.also { end = it }
+                return execute(listener).also { end = it }
             } finally {
                 report(end, digest)
             }
         }
 
+        /** Runs the exchange on a thread that only [BackendExchange.cancel] can free; cancellation calls that. */
+        private suspend fun execute(listener: ResponseListener): AttemptEnd = coroutineScope {
+            val isEnded = AtomicBoolean(false)
+            val watcher = launch(start = CoroutineStart.UNDISPATCHED) {
+                try {
+                    awaitCancellation()
+                } finally {
+                    if (!isEnded.get()) exchange.cancel()
+                }
+            }
+            try {
+                withContext(threads) { exchange.run(listener) }
+            } finally {
+                isEnded.set(true)
+                watcher.cancel()
+            }
+        }
+
         private fun report(end: AttemptEnd?, digest: String) = when {
             end.isCrash() -> suspects.crashed(digest, placed.backendServer, clock.nowMs())
             end.isAnswer() -> suspects.finished(digest, placed.backendServer, clock.nowMs())
@@ -70,7 +93,7 @@
             target = request.incoming.target,
             headers = request.incoming.headers,
             body = if (request.isEngine) request.bodyWithPriority() else request.incoming.body,
-            timeoutMs = request.deadlineMs - clock.nowMs(),
+            timeoutMs = request.runUntilMs - clock.nowMs(),
             isIdempotent = request.isIdempotent,
             isEngine = request.isEngine,
             traceParent = traceParent,
--- /dev/null
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/LateRunsTest.kt
@@ -0,0 +1,69 @@
+package org.arbutusrelay.daemon
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
+import org.arbutusrelay.daemon.request.InFlight
+import org.arbutusrelay.daemon.request.LateRuns
+import java.util.concurrent.CountDownLatch
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+/** Guards against responses of non-idempotent runs that are lost because they came after the wait. */
+class LateRunsTest {
+    @Test
+    fun `a response that comes after the wait is stored and a resend gets it`() {
+        val mayRespond = CountDownLatch(1)
+        StandInServer {
+            mayRespond.await()
+            respond(200, "late")
+        }.use { server ->
+            TestDaemon(waitMs = 300).use { daemon ->
+                daemon.announce("b1", "board", server.address)
+                val first = daemon.post()
+                assertEquals(504, first.statusCode(), first.body())
+                assertContains(first.body(), """"outcome":"unknown"""")
+                assertContains(daemon.post().body(), "in_progress")
+                mayRespond.countDown()
+                var resent = daemon.post()
+                while ("in_progress" in resent.body()) resent = daemon.post()
+                assertEquals("late", resent.body())
+            }
+            assertEquals(1, server.received.size)
+        }
+    }
+
+    @Test
+    fun `late runs are bounded and count as in flight`() {
+        val scope = CoroutineScope(Job() + Dispatchers.Default)
+        val inFlight = InFlight(10, RelayClock())
+        val late = LateRuns(scope, inFlight, maxCount = 1)
+        val mayEnd = CompletableDeferred<Unit>()
+        val isCancelled = CompletableDeferred<Unit>()
+        runBlocking {
+            assertNull(late.await(1) { mayEnd.await() })
+            assertEquals(1, inFlight.open)
+            assertFalse(inFlight.awaitIdle(1), "a graceful stop must wait for the late run")
+            val second = late.await(1) {
+                try {
+                    awaitCancellation()
+                } finally {
+                    isCancelled.complete(Unit)
+                }
+            }
+            assertNull(second)
+            isCancelled.await()
+            mayEnd.complete(Unit)
+            assertTrue(inFlight.awaitIdle(10_000))
+        }
+        scope.cancel()
+    }
+}
