Show operators the scheduler's view of backend servers

Cause: GET /v1/backend-servers always gave sentSinceReport 0 and never the states open and ramping.

Change: SchedulerView is a read-only interface of the scheduler. BackendSlots counts what was placed since the last report; the circuit breaker tells whether it is open. An available server is shown as open before ramping.

--- a/core/src/main/kotlin/org/arbutusrelay/core/admission/CircuitBreaker.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/admission/CircuitBreaker.kt
@@ -12,6 +12,9 @@
     private val failures = AtomicInteger()
     private val probeAtMs = AtomicLong(CLOSED)
 
+    /** True while failures keep work away; single probes may still be admitted. */
+    public val isOpen: Boolean get() = probeAtMs.get() != CLOSED
+
     /** Returns true when a request may be placed at [nowMs]; it reserves nothing. */
     public fun isReady(nowMs: Long): Boolean = nowMs >= probeAtMs.get()
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
@@ -41,6 +41,7 @@
     internal val cacheSequence = CacheSequence(this)
 
     private val own = AtomicInteger()
+    private val sentSinceReport = AtomicInteger()
 
     /** Smoothed requests of other hosts. */
     @Volatile
@@ -58,6 +59,7 @@
         state = newer
         val isReport = newer.version != old.version || newer.running != old.running || newer.queued != old.queued
         if (!isReport) return
+        sentSinceReport.set(0)
         val excess = (newer.running + newer.queued - ownInFlight()).toDouble()
         others += (excess - others) * REPORT_WEIGHT
     }
@@ -99,6 +101,7 @@
             own.decrementAndGet()
             return false
         }
+        sentSinceReport.incrementAndGet()
         return true
     }
 
@@ -111,9 +114,14 @@
         if (!own.compareAndSet(0, ISOLATED)) return false
         dropClaim(id)
         breaker.tryAdmit(nowMs)
+        sentSinceReport.incrementAndGet()
         return true
     }
 
+    /** Returns what operators may see at [nowMs]. */
+    public fun view(nowMs: Long): ScheduledServer =
+        ScheduledServer(sentSinceReport.get().toLong(), breaker.isOpen, ramp.sharePermille(nowMs) < PERMILLE)
+
     /** Frees a slot. */
     public fun release() {
         own.updateAndGet { if (it == ISOLATED) 0 else it - 1 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -24,7 +24,8 @@
     private val settings: SchedulerSettings = SchedulerSettings(),
     private val serverChoice: ServerChoice = FinishChoice(),
     regionChoice: RegionChoice = FinishRegionChoice(),
-) : RequestScheduler {
+) : RequestScheduler,
+    SchedulerView {
     private val snapshot = AtomicReference(SchedulerSnapshot.EMPTY)
     private val latestMs = AtomicLong()
     private val times = ConcurrentHashMap<String, ServiceTimes>()
@@ -109,6 +110,9 @@
         snapshot.get().slotsByName[backendServer]?.cacheSequence?.apply(events)
     }
 
+    override fun viewOf(name: String, nowMs: Long): ScheduledServer? =
+        snapshot.get().slotsByName[name]?.view(nowMs)
+
     override fun loadPermille(): Long {
         val services = snapshot.get().services.values
         val capacity = services.sumOf { it.capacity }
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/DefaultRequestSchedulerTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/DefaultRequestSchedulerTest.kt
@@ -63,6 +63,21 @@
         assertEquals("DEADLINE_UNREACHABLE", placed(4, 600) { it.copy(allowedRegions = listOf("hue")) })
     }
 
+    @Test
+    fun `the view tells what was sent since the report and why a server gets less`() {
+        scheduler.updateTable(table(server("a")))
+        assertNull(scheduler.viewOf("b", 0))
+        repeat(5) { number ->
+            val attempt = assertIs<Placement.Run>(scheduler.submit(request(number + 1L), 0)).attempt
+            assertEquals(ScheduledServer(number + 1L, isOpen = false, isRamping = false), scheduler.viewOf("a", 0))
+            scheduler.complete(attempt, AttemptResult.SERVER_ERROR, 0)
+        }
+        assertEquals(ScheduledServer(5, isOpen = true, isRamping = false), scheduler.viewOf("a", 0))
+        scheduler.updateTable(table(server("a", running = 1), server("new")))
+        assertEquals(0, scheduler.viewOf("a", 0)?.sentSinceReport, "a report starts a new count")
+        assertEquals(ScheduledServer(0, isOpen = false, isRamping = true), scheduler.viewOf("new", 0))
+    }
+
     @Test
     fun `a completed attempt places the earliest waiting deadline`() {
         scheduler.updateTable(table(server("a", capacity = 1)))
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.LogManager
 import org.arbutusrelay.core.invariant.Invariants
 import org.arbutusrelay.core.routing.RequestScheduler
+import org.arbutusrelay.core.routing.SchedulerView
 import org.arbutusrelay.daemon.backend.BackendClient
 import org.arbutusrelay.daemon.http.BackendServerRoutes
 import org.arbutusrelay.daemon.http.CallerRoutes
@@ -52,6 +53,7 @@
     public val suspects: SuspectTracker,
     /** Called at a graceful shutdown once no request is in flight: hands over leadership and syncs files. */
     public val onDrained: suspend () -> Unit = {},
+    public val schedulerView: SchedulerView = SchedulerView { _, _ -> null },
 )
 
 /** One process of the system: accepts requests and serves them. */
@@ -159,7 +161,15 @@
             scope, threads, clock, timeoutMs,
         )
         val operators =
-            OperatorRoutes(settings.operatorToken, parts.manifests, parts.membership, scope, clock, timeoutMs)
+            OperatorRoutes(
+                settings.operatorToken,
+                parts.manifests,
+                parts.membership,
+                scope,
+                parts.schedulerView,
+                clock,
+                timeoutMs,
+            )
         val backends =
             BackendServerRoutes(settings.backendServerToken, parts.membership, parts.scheduler, clock, timeoutMs)
         val health = HealthRoutes(settings.operatorToken, metrics) { isReady }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/OperatorRoutes.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/OperatorRoutes.kt
@@ -6,6 +6,8 @@
 import kotlinx.coroutines.future.future
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.core.routing.ScheduledServer
+import org.arbutusrelay.core.routing.SchedulerView
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.manifest.ManifestService
 import org.arbutusrelay.daemon.membership.MembershipService
@@ -22,7 +24,8 @@
     private val manifests: ManifestService,
     private val membership: MembershipService,
     private val scope: CoroutineScope,
-    clock: RelayClock,
+    private val scheduler: SchedulerView,
+    private val clock: RelayClock,
     receiveTimeoutMs: Long,
 ) : RouteGroup {
     private val bodies = BodyReader(clock, receiveTimeoutMs, MAX_READERS)
@@ -71,13 +74,18 @@
 
     private fun sendBackendServers(ctx: Context) {
         val available = membership.availableBackendServers().map { it.name }.toSet()
-        val views = membership.backendServers().map { it.toView(it.name in available) }
+        val views = membership.backendServers().map {
+            it.toView(it.name in available, scheduler.viewOf(it.name, clock.nowMs()))
+        }
         ctx.sendJson(BackendServerList.serializer(), BackendServerList(views))
     }
 
-    private fun BackendServerState.toView(isAvailable: Boolean) = BackendServerView(
-        name, service, region, availabilityZone, address, incarnation, capacity, running, queued, 0,
+    private fun BackendServerState.toView(isAvailable: Boolean, scheduled: ScheduledServer?) = BackendServerView(
+        name, service, region, availabilityZone, address, incarnation, capacity, running, queued,
+        scheduled?.sentSinceReport ?: 0,
         when {
+            isAvailable && scheduled?.isOpen == true -> BackendServerView.State.OPEN
+            isAvailable && scheduled?.isRamping == true -> BackendServerView.State.RAMPING
             isAvailable -> BackendServerView.State.AVAILABLE
             isLeaving -> BackendServerView.State.LEAVING
             else -> BackendServerView.State.LAPSED
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
@@ -130,7 +130,7 @@
             nowMs = clock::nowMs,
         )
         val scheduler = DefaultRequestScheduler({ manifests.current?.caller(it) }, invariants)
-        val parts = DaemonParts(manifests, membership, ledger, network, scheduler, suspects, ::drained)
+        val parts = DaemonParts(manifests, membership, ledger, network, scheduler, suspects, ::drained, scheduler)
         val daemon = Daemon(settings, parts, invariants, clock, metrics)
         return Running(linkPort, daemon, membership, manifests, ledger, ledgerService, suspects, scheduler)
     }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/TestDaemon.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/TestDaemon.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.runBlocking
 import org.arbutusrelay.core.invariant.Invariants
 import org.arbutusrelay.core.routing.RequestScheduler
+import org.arbutusrelay.core.routing.SchedulerView
 import org.arbutusrelay.daemon.ledger.LedgerClient
 import org.arbutusrelay.daemon.ledger.LocalLedgerClient
 import org.arbutusrelay.daemon.link.HostIdentity
@@ -83,6 +84,7 @@
     maxInFlight: Long = 64,
     isPublished: Boolean = true,
     tracing: Tracing = Tracing(self.hostName),
+    view: SchedulerView = SchedulerView { _, _ -> null },
 ) : AutoCloseable {
     private val clock = RelayClock()
     val manifests = LocalManifestService(self.hostName, self.region) { manifest(waitMs, it.toLong()).right() }
@@ -98,7 +100,7 @@
             operatorToken = "operator", backendServerToken = "backend", manifestVoters = emptyList(),
             ledgerVoters = emptyList(), slowSenderTimeoutMs = slowSenderTimeoutMs, maxInFlight = maxInFlight,
         ),
-        DaemonParts(manifests, membership, ledger, network, scheduler, LocalSuspectTracker()),
+        DaemonParts(manifests, membership, ledger, network, scheduler, LocalSuspectTracker(), schedulerView = view),
         Invariants(),
         clock,
         tracing = tracing,
