--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/Daemon.kt
@@ -11,6 +11,7 @@
 import org.apache.logging.log4j.LogManager
 import org.arbutusrelay.core.invariant.Invariants
 import org.arbutusrelay.core.routing.RequestScheduler
+import org.arbutusrelay.core.routing.SchedulerView
 import org.arbutusrelay.daemon.backend.BackendClient
 import org.arbutusrelay.daemon.http.BackendServerRoutes
 import org.arbutusrelay.daemon.http.CallerRoutes
@@ -29,6 +30,7 @@
 import org.arbutusrelay.daemon.request.ForwardResponses
 import org.arbutusrelay.daemon.request.ForwardServer
 import org.arbutusrelay.daemon.request.InFlight
+import org.arbutusrelay.daemon.request.LateRuns
 import org.arbutusrelay.daemon.request.LedgerGate
 import org.arbutusrelay.daemon.request.ManifestRenewal
 import org.arbutusrelay.daemon.request.PlacementQueue
@@ -52,6 +54,7 @@
     public val suspects: SuspectTracker,
     /** Called at a graceful shutdown once no request is in flight: hands over leadership and syncs files. */
     public val onDrained: suspend () -> Unit = {},
+    public val schedulerView: SchedulerView = SchedulerView { _, _ -> null },
 )
 
 /** One process of the system: accepts requests and serves them. */
@@ -149,7 +152,8 @@
             invariants,
             ManifestRenewal(parts.manifests),
         )
-        return RequestPipeline(attempts, LedgerGate(parts.ledger, clock, metrics), parts.suspects, clock, metrics)
+        val gate = LedgerGate(parts.ledger, clock, metrics, LateRuns(scope, inFlight))
+        return RequestPipeline(attempts, gate, parts.suspects, clock, metrics)
     }
 
     private fun httpServer(): HttpServer {
@@ -159,7 +163,15 @@
             scope, threads, clock, timeoutMs,
         )
         val operators =
-            OperatorRoutes(settings.operatorToken, parts.manifests, parts.membership, scope, clock, timeoutMs)
+            OperatorRoutes(
+                settings.operatorToken,
+                parts.manifests,
+                parts.membership,
+                scope,
+                parts.schedulerView,
+                clock,
+                timeoutMs,
+            )
         val backends =
             BackendServerRoutes(settings.backendServerToken, parts.membership, parts.scheduler, clock, timeoutMs)
         val health = HealthRoutes(settings.operatorToken, metrics) { isReady }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/LedgerGate.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/LedgerGate.kt
@@ -1,6 +1,9 @@
 package org.arbutusrelay.daemon.request
 
+import arrow.core.Either
 import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.routing.AttemptResult
@@ -24,12 +27,14 @@
  * Runs a non-idempotent request only under a grant of the ledger, and repeats stored responses.
  *
  * The grant is requested before the request is placed, so that a resend gets its stored response even when the system
- * takes no new work. The response is delivered after `finish` has been committed or has timed out.
+ * takes no new work. The response is delivered after `finish` has been committed or has timed out. A run that outlasts
+ * the wait goes on, and its response is stored for a resend.
  */
 public class LedgerGate(
     private val ledger: LedgerClient,
     private val clock: RelayClock,
     private val metrics: RelayMetrics,
+    private val lateRuns: LateRuns,
 ) {
     /** Runs [request] through [attempt] when its key is granted, and passes the response to [sink]. */
     public suspend fun run(
@@ -38,22 +43,58 @@
         sink: ResponseListener,
         attempt: suspend (ResponseListener) -> AttemptEnd,
     ): AttemptEnd {
-        repeat(MAX_GRANTS) {
-            val startMs = clock.nowMs()
-            val grant = LedgerGrant(key, request.id.toAttempt(), request.profile.digest, request.remainingMs())
-            val reply = ledger.grant(request.home, grant)
-            metrics.recordStage(Stage.GRANT, clock.nowMs() - startMs)
-            val decided = reply.fold({ return notRun(it) }, { it })
-            if (decided.decision == Decision.GRANTED) return runGranted(request, key, sink, attempt)
-            val ended = if (decided.decision == Decision.IN_PROGRESS) awaitEnd(request, key) else decided
-            if (ended.decision != Decision.RELEASED && ended.decision != Decision.ABSENT) return answer(ended, sink)
+        val decided = awaitDecision(request, key).getOrElse { return notRun(it) }
+        return if (decided.decision == Decision.GRANTED) {
+            runGranted(request, key, sink, attempt)
+        } else {
+            answer(decided, sink)
+        }
+    }
+
+    /**
+     * Returns the decision of the ledger; `in_progress` only when the other attempt outlasts the wait.
+     *
+     * The end of another attempt only leads to a new grant request: by then the key may belong to another body, and
+     * only a grant request compares the digest.
+     */
+    private suspend fun awaitDecision(request: ResolvedRequest, key: LedgerKey): Either<RelayError, LedgerReply> {
+        var isOtherKnown = false
+        var isGranted = false
+        try {
+            repeat(MAX_GRANTS) {
+                val reply = grant(request, key).getOrElse { return if (isOtherKnown) afterOther(it) else it.left() }
+                isGranted = reply.decision == Decision.GRANTED
+                if (reply.decision != Decision.IN_PROGRESS) return reply.right()
+                isOtherKnown = true
+                if (!awaitEnd(request, key)) return reply.right()
+            }
+            return LedgerReply(0, Decision.IN_PROGRESS).right()
+        } finally {
+            // A repeated grant request may still arrive after the other attempt was released, and would be granted.
+            if (isOtherKnown && !isGranted) {
+                ledger.release(request.home, LedgerRelease(key, request.id.toAttempt()))
+            }
         }
-        return failed(ErrorKind.IN_PROGRESS)
     }
 
-    private suspend fun awaitEnd(request: ResolvedRequest, key: LedgerKey): LedgerReply =
+    /** The other attempt of the key may have run, so that only another body may still be reported as not run. */
+    private fun afterOther(error: RelayError): Either<RelayError, LedgerReply> =
+        if (error.kind == ErrorKind.IDEMPOTENCY_KEY_REUSED) {
+            error.left()
+        } else {
+            LedgerReply(0, Decision.IN_PROGRESS).right()
+        }
+
+    private suspend fun grant(request: ResolvedRequest, key: LedgerKey): Either<RelayError, LedgerReply> {
+        val startMs = clock.nowMs()
+        val service = request.service.service.name
+        val grant = LedgerGrant(key, request.id.toAttempt(), request.profile.digest, request.remainingMs(), service)
+        return ledger.grant(request.home, grant).also { metrics.recordStage(Stage.GRANT, clock.nowMs() - startMs) }
+    }
+
+    private suspend fun awaitEnd(request: ResolvedRequest, key: LedgerKey): Boolean =
         ledger.awaitEnd(request.home, key, request.remainingMs())
-            .getOrElse { LedgerReply(0, Decision.IN_PROGRESS) }
+            .fold({ false }, { it.decision != Decision.IN_PROGRESS })
 
     private suspend fun runGranted(
         request: ResolvedRequest,
@@ -63,6 +104,23 @@
     ): AttemptEnd {
         request.markGranted()
         val buffer = ResponseBuffer()
+        val waitMs = request.remainingMs() + MIN_FINISH_MS
+        val end = lateRuns.await(waitMs) { runAndRecord(request, key, buffer, attempt) }
+        return when {
+            end == null -> outlasted()
+            end !is AttemptEnd.Complete -> end
+            buffer.isOverflown -> notStored()
+            else -> deliver(buffer.head, buffer.body(), sink)
+        }
+    }
+
+    /** Runs the request and tells the ledger how it ended, which may be after the caller was answered. */
+    private suspend fun runAndRecord(
+        request: ResolvedRequest,
+        key: LedgerKey,
+        buffer: ResponseBuffer,
+        attempt: suspend (ResponseListener) -> AttemptEnd,
+    ): AttemptEnd {
         var end: AttemptEnd? = null
         try {
             end = attempt(buffer)
@@ -77,19 +135,15 @@
                 else -> ledger.settle(request.home, key, request.id.toAttempt())
             }
         }
-        return if (end is AttemptEnd.Complete) finish(request, key, buffer, sink) else end
+        if (end is AttemptEnd.Complete) {
+            val finish = LedgerFinish(key, request.id.toAttempt(), buffer.toStored())
+            ledger.finish(request.home, finish, request.remainingMs().coerceIn(MIN_FINISH_MS, MAX_FINISH_MS))
+        }
+        return end
     }
 
-    private suspend fun finish(
-        request: ResolvedRequest,
-        key: LedgerKey,
-        buffer: ResponseBuffer,
-        sink: ResponseListener,
-    ): AttemptEnd {
-        val finish = LedgerFinish(key, request.id.toAttempt(), buffer.toStored())
-        ledger.finish(request.home, finish, request.remainingMs().coerceIn(MIN_FINISH_MS, MAX_FINISH_MS))
-        return if (buffer.isOverflown) notStored() else deliver(buffer.head, buffer.body(), sink)
-    }
+    private fun outlasted(): AttemptEnd =
+        AttemptEnd.Failed(RelayError(ErrorKind.DEADLINE_EXCEEDED), AttemptResult.TIMED_OUT, mayHaveRun = true)
 
     private fun answer(reply: LedgerReply, sink: ResponseListener): AttemptEnd = when (reply.decision) {
         Decision.FINISHED -> replay(reply.response, sink)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ResolvedRequest.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/ResolvedRequest.kt
@@ -63,6 +63,13 @@
     public var manifestNumber: Long = manifestNumber
         private set
 
+    /**
+     * When a run is given up, on the local monotonic clock, in milliseconds.
+     *
+     * A non-idempotent run goes on after the deadline, because a resend can only get its response if it is stored.
+     */
+    public val runUntilMs: Long = if (isIdempotent) deadlineMs else deadlineMs + LATE_RUN_MS
+
     /** Key of the request in the ledger; null for idempotent kinds. */
     public val ledgerKey: LedgerKey? =
         incoming.idempotencyKey?.takeIf { !isIdempotent }?.let { LedgerKey(incoming.caller.name, it) }
@@ -74,4 +81,9 @@
     internal fun renewManifest(number: Long) {
         manifestNumber = number
     }
+
+    internal companion object {
+        /** How long a non-idempotent run may outlast its deadline; bounds the threads that hanging servers hold. */
+        const val LATE_RUN_MS: Long = 60_000
+    }
 }
