Remove a lost voter from a group of two by statement

Cause: when one of two state hosts loses its disk, the survivor has no majority to remove the lost voter, and the ledger group stays stopped for ever.

Change: the setting lostReplicas names a group, the survivor's term and the identity of the lost replica. The survivor checks it once, 10 s after its start. It refuses unless the term is its own, the voters are exactly the two, that set is committed, and the lost voter has been silent for 10 s. It then votes for itself in a new term and appends the voter change, so a statement applies at most once. Results are logged and counted (arbutus.lost.voters.removed and arbutus.lost.voters.refused). Settings that name any other group stop the start.

Conclusion: a group of two goes on after the loss of one disk when the procedure is followed.

--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusConfig.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusConfig.kt
@@ -29,6 +29,11 @@
     val trailingEntries: Int = 1_000,
     /** A learner becomes a voter only if it is at most this many entries behind. */
     val catchUpEntries: Int = 64,
+    /**
+     * How long a voter must be silent before it may be removed as lost. A running voter that reaches this one sends
+     * heartbeats or pre-votes at least once in [electionTimeoutMaxMs]; the leader lease is far shorter.
+     */
+    val recoveryQuietMs: Long = 10_000,
     /** Size of an encoded command in bytes. */
     val commandBytes: (ReplicatedCommand) -> Int = { 256 },
 ) {
@@ -38,6 +43,7 @@
             "leaseMs must be shorter than electionTimeoutMinMs by more than the clock drift"
         }
         require(electionTimeoutMinMs < electionTimeoutMaxMs) { "the election timeout needs a range" }
+        require(recoveryQuietMs >= 2 * electionTimeoutMaxMs) { "recoveryQuietMs must exceed two election timeouts" }
         require(maxBatchEntries > 0 && maxInFlight > 0 && snapshotChunkBytes > 0) { "bounds must be positive" }
     }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusEffect.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusEffect.kt
@@ -34,6 +34,9 @@
     /** The role, the term or the known leader changed. */
     public data class RoleChange(val role: ConsensusRole, val term: Long, val leader: String?) : ConsensusEffect
 
+    /** Result of [ConsensusEvent.RemoveLostVoter]: null when the voter was removed. */
+    public data class Recovered(val lost: LostVoter, val refusal: RecoveryRefusal?) : ConsensusEffect
+
     /** Result of [ConsensusEvent.Propose]: the index of the first entry and its term, or a refusal. */
     public data class Proposed(val firstIndex: Long, val term: Long, val refusal: ProposalRefusal?) : ConsensusEffect
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusEvent.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusEvent.kt
@@ -23,6 +23,9 @@
     /** Hands leadership to [target], or to the voter with the longest log. */
     public data class TransferLeadership(val target: String? = null) : ConsensusEvent
 
+    /** Removes a lost voter from a group of two, once. Answered by one [ConsensusEffect.Recovered]. */
+    public data class RemoveLostVoter(val lost: LostVoter) : ConsensusEvent
+
     /** Replaces the replicas that receive the log without a vote. */
     public data class SetLearners(val learners: Set<String>) : ConsensusEvent
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusNode.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusNode.kt
@@ -32,6 +32,7 @@
         replication.startTerm()
     }
     private val following = Following(state)
+    private val recovery = MajorityRecovery(state)
 
     public val role: ConsensusRole get() = state.role
     public val term: Long get() = state.term
@@ -65,11 +66,20 @@
         state.nowMs = maxOf(state.nowMs, nowMs)
         when (event) {
             is ConsensusEvent.Tick -> onTick()
+
             is ConsensusEvent.Receive -> onMessage(event.message)
+
             is ConsensusEvent.Propose -> onPropose(event.commands)
+
             is ConsensusEvent.Persisted -> onPersisted(event.id)
+
             is ConsensusEvent.SnapshotTaken -> onSnapshotTaken(event)
+
             is ConsensusEvent.TransferLeadership -> transfer.start(event.target)
+
+            is ConsensusEvent.RemoveLostVoter ->
+                state.outbox.emit(ConsensusEffect.Recovered(event.lost, recovery.remove(event.lost)))
+
             is ConsensusEvent.SetLearners -> replication.learners = event.learners
         }
         return state.outbox.flush(state.log.lastIndex)
@@ -83,6 +93,7 @@
 
     private fun onMessage(message: ConsensusMessage) {
         if (message.group != config.group || message.to != config.self) return
+        recovery.onMessage(message.from)
         message.voteRequest?.let { election.onVoteRequest(message, it) }
         message.voteReply?.let { election.onVoteReply(message, it) }
         message.appendRequest?.let { following.onAppendRequest(message, it) }
--- a/core/src/test/kotlin/org/arbutusrelay/core/consensus/ConsensusSimulation.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/consensus/ConsensusSimulation.kt
@@ -108,7 +108,7 @@
 
             is ConsensusEffect.RoleChange -> note("${host.identity} is $effect")
 
-            is ConsensusEffect.Proposed -> Unit
+            is ConsensusEffect.Proposed, is ConsensusEffect.Recovered -> Unit
         }
     }
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
@@ -33,6 +33,7 @@
     private val status: MutableStateFlow<ReplicaStatus>,
     private val nowMs: () -> Long,
     private val onApplied: (Long, R) -> Unit,
+    private val recovery: LostVoterRemoval,
 ) : FrameReceiver {
     private val queue = Channel<Input<R>>(options.queueLength)
 
@@ -174,6 +175,8 @@
 
             is ConsensusEffect.RoleChange -> if (effect.role != ConsensusRole.LEADER) pending.failAll(unknown())
 
+            is ConsensusEffect.Recovered -> recovery.onResult(effect)
+
             is ConsensusEffect.Proposed -> onProposed(effect)
         }
     }
@@ -207,6 +210,7 @@
         val now = nowMs()
         if (now < nextMaintenanceMs) return
         nextMaintenanceMs = now + MAINTENANCE_MS
+        recovery.due(now)?.let { step(ConsensusEvent.RemoveLostVoter(it)) }
         if (node.role == ConsensusRole.LEADER) return repairVoters(now)
         if (node.config.self in node.voters) return
         for (host in otherHosts) {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -69,6 +69,7 @@
     private val onError = CoroutineExceptionHandler { _, error -> status.update { it.copy(failure = "$error") } }
     private val scope = CoroutineScope(SupervisorJob() + onError)
     private var driver: ReplicaDriver<R>? = null
+    private var removal: LostVoterRemoval? = null
     private var jobs: List<Job> = emptyList()
 
     override val leaderName: String? get() = status.value.leader?.let(ReplicaAddress::hostOf)
@@ -80,13 +81,28 @@
     /** Why this replica has stopped by itself, or null. */
     public val failure: String? get() = status.value.failure
 
+    /** Lost voters that this process removed. */
+    public val removedLostVoters: Long get() = removal?.removedCount ?: 0
+
+    /** Statements about a lost voter that this process refused. */
+    public val refusedLostVoters: Long get() = removal?.refusedCount ?: 0
+
+    init {
+        require(options.lostVoter == null || stateHosts.size == 2) {
+            "$name: a lost voter can be removed only from a group of two state hosts"
+        }
+    }
+
     /** Loads or creates the replica and starts it. Called once. */
     public fun start(): Either<StorageError, Unit> = loadOrCreate().map { replica ->
         val config = configure(ConsensusConfig(name, replica.identity, commandBytes = ::encodedBytes))
         val node = ConsensusNode(config, replica.state, Random(random.nextLong()), nowMs(), invariants)
         if (replica.state.snapshot.lastIndex > 0) stateMachine.restore(replica.state.snapshot.state)
         val repair = ReplicaRepair(stateHosts, options.maxVoters)
-        val started = ReplicaDriver(node, storage, stateMachine, network, repair, options, status, ::nowMs, ::notify)
+        val recovery = LostVoterRemoval(node, options.lostVoter, nowMs())
+        removal = recovery
+        val started =
+            ReplicaDriver(node, storage, stateMachine, network, repair, options, status, ::nowMs, ::notify, recovery)
         driver = started
         network.addReceiver(started)
         jobs = listOf(
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupOptions.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupOptions.kt
@@ -1,5 +1,6 @@
 package org.arbutusrelay.daemon.consensus
 
+import org.arbutusrelay.core.consensus.LostVoter
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.Outcome
 
@@ -17,6 +18,8 @@
     val maxVoters: Int = 7,
     /** How long a stop waits for another voter to take over. */
     val transferWaitMs: Long = 3_000,
+    /** A voter that is lost for good and to be removed once; needs a group of two state hosts. */
+    val lostVoter: LostVoter? = null,
     /** Reported when nothing was appended because this replica does not lead. */
     val unavailableKind: ErrorKind = ErrorKind.LEDGER_UNAVAILABLE,
     /** Reported when the command may or may not be committed. */
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
@@ -73,13 +73,14 @@
 
     /** Opens the ports, loads the replicated state and starts all parts. */
     public suspend fun start(): Either<StartError, Unit> {
-        dataFolder?.let { folder -> folderError(folder)?.let { return fail("dataFolder", it) } }
+        settingsError()?.let { return fail(it.key, it.message) }
         val linkPort = try {
             network.listen(settings.bindAddress, settings.linkPort)
         } catch (e: IOException) {
             return fail("linkPort", "${settings.bindAddress}:${settings.linkPort}: ${e.message}")
         }
         state?.start()?.leftOrNull()?.let { return fail("dataFolder", it.toString()) }
+        state?.let(::registerGauges)
         val started = connect(linkPort)
         running = started
         try {
@@ -102,12 +103,21 @@
         orderClient.close()
     }
 
+    private fun registerGauges(state: ReplicatedState) {
+        val groups = listOfNotNull(state.manifestGroup, state.ledgerGroup)
+        metrics.gauge("arbutus.lost.voters.removed") { groups.sumOf { it.removedLostVoters } }
+        metrics.gauge("arbutus.lost.voters.refused") { groups.sumOf { it.refusedLostVoters } }
+    }
+
     private suspend fun fail(key: String, message: String): Either<StartError, Unit> {
         state?.stop()
         close()
         return StartError(key, message).left()
     }
 
+    private fun settingsError(): StartError? = dataFolder?.let(::folderError)?.let { StartError("dataFolder", it) }
+        ?: state?.lostReplicaError()?.let { StartError("lostReplicas", it) }
+
     private fun folderError(folder: Path): String? = try {
         Files.createDirectories(folder)
         if (Files.isWritable(folder)) null else "$folder is not writable"
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/ReplicatedState.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/ReplicatedState.kt
@@ -4,6 +4,7 @@
 import arrow.core.flatMap
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import org.arbutusrelay.core.consensus.LostVoter
 import org.arbutusrelay.core.consensus.StateMachine
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.invariant.Invariants
@@ -45,6 +46,16 @@
 
     private val groups = listOfNotNull(manifestGroup, ledgerGroup)
 
+    /** Returns why the settings name a lost replica that cannot be removed, or null. */
+    fun lostReplicaError(): String? {
+        val removable = listOfNotNull(
+            "ledger/${settings.region}".takeIf { settings.ledgerVoters.size == 2 },
+            "manifest".takeIf { manifestGroup != null && settings.manifestVoters.size == 2 },
+        )
+        val bad = settings.lostReplicas.firstOrNull { it.group !in removable } ?: return null
+        return "${bad.group} is no group of two voters that includes this host"
+    }
+
     /** Loads all replicas and starts them. */
     fun start(): Either<StorageError, Unit> = groups.fold(Either.Right(Unit) as Either<StorageError, Unit>) {
             started,
@@ -56,6 +67,9 @@
     /** Hands over leadership, syncs and closes the files. */
     suspend fun stop(): Unit = coroutineScope { groups.forEach { launch { it.stop() } } }
 
+    private fun lostVoter(group: String): LostVoter? =
+        settings.lostReplicas.find { it.group == group }?.let { LostVoter(it.identity, it.term) }
+
     private fun <R> group(
         name: String,
         folder: Path,
@@ -70,7 +84,7 @@
         stateHosts = voters.toSet(),
         random = SecureRandom().asKotlinRandom(),
         foundingVoters = voters.takeIf { settings.isFounding },
-        options = options,
+        options = options.copy(lostVoter = lostVoter(name).takeIf { voters.size == 2 }),
         invariants = invariants,
     )
 
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupTest.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.test.StandardTestDispatcher
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
+import org.arbutusrelay.core.consensus.LostVoter
 import org.arbutusrelay.core.consensus.StateMachine
 import org.arbutusrelay.core.error.Outcome
 import org.arbutusrelay.daemon.link.FrameReceiver
@@ -77,6 +78,33 @@
         (groups - lost + joined).forEach { it.stop() }
     }
 
+    /** Guards against a group of two that stays stopped after a disk loss, and against a statement applied twice. */
+    @Test
+    fun `a lost voter of two is removed once and its host is added again`() = runTest {
+        val two = listOf("a", "b")
+        val storage = MemoryConsensusStorage()
+        val first = listOf(start("a", storage, two, two), start("b", MemoryConsensusStorage(), two, two))
+        val leader = awaitLeader(first)
+        (1L..50L).forEach { leader.propose(command(it)) }
+        first.reversed().forEach { it.stop() }
+        val lost = LostVoter("b", first[0].term)
+        val survivor = start("a", storage, null, two, lost)
+        val replacement = start("b", MemoryConsensusStorage(), null, two)
+        delay(8_000)
+        assertEquals(0, survivor.removedLostVoters)
+        delay(12_000)
+        assertEquals(1, survivor.removedLostVoters)
+        assertEquals(listOf("a", "b#"), survivor.voters.map { it.take(2) })
+        assertNotNull(survivor.propose(command(51)).getOrNull())
+        assertEquals(51L * 52 / 2, machines.getValue("a").sum)
+        survivor.stop()
+        val again = start("a", storage, null, two, lost)
+        delay(20_000)
+        assertEquals(listOf(0L, 1L), listOf(again.removedLostVoters, again.refusedLostVoters))
+        assertEquals(2, again.voters.size)
+        listOf(again, replacement).forEach { it.stop() }
+    }
+
     /** Guards against proposals that wait forever after the state machine failed. */
     @Test
     fun `a failing state machine stops the replica and ends proposals as unknown`() = runTest {
@@ -91,7 +119,13 @@
 
     private fun ReplicaGroup<Long>.name(groups: List<ReplicaGroup<Long>>) = names[groups.indexOf(this)]
 
-    private fun TestScope.start(host: String, storage: ConsensusStorage, founding: List<String>?): ReplicaGroup<Long> {
+    private fun TestScope.start(
+        host: String,
+        storage: ConsensusStorage,
+        founding: List<String>?,
+        stateHosts: List<String> = names,
+        lost: LostVoter? = null,
+    ): ReplicaGroup<Long> {
         val dispatcher = StandardTestDispatcher(testScheduler)
         networks[host] = FakeNetwork(host, networks)
         machines[host] = SumMachine()
@@ -100,11 +134,11 @@
             storage = storage,
             stateMachine = machines.getValue(host),
             network = networks.getValue(host),
-            stateHosts = names.toSet(),
+            stateHosts = stateHosts.toSet(),
             random = Random(host.hashCode()),
             foundingVoters = founding,
             timeSource = testScheduler.timeSource,
-            options = ReplicaGroupOptions(snapshotEntries = 20),
+            options = ReplicaGroupOptions(snapshotEntries = 20, lostVoter = lost),
             decisionDispatcher = dispatcher,
             syncDispatcher = dispatcher,
             configure = { it.copy(trailingEntries = 5) },
