--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
@@ -78,6 +78,7 @@
         findError()?.let { return fail(it) }
         val linkPort = openLinkPort().fold({ return fail(it) }, { it })
         state?.start()?.onLeft { return fail(StartChecks.of(it)) }
+        state?.let(::registerGauges)
         val started = connect(linkPort)
         running = started
         try {
@@ -101,9 +102,16 @@
         orderClient.close()
     }
 
+    private fun registerGauges(state: ReplicatedState) {
+        val groups = listOfNotNull(state.manifestGroup, state.ledgerGroup)
+        metrics.gauge("arbutus.lost.voters.removed") { groups.sumOf { it.removedLostVoters } }
+        metrics.gauge("arbutus.lost.voters.refused") { groups.sumOf { it.refusedLostVoters } }
+    }
+
     private fun findError(): StartError? = StartChecks.settingsError(settings)
         ?: dataFolder?.let(StartChecks::folderError)
         ?: manifestStore?.let(StartChecks::manifestError)
+        ?: state?.lostReplicaError()?.let { StartError("lostReplicas", it) }
 
     private suspend fun openLinkPort(): Either<StartError, Int> = try {
         network.listen(settings.bindAddress, settings.linkPort).right()
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/LedgerGate.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/LedgerGate.kt
@@ -88,7 +88,8 @@
     private suspend fun grant(request: ResolvedRequest, key: LedgerKey): Either<RelayError, LedgerReply> {
         val startMs = clock.nowMs()
         val service = request.service.service.name
-        val grant = LedgerGrant(key, request.id.toAttempt(), request.profile.digest, request.remainingMs(), service)
+        val grant =
+            LedgerGrant(key, request.id.toAttempt(), request.profile.digest, request.remainingMs(), service = service)
         return ledger.grant(request.home, grant).also { metrics.recordStage(Stage.GRANT, clock.nowMs() - startMs) }
     }
 
