--- a/samples/src/main/kotlin/org/arbutusrelay/samples/HostFaults.kt
+++ b/samples/src/main/kotlin/org/arbutusrelay/samples/HostFaults.kt
@@ -15,6 +15,17 @@
         record.count(SiteFault.STATE_HOST_ENDED)
     }
 
+    /** Replaces the disk of a state host in a region that keeps a majority without it. */
+    fun loseDisk() {
+        val regions = site.sample.hosts.filter { it.dataFolder != null }.groupBy { it.region }
+        val candidates = regions.values.filter { it.size >= SAFE_VOTERS }.flatten().filter { it.hostName != stopped }
+        val host = candidates.random(random).hostName
+        site.hosts.end(host)
+        site.hosts.deleteData(host)
+        record.count(SiteFault.DISK_LOST)
+        startAgain(host)
+    }
+
     fun endDisklessHost() {
         restart(site.sample.hosts.filter { it.dataFolder == null }.random(random).hostName)
         record.count(SiteFault.DISKLESS_HOST_ENDED)
@@ -40,5 +51,6 @@
     private companion object {
         private const val MIN_DOWN_MS = 500L
         private const val MAX_DOWN_MS = 2_500L
+        private const val SAFE_VOTERS = 3
     }
 }
--- a/samples/src/main/kotlin/org/arbutusrelay/samples/SiteBackends.kt
+++ b/samples/src/main/kotlin/org/arbutusrelay/samples/SiteBackends.kt
@@ -74,6 +74,8 @@
         engines += engine
     }
 
+    // Keeps the lock until the restart, so that an announcement to leave is not followed by one of the new incarnation.
+    @Synchronized
     private fun crashAndRestart() {
         requestCrashes.incrementAndGet()
         crash()
--- a/samples/src/main/kotlin/org/arbutusrelay/samples/SiteFault.kt
+++ b/samples/src/main/kotlin/org/arbutusrelay/samples/SiteFault.kt
@@ -5,6 +5,9 @@
     /** A state host is ended at once and restarted with its disk. */
     STATE_HOST_ENDED,
 
+    /** A state host is ended at once, loses its disk and starts again with an empty one. */
+    DISK_LOST,
+
     /** A host without a disk is ended at once and restarted. */
     DISKLESS_HOST_ENDED,
 
--- a/samples/src/main/kotlin/org/arbutusrelay/samples/SiteHosts.kt
+++ b/samples/src/main/kotlin/org/arbutusrelay/samples/SiteHosts.kt
@@ -35,6 +35,12 @@
         running.remove(hostName)?.close()
     }
 
+    /** Deletes the data folder of a host that does not run. */
+    fun deleteData(hostName: String) {
+        check(hostName !in names) { "$hostName is running" }
+        data.resolve(hostName).toFile().deleteRecursively()
+    }
+
     /** Stops a host gracefully; returns false when it interrupted requests. */
     fun stop(hostName: String): Boolean {
         val node = running[hostName] ?: return true
--- a/samples/src/main/kotlin/org/arbutusrelay/samples/SiteRun.kt
+++ b/samples/src/main/kotlin/org/arbutusrelay/samples/SiteRun.kt
@@ -52,7 +52,15 @@
         }
         val endNanos = System.nanoTime() + durationMs * NANOS_PER_MS
         val lanes = listOf(
-            lane("hosts", endNanos, hostFaults::endStateHost, hostFaults::endDisklessHost, ::cut, manifestFaults::race),
+            lane(
+                "hosts",
+                endNanos,
+                hostFaults::endStateHost,
+                hostFaults::loseDisk,
+                hostFaults::endDisklessHost,
+                ::cut,
+                manifestFaults::race,
+            ),
             lane(
                 "servers",
                 endNanos,
