--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/DefaultRequestSchedulerTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/DefaultRequestSchedulerTest.kt
@@ -97,9 +97,12 @@
             scheduler.complete(attempt, AttemptResult.SERVER_ERROR, 0)
         }
         assertEquals(ScheduledServer(5, isOpen = true, isRamping = false), scheduler.viewOf("a", 0))
-        scheduler.updateTable(table(server("a", running = 1), server("new")))
+        scheduler.updateTable(table(server("a", running = 1), server("early")))
         assertEquals(0, scheduler.viewOf("a", 0)?.sentSinceReport, "a report starts a new count")
-        assertEquals(ScheduledServer(0, isOpen = false, isRamping = true), scheduler.viewOf("new", 0))
+        assertEquals(false, scheduler.viewOf("early", 0)?.isRamping, "a starting host learns of servers that are warm")
+        scheduler.poll(30_000)
+        scheduler.updateTable(table(server("a", running = 1), server("early"), server("new")))
+        assertEquals(ScheduledServer(0, isOpen = false, isRamping = true), scheduler.viewOf("new", 30_000))
     }
 
     @Test
