--- a/core/src/main/kotlin/org/arbutusrelay/core/suspect/SuspectTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/suspect/SuspectTable.kt
@@ -23,8 +23,11 @@
     public val maxSuspects: Int = 1_024,
     /** How long a suspicion lasts after its last crash, in milliseconds. */
     public val lifetimeMs: Long = 600_000,
+    /** Crashes after which a request is refused even if other requests were in flight each time. */
+    public val maxSharedCrashes: Int = 4,
 ) {
     init {
+        require(maxSharedCrashes > 2) { "maxSharedCrashes must exceed the two crashes of a request that ran alone" }
         require(maxSuspects > 0) { "maxSuspects must be positive" }
         require(lifetimeMs > 0) { "lifetimeMs must be positive" }
     }
@@ -49,6 +52,7 @@
         return when {
             suspect == null || suspect.crashes == 0 -> SuspectVerdict.CLEAR
             suspect.isAlone && suspect.crashes >= 2 -> SuspectVerdict.REFUSE
+            suspect.total >= limits.maxSharedCrashes -> SuspectVerdict.REFUSE
             else -> SuspectVerdict.ISOLATE
         }
     }
@@ -63,7 +67,7 @@
     ): List<SuspectState> {
         val crash = CrashId(backendServer, incarnation)
         val digests = inFlight.distinct()
-        digests.forEach { put(it, Suspect(1, nowMs, crash, isAlone = inFlight.size == 1), nowMs) }
+        digests.forEach { put(it, Suspect(1, nowMs, crash, isAlone = inFlight.size == 1, total = 1), nowMs) }
         return digests.mapNotNull { state(it, nowMs) }
     }
 
@@ -71,7 +75,7 @@
     @Synchronized
     public fun recordFinish(digest: String, nowMs: Long): SuspectState? {
         if (verdict(digest, nowMs) == SuspectVerdict.CLEAR) return null
-        update(digest, Suspect(0, nowMs, null, isAlone = false))
+        update(digest, Suspect(0, nowMs, null, isAlone = false, total = 0))
         return state(digest, nowMs)
     }
 
@@ -82,7 +86,9 @@
         val server = state.backendServer
         val incarnation = state.incarnation
         val crash = if (server == null || incarnation == null) null else CrashId(server, incarnation)
-        val suspect = Suspect(state.crashes.toInt(), nowMs - state.ageMs, crash, state.isAlone == true && crash != null)
+        val isAlone = state.isAlone && crash != null
+        val total = (state.totalCrashes ?: state.crashes).toInt()
+        val suspect = Suspect(state.crashes.toInt(), nowMs - state.ageMs, crash, isAlone, total)
         put(state.digest, suspect, nowMs)
     }
 
@@ -95,7 +101,8 @@
         if (ageMs >= limits.lifetimeMs) return null
         val crash = suspect.crash
         val crashes = suspect.crashes.toLong()
-        return SuspectState(digest, crashes, ageMs, crash?.backendServer, crash?.incarnation, suspect.isAlone)
+        val total = suspect.total.toLong()
+        return SuspectState(digest, crashes, ageMs, crash?.backendServer, crash?.incarnation, suspect.isAlone, total)
     }
 
     private fun put(digest: String, reported: Suspect, nowMs: Long) {
@@ -119,22 +126,21 @@
         val newer = if (reported.atMs >= known.atMs) reported else known
         val older = if (newer === reported) known else reported
         return when {
-            newer.crash == older.crash -> {
-                val isAlone = newer.isAlone && older.isAlone
-                newer.copy(
-                    crashes = if (isAlone) maxOf(newer.crashes, older.crashes) else newer.level,
-                    isAlone = isAlone,
-                )
-            }
+            newer.crash == older.crash -> sameCrash(newer, older)
 
             newer.crashes == 0 || older.crashes == 0 -> newer
 
-            newer.isAlone -> newer.copy(crashes = 2)
-
-            else -> newer.copy(crashes = 1)
+            // A report that arrives again must not count again, so the total is a bound and not a sum.
+            else -> newer.copy(crashes = if (newer.isAlone) 2 else 1, total = maxOf(newer.total, older.total + 1))
         }
     }
 
+    private fun sameCrash(newer: Suspect, older: Suspect): Suspect {
+        val isAlone = newer.isAlone && older.isAlone
+        val crashes = if (isAlone) maxOf(newer.crashes, older.crashes) else newer.level
+        return newer.copy(crashes = crashes, isAlone = isAlone, total = maxOf(newer.total, older.total))
+    }
+
     private fun update(digest: String, suspect: Suspect) {
         val next = current.get().put(digest, suspect)
         val oldest = if (next.size > limits.maxSuspects) next.minBy { it.value.atMs }.key else null
@@ -144,7 +150,14 @@
     private data class CrashId(val backendServer: String, val incarnation: Long)
 
     /** The last crash, or with no [crashes] the clearance, of a request. */
-    private data class Suspect(val crashes: Int, val atMs: Long, val crash: CrashId?, val isAlone: Boolean) {
+    private data class Suspect(
+        val crashes: Int,
+        val atMs: Long,
+        val crash: CrashId?,
+        val isAlone: Boolean,
+        /** Different crashes since the last clearance, as far as they are known. */
+        val total: Int,
+    ) {
         val level: Int get() = minOf(crashes, 1)
     }
 }
--- a/core/src/test/kotlin/org/arbutusrelay/core/suspect/SuspectTableTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/suspect/SuspectTableTest.kt
@@ -30,6 +30,29 @@
         }
     }
 
+    /** Guards against a request that never runs alone on a busy service and crashes one backend server after another. */
+    @Test
+    fun `a request that was in flight in four crashes is refused, one that finished in between is not`() {
+        val hosts = List(2) { SuspectTable() }
+        (1..4L).forEach { incarnation ->
+            val nowMs = 10 * incarnation
+            val reports = hosts[(incarnation % 2).toInt()].recordCrash(
+                "a",
+                incarnation,
+                listOf("guilty", "innocent"),
+                nowMs,
+            )
+            repeat(2) { hosts.forEach { host -> reports.forEach { host.merge(it, nowMs) } } }
+            val expected = if (incarnation < 4) SuspectVerdict.ISOLATE else SuspectVerdict.REFUSE
+            assertEquals(List(2) { expected }, hosts.map { it.verdict("guilty", nowMs) }, "after crash $incarnation")
+            if (incarnation == 2L) {
+                val cleared = hosts[0].recordFinish("innocent", nowMs + 1)
+                cleared?.let { hosts[1].merge(it, nowMs + 1) }
+            }
+        }
+        assertEquals(List(2) { SuspectVerdict.ISOLATE }, hosts.map { it.verdict("innocent", 50) })
+    }
+
     @Test
     fun `a finished run clears a suspect on every host`() {
         val (here, there) = SuspectTable() to SuspectTable()
--- a/ctl/src/main/kotlin/org/arbutusrelay/ctl/demo/DemoSite.kt
+++ b/ctl/src/main/kotlin/org/arbutusrelay/ctl/demo/DemoSite.kt
@@ -18,10 +18,13 @@
 import java.nio.file.Path
 
 /** One daemon with stand-in backend servers in one process: the smallest whole system. */
-internal class DemoSite(callerPort: Int) : AutoCloseable {
+internal class DemoSite(
+    callerPort: Int,
+    private val engineModel: EngineModel = EngineModel(decodeMicrosPerToken = DECODE_MICROS),
+) : AutoCloseable {
     private val dataFolder: Path = Files.createTempDirectory("arbutus-demo")
     private val node = Node(settings(callerPort))
-    private val engines = List(ENGINES) { StandInEngine(EngineModel(decodeMicrosPerToken = DECODE_MICROS)) }
+    private val engines = List(ENGINES) { StandInEngine(engineModel) }
     private val service = StandInService()
     private val announcers = mutableListOf<Announcer>()
     private val http = OkHttpClient()
@@ -69,7 +72,7 @@
             address = serverAddress,
             incarnation = 1,
             sequence = 1,
-            capacity = CAPACITY,
+            capacity = engineModel.capacity.toLong(),
             models = listOf(serviceName),
         )
         announcers += Announcer(listOf(address), BACKEND_TOKEN, announcement, load).start()
@@ -136,7 +139,6 @@
         private const val REGION = "demo"
         private const val ZONE = "demo-a"
         private const val ENGINES = 2
-        private const val CAPACITY = 32L
         private const val DECODE_MICROS = 2_000L
         private const val ATTEMPTS = 200
         private const val ATTEMPT_PERIOD_MS = 50L
