Tell other regions the predicted time of each service

Cause: nothing passed the scheduler's prediction to membership, so that the summaries of a region said 0 and receivers fell back to their own mean.

Change: Node gives membership the scheduler's prediction.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
@@ -62,6 +62,7 @@
     private val state = dataFolder?.let { ReplicatedState(settings, it, network, invariants) }
     private val orderClient = BackendClient(metrics::countDrop)
 
+    @Volatile
     private var running: Running? = null
 
     /** Port for callers, operators and backend servers; valid after [start]. */
@@ -128,8 +129,14 @@
     }
 
     private fun connect(linkPort: Int): Running {
-        val membership =
-            LinkMembershipService(network, selfState(linkPort), settings.peers, scope, invariants = invariants)
+        val membership = LinkMembershipService(
+            network,
+            selfState(linkPort),
+            settings.peers,
+            scope,
+            invariants = invariants,
+            predict = { service, _, _, _ -> running?.scheduler?.predictedMs(service) ?: 0 },
+        )
         val manifests = manifestService(membership)
         val ledgerService = ledgerService(manifests)
         val ledger = LinkLedgerClient(network, { stateHosts.of(it).toList() }, ledgerService, scope)
