Take a suspect's incarnation from the placed attempt

Cause: each attempt copied all backend servers under the membership lock to find the incarnation of one, although the placed attempt names it; and the KDoc of SuspectTable still gave the rule from before the bound on crashes.

Change: SuspectTracker.started takes the incarnation; the look-up is gone.

--- a/core/src/main/kotlin/org/arbutusrelay/core/suspect/SuspectTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/suspect/SuspectTable.kt
@@ -36,8 +36,9 @@
 /**
  * The requests of a region that are suspected of crashing backend servers, by digest.
  *
- * A request is refused only when it crashed a backend server alone after an earlier crash, so that one which ran beside
- * the cause, however often, is only isolated. [verdict] takes no lock.
+ * A request is refused when it crashed a backend server alone after an earlier crash, or when it was in flight in
+ * [SuspectLimits.maxSharedCrashes] crashes without finishing in between. One that ran beside the cause less often is
+ * only isolated. [verdict] takes no lock.
  */
 public class SuspectTable(private val limits: SuspectLimits = SuspectLimits()) {
     private val current = AtomicReference<PersistentMap<String, Suspect>>(persistentHashMapOf())
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
@@ -140,11 +140,7 @@
         val manifests = manifestService(membership)
         val ledgerService = ledgerService(manifests)
         val ledger = LinkLedgerClient(network, { stateHosts.of(it).toList() }, ledgerService, scope)
-        val suspects = RegionSuspectTracker(
-            incarnationOf = { name -> membership.backendServers().firstOrNull { it.name == name }?.incarnation ?: 0 },
-            report = membership::reportSuspect,
-            nowMs = clock::nowMs,
-        )
+        val suspects = RegionSuspectTracker(membership::reportSuspect, clock::nowMs)
         val scheduler = DefaultRequestScheduler({ manifests.current?.caller(it) }, invariants)
         val parts = DaemonParts(manifests, membership, ledger, network, scheduler, suspects, ::drained, scheduler)
         val daemon = Daemon(settings, parts, invariants, clock, metrics)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/RegionSuspectTracker.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/RegionSuspectTracker.kt
@@ -11,11 +11,10 @@
 /**
  * Tracks crash suspects together with the other hosts of the region.
  *
- * [incarnationOf] names the incarnation of a backend server, so that one crash counts once whoever reports it. [report]
- * tells the other hosts.
+ * A crash is told by the backend server and its incarnation, so that it counts once whoever reports it. [report] tells
+ * the other hosts.
  */
 internal class RegionSuspectTracker(
-    private val incarnationOf: (String) -> Long,
     private val report: (SuspectState) -> Unit,
     private val nowMs: () -> Long,
     private val table: SuspectTable = SuspectTable(),
@@ -29,8 +28,8 @@
         SuspectVerdict.REFUSE -> SuspectDecision.REFUSE
     }
 
-    override fun started(digest: String, backendServer: String, nowMs: Long) {
-        val run = Run(digest, incarnationOf(backendServer))
+    override fun started(digest: String, backendServer: String, incarnation: Long, nowMs: Long) {
+        val run = Run(digest, incarnation)
         running.merge(backendServer, listOf(run)) { old, new -> old + new }
     }
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RunningAttempt.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RunningAttempt.kt
@@ -49,7 +49,7 @@
 
         override suspend fun run(listener: ResponseListener): AttemptEnd {
             val digest = request.profile.digest
-            suspects.started(digest, placed.backendServer, clock.nowMs())
+            suspects.started(digest, placed.backendServer, placed.incarnation, clock.nowMs())
             var end: AttemptEnd? = null
             try {
                 return execute(listener).also { end = it }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/SuspectTracker.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/SuspectTracker.kt
@@ -5,8 +5,8 @@
     /** Returns how a request with [digest] may run now. */
     public fun decide(digest: String, nowMs: Long): SuspectDecision
 
-    /** Records that a request was sent to a backend server. */
-    public fun started(digest: String, backendServer: String, nowMs: Long)
+    /** Records that a request is sent to [incarnation] of a backend server, so that one crash counts once. */
+    public fun started(digest: String, backendServer: String, incarnation: Long, nowMs: Long)
 
     /** Records that the backend server responded to a request, which clears it of suspicion. */
     public fun finished(digest: String, backendServer: String, nowMs: Long)
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/RequestPartsTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/RequestPartsTest.kt
@@ -35,15 +35,15 @@
     @Test
     fun `one crash counts once for each request in flight and only an answer clears a suspect`() {
         val tracker = LocalSuspectTracker()
-        listOf("a", "b").forEach { tracker.started(it, "s1", 0) }
+        listOf("a", "b").forEach { tracker.started(it, "s1", 1, 0) }
         listOf("a", "b").forEach { tracker.crashed(it, "s1", 0) }
         assertEquals(List(2) { SuspectDecision.RUN_ISOLATED }, listOf("a", "b").map { tracker.decide(it, 0) })
-        tracker.started("a", "s1", 1)
+        tracker.started("a", "s1", 1, 1)
         tracker.withdrawn("a", "s1", 1)
         assertEquals(SuspectDecision.RUN_ISOLATED, tracker.decide("a", 1), "a refused connection clears nobody")
-        tracker.started("a", "s2", 2)
+        tracker.started("a", "s2", 1, 2)
         tracker.crashed("a", "s2", 2)
-        tracker.started("b", "s2", 2)
+        tracker.started("b", "s2", 1, 2)
         tracker.finished("b", "s2", 2)
         assertEquals(SuspectDecision.REFUSE, tracker.decide("a", 2))
         assertEquals(SuspectDecision.RUN, tracker.decide("b", 2))
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/request/LocalSuspectTracker.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/request/LocalSuspectTracker.kt
@@ -26,7 +26,7 @@
         }
 
     @Synchronized
-    override fun started(digest: String, backendServer: String, nowMs: Long) {
+    override fun started(digest: String, backendServer: String, incarnation: Long, nowMs: Long) {
         running.getOrPut(backendServer, ::ArrayList).add(Run(digest))
     }
 
