Serve the users' platform through a byte-forwarding relay

Cause: the product spoke its own chat interface only and took its peers from settings; the platform forwards requests by route, names three seeds, and describes routes in a document of its own.

Change: `core.route`, `core.site` and `core.relay` hold the decisions (routes, backend server and host registries, event streams, retries); `daemon.site` exchanges what a site consists of and keeps its document in a replicated log; the new module `relay` forwards HTTP byte for byte on Netty, because a servlet container tells of a caller that left only on a write, and OkHttp resends and rewrites by itself; `platform/` translates; `deploy/` says how it runs. The scheduler is the existing one, with a gate for cold backend servers and a retry budget for each service. Replica groups take a changing set of hosts.

Ruled out: settings that list peers (the platform has none); the membership by aggregators, which needs every host's address at the start.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
@@ -38,6 +38,9 @@
 
     /** How much longer it takes than predicted. */
     public val slowdown: Slowdown = Slowdown()
+
+    /** Limits what this host sends while the backend server is cold. */
+    public val coldGate: ColdGate = ColdGate()
     internal val cacheSequence = CacheSequence(this)
 
     private val own = AtomicInteger()
@@ -87,7 +90,7 @@
     /** Returns true when the backend server can take one more request at [nowMs]; it reserves nothing. */
     public fun hasRoom(nowMs: Long): Boolean =
         own.get() != ISOLATED && claim.get() == null && !state.isLeaving &&
-            load() < limitAt(nowMs) && breaker.isReady(nowMs)
+            load() < limitAt(nowMs) && breaker.isReady(nowMs) && coldGate.isOpen(nowMs)
 
     /** Occupies a slot; [release] must follow. */
     public fun tryAcquire(nowMs: Long): Boolean {
@@ -97,7 +100,7 @@
             val count = own.get()
             if (count == ISOLATED || count >= bound) return false
             if (!own.compareAndSet(count, count + 1)) continue
-            if (claim.get() == null && breaker.tryAdmit(nowMs)) break
+            if (claim.get() == null && coldGate.tryPass(nowMs) && breaker.tryAdmit(nowMs)) break
             own.decrementAndGet()
             return false
         }
@@ -110,9 +113,14 @@
         val claimant = claim.get()
         if (claimant != null && claimant != id) return false
         val latest = state
-        if (latest.isLeaving || latest.running + latest.queued > 0 || !breaker.isReady(nowMs)) return false
+        if (latest.isLeaving || latest.running + latest.queued > 0 || !breaker.isReady(nowMs) ||
+            !coldGate.isOpen(nowMs)
+        ) {
+            return false
+        }
         if (!own.compareAndSet(0, ISOLATED)) return false
         dropClaim(id)
+        coldGate.tryPass(nowMs)
         breaker.tryAdmit(nowMs)
         sentSinceReport.incrementAndGet()
         return true
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -33,7 +33,7 @@
     private val queues = ConcurrentHashMap<String, ServiceQueue>()
     private val attempts = OpenAttempts()
     private val callers = CallerLimits(callerOf)
-    private val retryBudget = ShareBudget()
+    private val retryBudgets = ConcurrentHashMap<String, ShareBudget>()
     private val hedgeBudget = ShareBudget()
     private val awayBudget = ShareBudget()
     private val builder = SnapshotBuilder(settings, ::timesOf)
@@ -52,7 +52,7 @@
         val isRepeated = profile.isForwarded || profile.triedBackendServers.isNotEmpty()
         val waitMs = callers.tryAcquire(profile.callerName, nowMs, isRateFree = isRepeated)
         if (waitMs > 0) return refused(ErrorKind.CALLER_LIMIT, waitMs)
-        if (!isRepeated) recordRequest()
+        if (!isRepeated) recordRequest(profile)
         val placement = placeNew(profile, nowMs)
         if (placement is Placement.Refused) callers.release(profile.callerName)
         return placement
@@ -91,7 +91,7 @@
 
     override fun tryRetry(profile: RequestProfile, nowMs: Long): Boolean {
         val fastestMs = timesOf(profile.serviceName).predictMs(0, profile.responseTokens)
-        return nowMs + fastestMs <= profile.deadlineMs && retryBudget.trySpend()
+        return nowMs + fastestMs <= profile.deadlineMs && retryBudgetOf(profile.serviceName).trySpend()
     }
 
     override fun tryHedge(attempt: PlacedAttempt, nowMs: Long): PlacedAttempt? {
@@ -138,8 +138,8 @@
         if (startedAtMs.get() == NOT_STARTED) startedAtMs.compareAndSet(NOT_STARTED, nowMs)
     }
 
-    private fun recordRequest() {
-        retryBudget.recordRequest(settings.retryPermille)
+    private fun recordRequest(profile: RequestProfile) {
+        retryBudgetOf(profile.serviceName).recordRequest(settings.retryPermille)
         hedgeBudget.recordRequest(settings.hedgePermille)
         awayBudget.recordRequest(snapshot.get().table.sentAwayPermille)
     }
@@ -246,6 +246,9 @@
         return Placement.Refused(RelayError(kind, retryAfterMs = boundedMs))
     }
 
+    private fun retryBudgetOf(serviceName: String) =
+        retryBudgets.computeIfAbsent(serviceName) { ShareBudget(settings.maxRetryBurst) }
+
     private fun timesOf(serviceName: String) = times.computeIfAbsent(serviceName) { ServiceTimes() }
 
     private fun queueOf(serviceName: String) = queues.computeIfAbsent(serviceName) { ServiceQueue(settings) }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/PrefixHashes.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/PrefixHashes.kt
@@ -21,5 +21,24 @@
         }
     }
 
+    /**
+     * Computes the chained hashes of a prompt that is known by the names and lengths of its parts only.
+     *
+     * A part of n tokens becomes n / [blockTokens] blocks, at least one, so that the number of equal leading blocks
+     * stands for the number of equal leading tokens.
+     */
+    public fun ofParts(parts: List<Pair<String, Int>>, blockTokens: Int = 256, maxBlocks: Int = 256): List<Long> {
+        require(blockTokens > 0) { "blockTokens $blockTokens is below 1" }
+        var previous = 0L
+        return parts.asSequence()
+            .flatMap { (id, tokens) -> List(maxOf(1, tokens / blockTokens)) { id }.asSequence() }
+            .take(maxBlocks)
+            .map { id ->
+                val hash = Hashing.xxh3_64().hashCharsToLong(id)
+                previous = BackendSlots.mix(previous * CHAIN_FACTOR + hash).let { if (it == 0L) 1L else it }
+                previous
+            }.toList()
+    }
+
     private const val CHAIN_FACTOR = -0x61c8864680b583ebL
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RoutingTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RoutingTable.kt
@@ -18,6 +18,8 @@
     val costMicros: Map<String, Map<String, Long>> = emptyMap(),
     /** Largest share of requests that may be sent to other regions, in thousandths. */
     val sentAwayPermille: Long = 0,
+    /** Requests a second that this host may send to each cold backend server, by name; 0 when it is not named. */
+    val coldRatesPerSecond: Map<String, Double> = emptyMap(),
 )
 
 /** What this host knows of another region. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
@@ -10,6 +10,8 @@
     val fairnessLag: Long = 8,
     /** Retries as a share of recent requests, in thousandths. */
     val retryPermille: Long = 100,
+    /** Retries for one service that this host may give at once after a quiet time. */
+    val maxRetryBurst: Long = 20,
     /** Hedges as a share of recent requests, in thousandths. */
     val hedgePermille: Long = 20,
     /** A hedge is due when an attempt without a first byte is older than this multiple of the predicted time. */
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
@@ -74,7 +74,7 @@
     }
 
     /** Runs until a stop is requested or an invariant is violated. */
-    suspend fun run(otherHosts: Set<String>) {
+    suspend fun run(otherHosts: () -> Set<String>) {
         var reason: String? = "unexpected error"
         try {
             while (true) {
@@ -203,7 +203,7 @@
         }
     }
 
-    private fun maintain(otherHosts: Set<String>) {
+    private fun maintain(otherHosts: () -> Set<String>) {
         if (appliedIndex - node.snapshotIndex >= options.snapshotEntries) {
             step(ConsensusEvent.SnapshotTaken(appliedIndex, stateMachine.snapshot()))
         }
@@ -213,13 +213,14 @@
         recovery.due(now)?.let { step(ConsensusEvent.RemoveLostVoter(it)) }
         if (node.role == ConsensusRole.LEADER) return repairVoters(now)
         if (node.config.self in node.voters) return
-        for (host in otherHosts) {
+        for (host in otherHosts()) {
             val message = ReplicaAddress.announcement(node.config.group, node.config.self, host)
             network.send(host, LinkFrame(consensus = message))
         }
     }
 
     private fun repairVoters(now: Long) {
+        repair.onReachable(network.connected().keys + network.self.hostName, node.voters, now)
         step(ConsensusEvent.SetLearners(repair.learners(node.voters, now)))
         val voters = repair.nextVoters(node.voters, now) ?: return
         // Refused until the replica has caught up and the previous change is committed; tried again later.
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -48,8 +48,8 @@
     private val storage: ConsensusStorage,
     private val stateMachine: StateMachine<R>,
     private val network: LinkNetwork,
-    /** Names of the hosts that may run a replica of the group. */
-    private val stateHosts: Set<String>,
+    /** Returns the names of the hosts that may run a replica of the group; the set may change. */
+    private val stateHosts: () -> Set<String>,
     private val random: Random,
     /**
      * Hosts that found the group, or null to join an existing one. It must be null on a host that may have lost its
@@ -89,7 +89,7 @@
     public val refusedLostVoters: Long get() = removal?.refusedCount ?: 0
 
     init {
-        require(options.lostVoter == null || stateHosts.size == 2) {
+        require(options.lostVoter == null || stateHosts().size == 2) {
             "$name: a lost voter can be removed only from a group of two state hosts"
         }
     }
@@ -99,7 +99,7 @@
         val config = configure(ConsensusConfig(name, replica.identity, commandBytes = ::encodedBytes))
         val node = ConsensusNode(config, replica.state, Random(random.nextLong()), nowMs(), invariants)
         if (replica.state.snapshot.lastIndex > 0) stateMachine.restore(replica.state.snapshot.state)
-        val repair = ReplicaRepair(stateHosts, options.maxVoters)
+        val repair = ReplicaRepair(stateHosts, options.maxVoters, options.replaceAfterMs)
         val recovery = LostVoterRemoval(node, options.lostVoter, nowMs())
         removal = recovery
         val started =
@@ -107,7 +107,7 @@
         driver = started
         network.addReceiver(started)
         jobs = listOf(
-            scope.launch(decisionDispatcher) { started.run(stateHosts - network.self.hostName) },
+            scope.launch(decisionDispatcher) { started.run { stateHosts() - network.self.hostName } },
             scope.launch(syncDispatcher) { started.sync.run() },
         )
         scope.launch(decisionDispatcher) { started.tick() }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupOptions.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupOptions.kt
@@ -16,6 +16,8 @@
     val snapshotEntries: Long = 10_000,
     /** Voters that a group may have; further state hosts stay learners. */
     val maxVoters: Int = 7,
+    /** A voter that was out of reach for this long makes room for a new replica that waits; null keeps it. */
+    val replaceAfterMs: Long? = null,
     /** How long a stop waits for another voter to take over. */
     val transferWaitMs: Long = 3_000,
     /** A voter that is lost for good and to be removed once; needs a group of two state hosts. */
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/Problems.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/Problems.kt
@@ -33,7 +33,7 @@
 }
 
 /** Makes [error] the whole response of a handler that is still running; replaces an earlier result. */
-internal fun Context.problem(error: RelayError) {
+public fun Context.problem(error: RelayError) {
     status(error.kind.statusCode)
     res().describe(error)
     result(error.toJson(null))
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/ReplicatedState.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/ReplicatedState.kt
@@ -84,7 +84,7 @@
         storage = FileConsensusStorage(folder),
         stateMachine = machine,
         network = network,
-        stateHosts = voters.toSet(),
+        stateHosts = { voters.toSet() },
         random = SecureRandom().asKotlinRandom(),
         foundingVoters = voters.takeIf { settings.isFounding },
         options = options.copy(lostVoter = lostVoter(name).takeIf { voters.size == 2 }),
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ConsensusMeasurement.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ConsensusMeasurement.kt
@@ -70,7 +70,8 @@
 private fun measureBatching(root: Path, concurrency: Int) = runBlocking {
     val results = List(RUNS) { run ->
         val storage = FileConsensusStorage(root.resolve("batch-$concurrency-$run"))
-        val group = ReplicaGroup("measured", storage, CountMachine(), NoNetwork, setOf("a"), Random(run), listOf("a"))
+        val group =
+            ReplicaGroup("measured", storage, CountMachine(), NoNetwork, { setOf("a") }, Random(run), listOf("a"))
         check(group.start().isRight())
         while (!group.isLeaseHeld()) delay(10)
         val syncsBefore = storage.logSyncs
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupTest.kt
@@ -128,7 +128,7 @@
             storage = storage,
             stateMachine = SumMachine(),
             network = networks.getValue("a"),
-            stateHosts = setOf("a"),
+            stateHosts = { setOf("a") },
             random = Random(1),
             foundingVoters = listOf("a"),
         )
@@ -167,7 +167,7 @@
             storage = storage,
             stateMachine = machines.getValue(host),
             network = networks.getValue(host),
-            stateHosts = stateHosts.toSet(),
+            stateHosts = { stateHosts.toSet() },
             random = Random(host.hashCode()),
             foundingVoters = founding,
             timeSource = testScheduler.timeSource,
--- /dev/null
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayEvents.kt
@@ -0,0 +1,47 @@
+package org.arbutusrelay.relay.exchange
+
+import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.core.relay.AttemptFailure
+import org.arbutusrelay.core.request.RequestId
+import org.arbutusrelay.core.routing.PlacedAttempt
+
+/** Learns what is decided on requests; must not block. */
+internal interface RelayEvents {
+    /** The request was refused or failed with an error of this system. */
+    fun failed(exchange: Exchange, error: RelayError)
+
+    /** An attempt ended without a usable response. */
+    fun attemptFailed(
+        exchange: Exchange,
+        attempt: PlacedAttempt,
+        failure: AttemptFailure,
+        detail: String,
+        isRetried: Boolean,
+    )
+
+    /** The caller got a backend server's response, complete. */
+    fun answered(exchange: Exchange, statusCode: Int)
+
+    /** The caller left before its response was complete. */
+    fun callerLeft(exchange: Exchange)
+
+    /** Ignores everything. */
+    object None : RelayEvents {
+        override fun failed(exchange: Exchange, error: RelayError) = Unit
+
+        override fun attemptFailed(
+            exchange: Exchange,
+            attempt: PlacedAttempt,
+            failure: AttemptFailure,
+            detail: String,
+            isRetried: Boolean,
+        ) = Unit
+
+        override fun answered(exchange: Exchange, statusCode: Int) = Unit
+
+        override fun callerLeft(exchange: Exchange) = Unit
+    }
+}
+
+/** Identifies a request in logs. */
+internal data class RequestLabel(val id: RequestId, val attemptId: String)
--- /dev/null
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -0,0 +1,209 @@
+package org.arbutusrelay.relay.node
+
+import io.netty.channel.Channel
+import io.netty.channel.nio.NioEventLoopGroup
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import org.apache.logging.log4j.LogManager
+import org.arbutusrelay.core.invariant.Invariants
+import org.arbutusrelay.core.route.RoutePlan
+import org.arbutusrelay.core.route.RoutePlanParser
+import org.arbutusrelay.core.route.RouteTable
+import org.arbutusrelay.core.routing.DefaultRequestScheduler
+import org.arbutusrelay.core.routing.PlacedAttempt
+import org.arbutusrelay.core.routing.SchedulerSettings
+import org.arbutusrelay.daemon.RelayClock
+import org.arbutusrelay.daemon.http.HttpServer
+import org.arbutusrelay.daemon.http.RouteGroup
+import org.arbutusrelay.daemon.site.SiteService
+import org.arbutusrelay.daemon.site.SiteView
+import org.arbutusrelay.relay.backend.BackendPool
+import org.arbutusrelay.relay.dialect.AnswerLoad
+import org.arbutusrelay.relay.dialect.CallDialect
+import org.arbutusrelay.relay.exchange.Exchange
+import org.arbutusrelay.relay.exchange.ForwardTargets
+import org.arbutusrelay.relay.exchange.ProfileBuilder
+import org.arbutusrelay.relay.exchange.RelayCore
+import org.arbutusrelay.relay.ingress.IngressExchange
+import org.arbutusrelay.relay.ingress.IngressHandler
+import org.arbutusrelay.relay.ingress.IngressOptions
+import org.arbutusrelay.relay.ingress.IngressRequest
+import org.arbutusrelay.relay.ingress.IngressServer
+import org.arbutusrelay.relay.ingress.IngressService
+import org.arbutusrelay.relay.ingress.ResponseWriter
+import org.arbutusrelay.schema.message.BackendLoad
+import org.arbutusrelay.schema.settings.SiteSettings
+import java.util.concurrent.atomic.AtomicReference
+import kotlin.random.Random
+
+/**
+ * An entry host of a site: takes requests of callers and forwards them by the routes in force.
+ *
+ * [readyRoutes] answers the readiness check of the deployment.
+ */
+public class EntryNode(
+    private val settings: SiteSettings,
+    private val dialect: CallDialect,
+    private val parser: RoutePlanParser,
+    private val readyRoutes: (() -> Boolean) -> List<RouteGroup>,
+) : SiteNode {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val clock = RelayClock()
+    private val links = SiteLinks(settings, scope)
+    private val group = NioEventLoopGroup(1)
+    private val loop = group.next()
+    private val callerAddress = requireNotNull(settings.callerAddress) { "an entry host needs callerAddress" }
+    private val site = SiteService(
+        links.network,
+        links.selfState.copy(callerAddress = callerAddress),
+        SiteLinks.seedNames(settings),
+        settings.linkPort,
+        clock,
+    )
+    private val routing = SiteRouting(links.identity, settings.bounds.coldMultiplier)
+    private val pool = BackendPool(loop, clock::nowMs)
+    private val scheduler = DefaultRequestScheduler(
+        callerOf = { null },
+        invariants = Invariants(isFatal = false) { guarantee, detail -> logger.error("{}: {}", guarantee.id, detail) },
+        settings = SchedulerSettings(
+            maxRetryBurst = RETRY_BURST,
+            retryPermille = (settings.bounds.retryShare * PERMILLE / 2).toLong(),
+            historyBlocks = HISTORY_BLOCKS,
+        ),
+    )
+    private val forwardTargets = ForwardTargets(settings.linkPort + 1)
+    private val core = RelayCore(
+        links.identity, clock, loop, pool, scheduler, dialect, forwardTargets, LoggedEvents(),
+        Random(
+            links.identity.epoch,
+        ),
+        ::observe,
+    )
+    private val profiles = ProfileBuilder(settings.region) { otherRegions }
+    private val options =
+        IngressOptions(clock::nowMs) { core.routes.get()?.plan?.limits?.maxBodyBytes ?: MAX_BODY_BYTES }
+    private val callerServer = IngressServer(group, options, Ingress(), isForwarded = false)
+    private val forwardServer = IngressServer(group, options, Ingress(), isForwarded = true)
+    private val connections = HashMap<IngressHandler, Channel>()
+    private val parsed = AtomicReference<RoutePlan?>(null)
+    private var otherRegions = emptyList<String>()
+    private val httpServers = listOfNotNull(settings.readyAddress).map { address ->
+        val port = address.substringAfterLast(':').toInt()
+        HttpServer(settings.bindAddress, port, HTTP_IDLE_MS, readyRoutes(::isReady), HTTP_THREADS)
+    }
+
+    @Volatile
+    private var isLeaving = false
+
+    /** True while this host has routes and takes requests. */
+    public fun isReady(): Boolean = !isLeaving && core.routes.get() != null
+
+    override suspend fun start() {
+        links.listen()
+        site.addListener(::onView)
+        callerServer.start(callerAddress)
+        forwardServer.start("${settings.bindAddress}:${settings.linkPort + 1}")
+        httpServers.forEach { it.start() }
+        site.start(scope)
+        core.schedule(SWEEP_MS, ::sweep)
+        logger.info("started: entry host {} of {} for callers at {}", settings.nodeName, settings.region, callerAddress)
+    }
+
+    override fun reload(settings: SiteSettings): Unit = site.replaceSeeds(SiteLinks.seedNames(settings))
+
+    override suspend fun stop() {
+        isLeaving = true
+        val startMs = clock.nowMs()
+        logger.info("stopping: {} requests are open", core.openExchanges)
+        site.updateSelf { it.copy(isLeaving = true) }
+        val graceMs = (settings.bounds.graceSeconds * MS_PER_SECOND).toLong()
+        // Callers keep an old list of hosts for a while and would meet a closed port.
+        delay(minOf(graceMs / 2, LIST_LIFETIME_MS))
+        loop.execute { connections.forEach { (handler, channel) -> if (handler.isIdle()) channel.close() } }
+        while (core.openExchanges > 0 && clock.nowMs() - startMs < graceMs - EXIT_RESERVE_MS) delay(STOP_POLL_MS)
+        callerServer.stop()
+        logger.info("stopped: {} requests were still open after {} ms", core.openExchanges, clock.nowMs() - startMs)
+        scope.cancel()
+        links.network.close()
+    }
+
+    private fun observe(placed: PlacedAttempt, load: AnswerLoad) =
+        site.observe(BackendLoad(placed.backendServer, placed.incarnation, load.running, load.queued, 0))
+
+    /** Puts a newer view in force; runs on the thread that built it. */
+    private fun onView(view: SiteView) {
+        val plan = planOf(view) ?: return
+        val table = routing.table(view, plan)
+        forwardTargets.update(view.entryHosts)
+        loop.execute {
+            if (core.routes.get()?.plan !== plan && (core.routes.get()?.plan?.number ?: -1) <= plan.number) {
+                core.routes.set(RouteTable(plan))
+                logger.info("document {} is in force, state index {}", plan.number, view.state.index)
+            }
+            scheduler.updateTable(table)
+            otherRegions = table.otherRegions.values
+                .sortedBy { region ->
+                    region.services.values.sumOf { it.running + it.queued }.toDouble() /
+                        region.services.values.sumOf { it.capacity }
+                }
+                .map { it.name }
+        }
+    }
+
+    private fun planOf(view: SiteView): RoutePlan? {
+        val document = view.state.document ?: return null
+        parsed.get()?.takeIf { it.number == document.number }?.let { return it }
+        return parser.parse(document.content).fold(
+            { error ->
+                logger.error("document {} cannot be read: {}", document.number, error.detail)
+                parsed.get()
+            },
+            { plan -> plan.also { parsed.set(it) } },
+        )
+    }
+
+    /** Closes connections that were idle for longer than callers use them. */
+    private fun sweep() {
+        val idleMs = (core.routes.get()?.plan?.limits?.idleTimeoutMs ?: HTTP_IDLE_MS) + IDLE_MARGIN_MS
+        connections.filter { (handler, _) -> handler.isIdleSince(idleMs) }.values.forEach { it.close() }
+        core.schedule(SWEEP_MS, ::sweep)
+    }
+
+    private inner class Ingress : IngressService {
+        override val isLeaving: Boolean get() = this@EntryNode.isLeaving
+
+        override fun open(request: IngressRequest, writer: ResponseWriter): IngressExchange =
+            Exchange(core, profiles, request, writer)
+
+        override fun onOpen(handler: IngressHandler, channel: Channel) {
+            connections[handler] = channel
+        }
+
+        override fun onClose(handler: IngressHandler) {
+            connections.remove(handler)
+        }
+    }
+
+    private companion object {
+        private val logger = LogManager.getLogger(EntryNode::class.java)
+        const val PERMILLE = 1_000
+        const val MS_PER_SECOND = 1_000
+
+        /** Retries for one service that one of about eight hosts may give at once. */
+        const val RETRY_BURST = 4L
+        const val HISTORY_BLOCKS = 8_192
+        const val MAX_BODY_BYTES = 4 * 1024 * 1024
+        const val HTTP_IDLE_MS = 30_000L
+        const val HTTP_THREADS = 8
+        const val SWEEP_MS = 1_000L
+        const val IDLE_MARGIN_MS = 1_000L
+        const val LIST_LIFETIME_MS = 3_000L
+        const val STOP_POLL_MS = 20L
+
+        /** The process must be gone before the kill. */
+        const val EXIT_RESERVE_MS = 700L
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteLinks.kt
@@ -0,0 +1,43 @@
+package org.arbutusrelay.relay.node
+
+import kotlinx.coroutines.CoroutineScope
+import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.daemon.link.LinkOptions
+import org.arbutusrelay.daemon.link.SocketLinkNetwork
+import org.arbutusrelay.schema.message.HostState
+import org.arbutusrelay.schema.settings.SiteSettings
+import java.security.SecureRandom
+
+/** What entry hosts and state hosts of a site have in common: a name, links, and what they say of themselves. */
+internal class SiteLinks(private val settings: SiteSettings, scope: CoroutineScope) {
+    val identity: HostIdentity = HostIdentity(
+        hostName = settings.bindAddress,
+        region = settings.region,
+        availabilityZone = settings.availabilityZone,
+        epoch = SecureRandom().nextLong() and Long.MAX_VALUE,
+    )
+
+    val network: SocketLinkNetwork =
+        SocketLinkNetwork(identity, settings.sharedSecret.toByteArray(), scope, LinkOptions(maxReconnectDelayMs = 500))
+
+    val selfState: HostState = HostState(
+        hostName = identity.hostName,
+        region = identity.region,
+        availabilityZone = identity.availabilityZone,
+        epoch = identity.epoch,
+        version = 1,
+        address = "${settings.bindAddress}:${settings.linkPort}",
+        callerAddress = "",
+        manifestNumber = 0,
+        loadPermille = 0,
+        isLeaving = false,
+        isStateHost = settings.dataFolder != null,
+    )
+
+    suspend fun listen(): Int = network.listen(settings.bindAddress, settings.linkPort)
+
+    companion object {
+        /** Returns the host names of the seeds that [settings] list. */
+        fun seedNames(settings: SiteSettings): List<String> = settings.seeds.map { it.substringBefore(':') }
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteRouting.kt
@@ -0,0 +1,71 @@
+package org.arbutusrelay.relay.node
+
+import org.arbutusrelay.core.membership.Rendezvous
+import org.arbutusrelay.core.route.RoutePlan
+import org.arbutusrelay.core.routing.RemoteRegion
+import org.arbutusrelay.core.routing.RoutingTable
+import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.daemon.site.SiteView
+import org.arbutusrelay.schema.manifest.RegionLink
+import org.arbutusrelay.schema.message.BackendServerState
+import org.arbutusrelay.schema.message.ServiceSummary
+
+/** Makes the scheduler's routing table from what a host knows of its site. */
+internal class SiteRouting(private val self: HostIdentity, private val coldMultiplier: Double) {
+    fun table(view: SiteView, plan: RoutePlan): RoutingTable {
+        val usable = view.backendServers.filter {
+            it.service in plan.services && !it.isLeaving && it.availabilityZone !in view.state.evacuatedZones
+        }
+        val (here, elsewhere) = usable.partition { it.region == self.region }
+        val reachable = view.entryHosts.map { it.region }.toSet()
+        val regions = elsewhere.groupBy { it.region }.filterKeys { it in reachable }
+        return RoutingTable(
+            region = self.region,
+            availabilityZone = self.availabilityZone,
+            backendServers = here,
+            otherRegions = regions.mapValues { (name, servers) -> remote(name, servers) },
+            sentAwayPermille = ALL_PERMILLE,
+            coldRatesPerSecond = coldRates(here, view, plan),
+        )
+    }
+
+    private fun remote(name: String, servers: List<BackendServerState>) = RemoteRegion(
+        name = name,
+        link = RegionLink(self.region, name, REGION_DELAY_MS, LINK_BITS_PER_SECOND),
+        services = servers.groupBy { it.service }.mapValues { (service, states) -> summary(service, states) },
+        ageMs = 0,
+    )
+
+    private fun summary(service: String, states: List<BackendServerState>) = ServiceSummary(
+        service = service,
+        backendServers = states.size.toLong(),
+        capacity = states.sumOf { it.capacity },
+        running = states.sumOf { it.running },
+        queued = states.sumOf { it.queued },
+        predictedMs = 0,
+    )
+
+    /**
+     * Returns what this host may send to each cold backend server.
+     *
+     * Only [COLD_SENDERS] entry hosts of the region send to a cold backend server, chosen by rendezvous hashing, so
+     * that the sum stays within what it tolerates even while hosts disagree on who is there.
+     */
+    private fun coldRates(here: List<BackendServerState>, view: SiteView, plan: RoutePlan): Map<String, Double> {
+        val cold = here.filter { it.coldMs > 0 }
+        if (cold.isEmpty()) return emptyMap()
+        val names = view.entryHosts.filter { it.region == self.region }.map { it.hostName }
+        return cold.filter { self.hostName in Rendezvous.rank(it.name, names).take(COLD_SENDERS) }.associate {
+            it.name to (plan.services[it.service]?.coldRatePerSecond ?: 0.0) * coldMultiplier / COLD_SENDERS
+        }
+    }
+
+    private companion object {
+        const val ALL_PERMILLE = 1_000L
+        const val COLD_SENDERS = 2
+
+        /** One way, in milliseconds; the regions of both users are about this far apart. */
+        const val REGION_DELAY_MS = 55L
+        const val LINK_BITS_PER_SECOND = 1_000_000_000L
+    }
+}
--- /dev/null
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -0,0 +1,121 @@
+package org.arbutusrelay.relay.node
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import org.apache.logging.log4j.LogManager
+import org.arbutusrelay.core.error.ErrorKind
+import org.arbutusrelay.core.route.RoutePlanParser
+import org.arbutusrelay.core.site.SiteLog
+import org.arbutusrelay.daemon.RelayClock
+import org.arbutusrelay.daemon.consensus.ReplicaGroup
+import org.arbutusrelay.daemon.consensus.ReplicaGroupOptions
+import org.arbutusrelay.daemon.http.HttpServer
+import org.arbutusrelay.daemon.http.RouteGroup
+import org.arbutusrelay.daemon.site.SiteControl
+import org.arbutusrelay.daemon.site.SiteService
+import org.arbutusrelay.daemon.storage.FileConsensusStorage
+import org.arbutusrelay.schema.message.SiteState
+import org.arbutusrelay.schema.settings.SiteSettings
+import java.io.IOException
+import java.nio.file.Path
+import java.security.SecureRandom
+import kotlin.random.asKotlinRandom
+
+/**
+ * A state host of a site: keeps the replicated log, takes orders and announcements, and names entry hosts to callers.
+ *
+ * [controlRoutes] and [directoryRoutes] make the HTTP interface of the deployment.
+ */
+public class StateNode(
+    private val settings: SiteSettings,
+    parser: RoutePlanParser,
+    controlRoutes: (StateNode) -> List<RouteGroup>,
+    directoryRoutes: (StateNode) -> List<RouteGroup>,
+) : SiteNode {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val clock = RelayClock()
+    private val links = SiteLinks(settings, scope)
+    private val log: SiteLog = SiteLog { onState(it) }
+    private val group = ReplicaGroup(
+        name = "site",
+        storage = FileConsensusStorage(Path.of(requireNotNull(settings.dataFolder)).resolve("site")),
+        stateMachine = log,
+        network = links.network,
+        stateHosts = { site.stateHosts() },
+        random = SecureRandom().asKotlinRandom(),
+        foundingVoters = SiteLinks.seedNames(settings).takeIf { settings.isFounding },
+        options = OPTIONS,
+    )
+
+    /** Hosts and backend servers of the site. */
+    public val site: SiteService = SiteService(
+        links.network,
+        links.selfState,
+        SiteLinks.seedNames(settings),
+        settings.linkPort,
+        clock,
+        otherStateHosts = { group.voters.map { it.substringBefore('#') }.toSet() },
+    )
+
+    /** Orders of operators. */
+    public val control: SiteControl = SiteControl(group, settings.bindAddress, parser, clock)
+
+    private val httpServers = listOfNotNull(
+        settings.controlAddress?.let { server(it, controlRoutes(this)) },
+        settings.directoryAddress?.let { server(it, directoryRoutes(this)) },
+    )
+
+    override suspend fun start() {
+        links.listen()
+        group.start().onLeft { throw IOException("${settings.dataFolder}: $it") }
+        site.start(scope)
+        httpServers.forEach { it.start() }
+        logger.info(
+            "started: state host {} of {}, founding {}",
+            settings.nodeName,
+            settings.region,
+            settings.isFounding,
+        )
+    }
+
+    override fun reload(settings: SiteSettings): Unit = site.replaceSeeds(SiteLinks.seedNames(settings))
+
+    override suspend fun stop() {
+        logger.info("stopping")
+        site.updateSelf { it.copy(isLeaving = true) }
+        group.stop()
+        httpServers.forEach { it.stop() }
+        scope.cancel()
+        links.network.close()
+        logger.info("stopped")
+    }
+
+    private fun onState(state: SiteState) {
+        logger.info(
+            "state index {}: document {}, evacuated {}",
+            state.index,
+            state.document?.number,
+            state.evacuatedZones,
+        )
+        site.install(state)
+    }
+
+    private fun server(address: String, groups: List<RouteGroup>) =
+        HttpServer(settings.bindAddress, address.substringAfterLast(':').toInt(), HTTP_IDLE_MS, groups, HTTP_THREADS)
+
+    private companion object {
+        private val logger = LogManager.getLogger(StateNode::class.java)
+        const val HTTP_IDLE_MS = 60_000L
+        const val HTTP_THREADS = 24
+        val OPTIONS = ReplicaGroupOptions(
+            // Each entry may hold a whole document, and a snapshot only one.
+            snapshotEntries = 100,
+            replaceAfterMs = 1_500,
+            transferWaitMs = 1_500,
+            unavailableKind = ErrorKind.MANIFEST_GROUP_UNAVAILABLE,
+            unknownKind = ErrorKind.MANIFEST_OUTCOME_UNKNOWN,
+        )
+    }
+}
--- a/schema/src/main/kotlin/org/arbutusrelay/schema/toml/SchemaChecker.kt
+++ b/schema/src/main/kotlin/org/arbutusrelay/schema/toml/SchemaChecker.kt
@@ -21,6 +21,7 @@
             is SchemaNode.Array -> visitArray(schema, value, path)
             is SchemaNode.Text -> visitText(schema, value, path)
             is SchemaNode.Integer -> visitInteger(schema, value, path)
+            SchemaNode.Decimal -> visitDecimal(value, path)
             SchemaNode.Flag -> if (!value.isLiteral(TomlLiteral.Type.Boolean)) report(path, "expected true or false")
         }
     }
@@ -61,6 +62,11 @@
         schema.maximum?.let { if (number > it) report(path, "must be at most $it${unitOf(path)}, found $number") }
     }
 
+    private fun visitDecimal(value: TomlElement, path: String) {
+        val isNumber = value.isLiteral(TomlLiteral.Type.Integer) || value.isLiteral(TomlLiteral.Type.Float)
+        if (!isNumber) report(path, "expected a number${unitOf(path)}")
+    }
+
     private fun TomlElement.isLiteral(type: TomlLiteral.Type): Boolean = this is TomlLiteral && this.type == type
 
     private fun report(path: String, message: String) {
@@ -83,6 +89,7 @@
     private companion object {
         private val UNITS = mapOf(
             "Ms" to "milliseconds",
+            "Seconds" to "seconds",
             "BitsPerSecond" to "bits per second",
             "Bytes" to "bytes",
             "Permille" to "thousandths",
--- a/schema/src/main/kotlin/org/arbutusrelay/schema/toml/SchemaNode.kt
+++ b/schema/src/main/kotlin/org/arbutusrelay/schema/toml/SchemaNode.kt
@@ -17,6 +17,9 @@
 
     data class Integer(val minimum: Long?, val maximum: Long?) : SchemaNode
 
+    /** Any number, whole or not. */
+    data object Decimal : SchemaNode
+
     data object Flag : SchemaNode
 
     companion object {
@@ -34,6 +37,7 @@
                 "array" -> Array(parse(node.getValue("items") as JsonObject, folder))
                 "string" -> Text(node.long("minLength") ?: 0, strings(node["enum"] as? JsonArray))
                 "integer" -> Integer(node.long("minimum"), node.long("maximum"))
+                "number" -> Decimal
                 "boolean" -> Flag
                 else -> error("schema type $type is not supported")
             }
