Place streams by their predicted first byte and test the forwarding path

Change: `FirstByteChoice` predicts the first byte from the prompt tokens that are read before it, prefers the engine that rendezvous hashing names for the shared head of a prompt, and looks at other regions when the target is at risk; streams are refused for their first byte only. `BackendServerRegistry` drops a lease at its bound: a test showed two hosts keeping a dead server alive for each other. Tests of the relay run on raw sockets.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
@@ -32,8 +32,16 @@
                 slots.breaker.recordSuccess()
                 recordTimes(slots, open, attempt, elapsedMs)
                 val ratio = elapsedMs / open.predictedMs
-                slots.slowdown.record(ratio, nowMs)
-                if (ratio > OVERLOAD_RATIO) slots.limit.recordOverload(nowMs) else slots.limit.recordSuccess(inFlight)
+                // The length of a stream is a guess, so that only its first byte tells how fast the server is.
+                val isStream = attempt.profile.isStream
+                slots.slowdown.record(if (isStream) firstByteRatio(open, attempt) ?: 1.0 else ratio, nowMs)
+                if (ratio > OVERLOAD_RATIO &&
+                    !isStream
+                ) {
+                    slots.limit.recordOverload(nowMs)
+                } else {
+                    slots.limit.recordSuccess(inFlight)
+                }
             }
 
             AttemptResult.SERVER_ERROR, AttemptResult.CONNECTION_LOST -> slots.breaker.recordFailure(nowMs)
@@ -51,10 +59,20 @@
         }
     }
 
+    private fun firstByteRatio(open: OpenAttempt, attempt: PlacedAttempt): Double? =
+        if (open.firstByteMs ==
+            OpenAttempt.NONE
+        ) {
+            null
+        } else {
+            (open.firstByteMs - attempt.placedAtMs) / open.predictedFirstMs
+        }
+
     private fun recordTimes(slots: BackendSlots, open: OpenAttempt, attempt: PlacedAttempt, elapsedMs: Double) {
         val firstByteMs = open.firstByteMs.takeIf {
             it != OpenAttempt.NONE
         }?.let { (it - attempt.placedAtMs).toDouble() }
+        firstByteMs?.let { open.times.firstByte.record(open.aheadTokens + open.uncachedTokens, it) }
         open.times.record(
             ServiceTimes.Sample(
                 open.uncachedTokens,
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
@@ -6,6 +6,7 @@
 import org.arbutusrelay.core.request.RequestId
 import org.arbutusrelay.schema.message.BackendServerState
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.atomic.AtomicReference
 
 /**
@@ -49,6 +50,14 @@
     /** Smoothed requests of other hosts. */
     @Volatile
     private var others = (state.running + state.queued).toDouble()
+    private val ownPendingTokens = AtomicLong()
+    private val ownPending = AtomicInteger()
+
+    @Volatile
+    private var otherWaiting = 0L
+
+    @Volatile
+    private var otherWaitingAtMs = Long.MIN_VALUE / 2
     private val claim = AtomicReference<RequestId?>(null)
 
     /**
@@ -67,6 +76,37 @@
         others += (excess - others) * REPORT_WEIGHT
     }
 
+    /** Takes over a load that a response told at [nowMs]. */
+    public fun report(running: Long, queued: Long, nowMs: Long) {
+        val excess = (running + queued - ownInFlight()).toDouble()
+        others += (excess - others) * RESPONSE_WEIGHT
+        otherWaiting = maxOf(0L, queued - ownPending.get())
+        otherWaitingAtMs = nowMs
+    }
+
+    /** Notes that a request with [tokens] to be read waits here for its first byte. */
+    internal fun addPending(tokens: Int) {
+        ownPending.incrementAndGet()
+        ownPendingTokens.addAndGet(tokens.toLong())
+    }
+
+    /** Notes that a request of [addPending] waits no longer. */
+    internal fun removePending(tokens: Int) {
+        ownPending.decrementAndGet()
+        ownPendingTokens.addAndGet(-tokens.toLong())
+    }
+
+    /**
+     * Estimates the prompt tokens that are read before those of a new request.
+     *
+     * The own requests are known; those of other hosts are a recent report's waiting requests of [meanTokens] each.
+     */
+    internal fun pendingTokens(meanTokens: Double, nowMs: Long): Double {
+        val ageMs = nowMs - otherWaitingAtMs
+        val freshShare = if (ageMs >= WAITING_MEMORY_MS) 0.0 else 1.0 - ageMs.toDouble() / WAITING_MEMORY_MS
+        return ownPendingTokens.get() + otherWaiting * meanTokens * freshShare
+    }
+
     /** Returns true when [newer] is about the same incarnation with the same service and capacity. */
     public fun isFor(newer: BackendServerState): Boolean =
         state.incarnation == newer.incarnation && state.service == newer.service && capacity == newer.capacity.toInt()
@@ -113,11 +153,8 @@
         val claimant = claim.get()
         if (claimant != null && claimant != id) return false
         val latest = state
-        if (latest.isLeaving || latest.running + latest.queued > 0 || !breaker.isReady(nowMs) ||
-            !coldGate.isOpen(nowMs)
-        ) {
-            return false
-        }
+        if (latest.isLeaving || latest.running + latest.queued > 0) return false
+        if (!breaker.isReady(nowMs) || !coldGate.isOpen(nowMs)) return false
         if (!own.compareAndSet(0, ISOLATED)) return false
         dropClaim(id)
         coldGate.tryPass(nowMs)
@@ -150,6 +187,10 @@
     internal companion object {
         private const val ISOLATED = -1
         private const val REPORT_WEIGHT = 0.2
+        private const val RESPONSE_WEIGHT = 0.4
+
+        /** A queue that was seen this long ago has been read since. */
+        private const val WAITING_MEMORY_MS = 600L
         private const val HALF = 0.5
         private const val PERMILLE = 1_000L
         private const val MIX = -0x4b47d0c5a1a6e5b3L
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -59,12 +59,15 @@
     }
 
     override fun recordFirstByte(attempt: PlacedAttempt, nowMs: Long) {
-        attempts.find(attempt.attemptNumber)?.firstByteMs = nowMs
+        val open = attempts.find(attempt.attemptNumber) ?: return
+        open.firstByteMs = nowMs
+        open.endPending()
     }
 
     override fun complete(attempt: PlacedAttempt, result: AttemptResult, nowMs: Long): List<QueuedPlacement> {
         recordTime(nowMs)
         val open = attempts.take(attempt.attemptNumber) ?: return emptyList()
+        open.endPending()
         AttemptRecorder.end(open, attempt, result, nowMs)
         if (!attempt.isHedge) callers.release(attempt.profile.callerName)
         val queue = queues[attempt.profile.serviceName]
@@ -90,7 +93,7 @@
     }
 
     override fun tryRetry(profile: RequestProfile, nowMs: Long): Boolean {
-        val fastestMs = timesOf(profile.serviceName).predictMs(0, profile.responseTokens)
+        val fastestMs = fastestMs(profile, timesOf(profile.serviceName))
         return nowMs + fastestMs <= profile.deadlineMs && retryBudgetOf(profile.serviceName).trySpend()
     }
 
@@ -114,6 +117,11 @@
         snapshot.get().slotsByName[backendServer]?.cacheSequence?.apply(events)
     }
 
+    /** Records the load that a response of a backend server told. */
+    public fun recordLoad(backendServer: String, running: Long, queued: Long, nowMs: Long) {
+        snapshot.get().slotsByName[backendServer]?.report(running, queued, nowMs)
+    }
+
     override fun viewOf(name: String, nowMs: Long): ScheduledServer? =
         snapshot.get().slotsByName[name]?.view(nowMs)
 
@@ -167,14 +175,28 @@
         servers: ServiceServers,
         nowMs: Long,
     ): Placement {
-        val fastestMs = servers.times.predictMs(0, profile.responseTokens)
+        val fastestMs = fastestMs(profile, servers.times)
         if (nowMs + fastestMs > profile.deadlineMs) return refused(ErrorKind.DEADLINE_UNREACHABLE, fastestMs.toLong())
         val queue = queueOf(profile.serviceName)
         if (profile.isIsolated) return if (queue.offer(profile)) Placement.Queued else refused(ErrorKind.OVERLOADED)
+        relieve(profile, current, servers, nowMs)?.let { return it }
         if (queue.size == 0) placeNow(profile, nowMs)?.let { return it }
         return enqueue(profile, current, servers, queue, nowMs)
     }
 
+    /** Sends a request away whose first byte would come too late here and sooner elsewhere. */
+    private fun relieve(
+        profile: RequestProfile,
+        current: SchedulerSnapshot,
+        servers: ServiceServers,
+        nowMs: Long,
+    ): Placement? {
+        if (profile.targetMs <= 0 || profile.isForwarded) return null
+        val firstMs = serverChoice.predictFirstByteMs(profile, servers, nowMs) ?: return null
+        if (firstMs <= profile.targetMs * settings.relieveFactor) return null
+        return remote.tryRelieve(profile, current, servers.times, firstMs, nowMs)
+    }
+
     private fun placeNow(profile: RequestProfile, nowMs: Long): Placement? =
         local.tryRun(profile, nowMs)?.let(Placement::Run)
 
@@ -229,7 +251,12 @@
 
     /** Refuses a queued request that would miss its deadline if it began now. */
     private fun refuseIfLate(profile: RequestProfile, nowMs: Long): Placement? {
-        val needMs = timesOf(profile.serviceName).predictTypicalMs(profile.promptTokens, profile.responseTokens)
+        val times = timesOf(profile.serviceName)
+        val needMs = if (profile.isStream) {
+            fastestMs(profile, times)
+        } else {
+            times.predictTypicalMs(profile.promptTokens, profile.responseTokens)
+        }
         if (nowMs + needMs * settings.startFactor <= profile.deadlineMs) return null
         return refused(ErrorKind.DEADLINE_UNREACHABLE)
     }
@@ -249,6 +276,10 @@
     private fun retryBudgetOf(serviceName: String) =
         retryBudgets.computeIfAbsent(serviceName) { ShareBudget(settings.maxRetryBurst) }
 
+    /** A stream whose length is a guess is only given up for its first byte. */
+    private fun fastestMs(profile: RequestProfile, times: ServiceTimes): Double =
+        if (profile.isStream) times.firstByte.predictMs(0.0) else times.predictMs(0, profile.responseTokens)
+
     private fun timesOf(serviceName: String) = times.computeIfAbsent(serviceName) { ServiceTimes() }
 
     private fun queueOf(serviceName: String) = queues.computeIfAbsent(serviceName) { ServiceQueue(settings) }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/LocalPlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/LocalPlacement.kt
@@ -89,7 +89,10 @@
         if (profile.prefixHashes.isNotEmpty()) slots.history.add(profile.prefixHashes)
         times.recordUncached(uncached, profile.promptTokens)
         val number = attempts.nextNumber()
-        attempts.add(number, OpenAttempt(slots, null, times, uncached, load, predictedMs))
+        val aheadTokens = slots.pendingTokens(times.meanUncachedTokens(), nowMs)
+        val firstMs = times.firstByte.predictMs(aheadTokens + uncached)
+        slots.addPending(uncached)
+        attempts.add(number, OpenAttempt(slots, null, times, uncached, load, predictedMs, aheadTokens, firstMs))
         val state = slots.state
         return PlacedAttempt(profile, slots.name, state.incarnation, state.address, number, nowMs, isHedge, region)
     }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/OpenAttempts.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/OpenAttempts.kt
@@ -33,10 +33,20 @@
     val load: Int,
     /** Predicted time without the backend server's slowdown, in milliseconds. */
     val predictedMs: Double,
+    /** Prompt tokens that were to be read before this attempt's own, and the predicted time to its first byte. */
+    val aheadTokens: Double = 0.0,
+    val predictedFirstMs: Double = 0.0,
 ) {
     @Volatile
     var firstByteMs: Long = NONE
 
+    private val isPending = AtomicBoolean(true)
+
+    /** Takes the attempt's tokens off those that wait on its backend server, once. */
+    fun endPending() {
+        if (isPending.compareAndSet(true, false)) slots?.removePending(uncachedTokens)
+    }
+
     /** True once a hedge was placed; an attempt has at most one. */
     val hedged = AtomicBoolean()
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
@@ -51,6 +51,22 @@
         return linkMs + waitMs + runMs
     }
 
+    /** Predicts the time to the first byte of [profile] there, link delay both ways included, in milliseconds. */
+    public fun predictFirstByteMs(profile: RequestProfile, times: ServiceTimes): Double {
+        val latest = region
+        val summary = latest.services[profile.serviceName] ?: return Double.MAX_VALUE
+        val servers = maxOf(1L, summary.backendServers).toDouble()
+        val linkMs = 2.0 * latest.link.oneWayDelayMs
+        if (profile.promptTokens == 0) {
+            val load = maxOf(ownInFlight().toLong(), summary.running + summary.queued)
+            return linkMs + times.meanMs() * maxOf(1.0, (load + 1.0) / maxOf(1L, summary.capacity))
+        }
+        val aheadTokens = maxOf(summary.queued.toDouble(), ownInFlight() * WAITING_SHARE) / servers *
+            times.meanUncachedTokens()
+        return linkMs +
+            times.firstByte.predictMs(aheadTokens + profile.promptTokens - profile.sharedTokens * HELD_SHARE)
+    }
+
     internal fun acquire() {
         own.incrementAndGet()
     }
@@ -61,6 +77,12 @@
 
     private companion object {
         private const val PERMILLE = 1_000L
+
+        /** Share of the requests in flight that still wait for their first byte. */
+        private const val WAITING_SHARE = 0.3
+
+        /** Share of a prompt's shared head that some backend server there is taken to hold. */
+        private const val HELD_SHARE = 0.5
         private const val MAX_LINK_USE = 900L
 
         // Region summaries arrive once a second; an older one says nothing of the present queue.
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
@@ -29,6 +29,20 @@
         return if (budget.trySpend()) send(profile, region, times, nowMs) else null
     }
 
+    /** Sends a request away when its first byte is predicted clearly sooner elsewhere than the [localFirstMs] here. */
+    fun tryRelieve(
+        profile: RequestProfile,
+        snapshot: SchedulerSnapshot,
+        times: ServiceTimes,
+        localFirstMs: Double,
+        nowMs: Long,
+    ): Placement? {
+        if (profile.isForwarded || !budget.canSpend()) return null
+        val best = usableRegions(profile, snapshot, nowMs).minByOrNull { it.predictFirstByteMs(profile, times) }
+        if (best == null || best.predictFirstByteMs(profile, times) > localFirstMs * CLEARLY_SOONER) return null
+        return if (budget.trySpend()) send(profile, best, times, nowMs) else null
+    }
+
     /**
      * Sends a request that did not arrive in its home region there, or to another allowed region when this one is not.
      *
@@ -70,4 +84,9 @@
         attempts.add(number, OpenAttempt(null, region, times, profile.promptTokens, 0, predictedMs))
         return Placement.SendAway(PlacedAttempt(profile, "", 0, "", number, nowMs, region = name), name)
     }
+
+    private companion object {
+        /** The other region's cache is cold and its load is known late, so a small gain is none. */
+        const val CLEARLY_SOONER = 0.7
+    }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestProfile.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestProfile.kt
@@ -21,6 +21,14 @@
     val promptTokens: Int = 0,
     /** Length of the response in tokens, estimated. */
     val responseTokens: Int = 0,
+    /** Tokens at the head of the prompt that other requests may share. */
+    val sharedTokens: Int = 0,
+    /** Hash of the shared head of the prompt, for affinity; 0 when there is none. */
+    val affinityHash: Long = 0,
+    /** True when the response is a stream, which is late by its first event and not by its last. */
+    val isStream: Boolean = false,
+    /** Time until the first byte that callers expect, in milliseconds; 0 when nothing is known of it. */
+    val targetMs: Long = 0,
     /** Digest of the request, equal for resends. */
     val digest: String = "",
     /** True when the request must run on a backend server with nothing else in flight. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
@@ -12,6 +12,8 @@
     val retryPermille: Long = 100,
     /** Retries for one service that this host may give at once after a quiet time. */
     val maxRetryBurst: Long = 20,
+    /** A request looks at other regions when its first byte is predicted after this share of its target. */
+    val relieveFactor: Double = 0.8,
     /** Hedges as a share of recent requests, in thousandths. */
     val hedgePermille: Long = 20,
     /** A hedge is due when an attempt without a first byte is older than this multiple of the predicted time. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerChoice.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerChoice.kt
@@ -5,6 +5,9 @@
     /** Returns the backend server for [profile], or null when none has room; it reserves nothing. */
     public fun choose(profile: RequestProfile, servers: ServiceServers, nowMs: Long): BackendSlots?
 
+    /** Predicts the time to the first byte on the best backend server with room; null when this choice cannot. */
+    public fun predictFirstByteMs(profile: RequestProfile, servers: ServiceServers, nowMs: Long): Double? = null
+
     /** How many waiting requests [prefer] chooses from. */
     public val window: Int get() = 1
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceTimes.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceTimes.kt
@@ -15,6 +15,13 @@
     private val totalMs = Mean(START_TOTAL_MS)
     private val uncachedShare = Mean(1.0)
 
+    /** Time to the first byte over the prompt tokens that are read before it. */
+    public val firstByte: FirstByteModel = FirstByteModel()
+    private val uncachedTokens = Mean(START_UNCACHED_TOKENS)
+
+    /** Returns the mean number of prompt tokens of a request that were not cached. */
+    public fun meanUncachedTokens(): Double = uncachedTokens.value()
+
     /** Predicts the time on an idle backend server, in milliseconds. */
     public fun predictMs(uncachedTokens: Int, responseTokens: Int): Double =
         predictFirstByteMs(uncachedTokens) + (responseTokens + FIXED_TOKENS) * decodeUs.value() / US_PER_MS
@@ -32,6 +39,7 @@
 
     /** Records how much of a placed request's prompt was not cached. */
     public fun recordUncached(uncachedTokens: Int, promptTokens: Int) {
+        if (promptTokens > 0) this.uncachedTokens.record(uncachedTokens.toDouble())
         if (promptTokens > 0) uncachedShare.record(uncachedTokens.toDouble() / promptTokens)
     }
 
@@ -61,6 +69,7 @@
             1.0 + BATCH_SLOPE * minOf(load, capacity) / capacity
 
         private const val FIXED_TOKENS = 16
+        private const val START_UNCACHED_TOKENS = 800.0
         private const val START_TOTAL_MS = 200.0
         private const val US_PER_MS = 1_000.0
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
@@ -49,7 +49,7 @@
 
     /** Drops servers that were silent for longer than the lease and departures that nobody can contradict any more. */
     public fun tick(nowMs: Long): Boolean {
-        val isChanged = entries.values.removeIf { nowMs - it.heardMs > leaseMs }
+        val isChanged = entries.values.removeIf { nowMs - it.heardMs >= leaseMs }
         departures.values.removeIf { nowMs - it.atMs > DEPARTURE_MEMORY_MS }
         return isChanged
     }
@@ -81,23 +81,33 @@
     }
 
     private fun learn(state: BackendServerState, heardMs: Long, nowMs: Long): Boolean {
-        if (nowMs - heardMs > leaseMs || isSuperseded(state)) return false
+        if (nowMs - heardMs >= leaseMs || isSuperseded(state)) return false
         val old = entries[state.name]?.takeIf { it.state.incarnation == state.incarnation }
         if (old != null && state.version < old.state.version) return false
         entries.values.removeIf { it.state.address == state.address && it.state.name != state.name }
-        val isLeaving = state.isLeaving || old?.state?.isLeaving == true ||
-            departures[state.name]?.let { it.incarnation >= state.incarnation } == true
-        val entry = old ?: Entry(state, heardMs).also { entries[state.name] = it }
+        return if (old == null) insert(state, heardMs, nowMs) else renew(old, state, heardMs, nowMs)
+    }
+
+    private fun insert(state: BackendServerState, heardMs: Long, nowMs: Long): Boolean {
+        val entry = Entry(state.copy(isLeaving = state.isLeaving || hasDeparted(state)), heardMs)
+        entry.coldUntilMs = nowMs + state.coldMs
+        entries[state.name] = entry
+        return true
+    }
+
+    private fun renew(entry: Entry, state: BackendServerState, heardMs: Long, nowMs: Long): Boolean {
+        val old = entry.state
+        val isLeaving = old.isLeaving || state.isLeaving || hasDeparted(state)
         val isColder = state.coldMs > 0 && nowMs + state.coldMs > entry.coldUntilMs + COLD_TOLERANCE_MS
-        val isNew = old == null || isLeaving != old.state.isLeaving || isColder || state.address != old.state.address
-        if (state.version > entry.state.version || old == null) entry.coldUntilMs = nowMs + state.coldMs
+        if (state.version > old.version) entry.coldUntilMs = nowMs + state.coldMs
         entry.heardMs = maxOf(entry.heardMs, heardMs)
-        val load = entry.state
-        entry.state = if (old == null) state else state.copy(running = load.running, queued = load.queued)
-        entry.state = entry.state.copy(isLeaving = isLeaving)
-        return isNew
+        entry.state = state.copy(running = old.running, queued = old.queued, isLeaving = isLeaving)
+        return isLeaving != old.isLeaving || isColder || state.address != old.address
     }
 
+    private fun hasDeparted(state: BackendServerState): Boolean =
+        departures[state.name]?.let { it.incarnation >= state.incarnation } == true
+
     private fun isSuperseded(state: BackendServerState): Boolean {
         val sameName = entries[state.name]
         if (sameName != null && sameName.state.incarnation > state.incarnation) return true
--- /dev/null
+++ b/core/src/test/kotlin/org/arbutusrelay/core/site/SiteLogTest.kt
@@ -0,0 +1,98 @@
+package org.arbutusrelay.core.site
+
+import org.arbutusrelay.schema.message.DocumentRecord
+import org.arbutusrelay.schema.message.EvacuationChange
+import org.arbutusrelay.schema.message.HostState
+import org.arbutusrelay.schema.message.ReplicatedCommand
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+
+class SiteLogTest {
+    private fun document(number: Long, text: String = "v$number") =
+        ReplicatedCommand(document = DocumentRecord(number, "", text.encodeToByteArray()))
+
+    private fun evacuation(zone: String, isEvacuated: Boolean) =
+        ReplicatedCommand(evacuation = EvacuationChange(zone, isEvacuated))
+
+    /** Guards against an order that is sent again late and brings back an older document, or one of equal number. */
+    @Test
+    fun `only a higher number replaces the document`() {
+        data class Case(val numbers: List<Pair<Long, String>>, val expected: String)
+        val cases = listOf(
+            Case(listOf(1L to "a", 3L to "b", 2L to "c"), "b"),
+            Case(listOf(1L to "a", 1L to "b"), "a"),
+            Case(listOf(0L to "a"), "a"),
+        )
+        for (case in cases) {
+            val log = SiteLog()
+            case.numbers.forEachIndexed { index, (number, text) -> log.apply(index + 1L, document(number, text)) }
+            assertEquals(case.expected, log.current.document?.content?.decodeToString(), "$case")
+        }
+    }
+
+    /** Guards against a zone that stays evacuated because its evacuation was ordered twice. */
+    @Test
+    fun `an evacuation that was repeated ends with one order`() {
+        val log = SiteLog()
+        listOf(true, true, false).forEachIndexed { index, isEvacuated ->
+            log.apply(index + 1L, evacuation("hue-a", isEvacuated))
+        }
+        assertEquals(emptyList(), log.current.evacuatedZones)
+    }
+
+    /** Guards against a restart that loses what was acknowledged. */
+    @Test
+    fun `a snapshot restores the whole state`() {
+        val log = SiteLog()
+        log.apply(1, document(7))
+        log.apply(2, evacuation("hue-a", true))
+        val seen = ArrayList<Long>()
+        val restored = SiteLog { seen += it.index }
+        restored.restore(log.snapshot())
+        assertEquals(
+            "v7" to listOf("hue-a"),
+            restored.current.let {
+                it.document?.content?.decodeToString() to
+                    it.evacuatedZones
+            },
+        )
+        assertEquals(listOf(2L), seen)
+    }
+}
+
+class HostRegistryTest {
+    private fun host(epoch: Long, version: Long, isLeaving: Boolean = false, isStateHost: Boolean = false) =
+        HostState("10.0.0.1", "hue", "hue-a", epoch, version, "", "10.0.0.1:80", 0, 0, isLeaving, isStateHost)
+
+    /** Guards against callers that are sent to a stopped host because an old report of it came late. */
+    @Test
+    fun `a later report of an epoch counts, and the epoch heard of last`() {
+        val registry = HostRegistry()
+        registry.hear(host(1, 2, isLeaving = true), 1_000)
+        assertFalse(registry.merge(host(1, 1), 0, 1_100), "an older version")
+        assertEquals(true, registry.live(1_100).single().isLeaving)
+        registry.hear(host(2, 1), 1_200)
+        assertFalse(registry.merge(host(1, 9), 500, 1_300), "an epoch that was heard of before")
+        assertEquals(2, registry.live(1_300).single().epoch)
+    }
+
+    /** Guards against a dead host that stays in the directory, and against a state host that is never dialled again. */
+    @Test
+    fun `a silent host lapses, and a state host is remembered longer`() {
+        data class Case(val isStateHost: Boolean, val nowMs: Long, val live: Int, val known: Int)
+        val cases = listOf(
+            Case(false, 3_500, 1, 1),
+            Case(false, 3_501, 0, 0),
+            Case(true, 3_501, 0, 1),
+            Case(true, 60_001, 0, 0),
+        )
+        for (case in cases) {
+            val registry = HostRegistry()
+            registry.hear(host(1, 1, isStateHost = case.isStateHost), 0)
+            registry.tick(case.nowMs)
+            assertEquals(case.live, registry.live(case.nowMs).size, "$case")
+            assertEquals(case.known, registry.hosts(case.nowMs).size, "$case")
+        }
+    }
+}
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ProfileBuilder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ProfileBuilder.kt
@@ -2,6 +2,7 @@
 
 import org.arbutusrelay.core.request.RequestId
 import org.arbutusrelay.core.route.Route
+import org.arbutusrelay.core.route.RouteKind
 import org.arbutusrelay.core.routing.PrefixHashes
 import org.arbutusrelay.core.routing.RequestProfile
 import org.arbutusrelay.relay.dialect.CallFacts
@@ -27,6 +28,10 @@
         prefixHashes = PrefixHashes.ofParts(facts.promptParts.map { it.id to it.tokens }),
         promptTokens = facts.promptTokens,
         responseTokens = facts.responseTokens,
+        sharedTokens = facts.promptParts.dropLast(1).sumOf { it.tokens },
+        affinityHash = PrefixHashes.ofParts(facts.promptParts.dropLast(1).map { it.id to it.tokens }).lastOrNull() ?: 0,
+        isStream = route.kind == RouteKind.STREAM,
+        targetMs = route.targetLatencyMs,
         isForwarded = isForwarded,
     )
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayCore.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayCore.kt
@@ -68,7 +68,10 @@
         result: AttemptResult,
     ) = deliver(scheduler.complete(attempt, result, clock.nowMs()))
 
-    fun observe(attempt: PlacedAttempt, load: AnswerLoad) = observeLoad(attempt, load)
+    fun observe(attempt: PlacedAttempt, load: AnswerLoad) {
+        scheduler.recordLoad(attempt.backendServer, load.running, load.queued, clock.nowMs())
+        observeLoad(attempt, load)
+    }
 
     private fun poll() {
         deliver(scheduler.poll(clock.nowMs()))
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -13,6 +13,7 @@
 import org.arbutusrelay.core.route.RoutePlanParser
 import org.arbutusrelay.core.route.RouteTable
 import org.arbutusrelay.core.routing.DefaultRequestScheduler
+import org.arbutusrelay.core.routing.FirstByteChoice
 import org.arbutusrelay.core.routing.PlacedAttempt
 import org.arbutusrelay.core.routing.SchedulerSettings
 import org.arbutusrelay.daemon.RelayClock
@@ -73,6 +74,7 @@
             retryPermille = (settings.bounds.retryShare * PERMILLE / 2).toLong(),
             historyBlocks = HISTORY_BLOCKS,
         ),
+        serverChoice = FirstByteChoice(),
     )
     private val forwardTargets = ForwardTargets(settings.linkPort + 1)
     private val core = RelayCore(
--- /dev/null
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ForwardingTest.kt
@@ -0,0 +1,210 @@
+package org.arbutusrelay.relay
+
+import org.arbutusrelay.relay.RelayFixture.Companion.readResponse
+import org.arbutusrelay.relay.RelayFixture.Companion.send
+import org.arbutusrelay.relay.ScriptedServer.Companion.answer
+import org.arbutusrelay.relay.ScriptedServer.Companion.reset
+import org.arbutusrelay.relay.ScriptedServer.Companion.say
+import java.net.Socket
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class ForwardingTest {
+    /** Guards against a library that normalises paths, decodes them or changes methods and bodies. */
+    @Test
+    fun `method, path, query and body arrive as they were sent`() {
+        data class Case(val method: String, val path: String, val body: String)
+        val cases = listOf(
+            Case("GET", "/safe/a/../b", ""),
+            Case("GET", "/safe/a%2Fb//c?x=%20&y=a+b", ""),
+            Case("POST", "/once/%C3%A9?", "{\"a\": 1}\r\n\r\nGET / HTTP/1.1"),
+            Case("PATCH", "/safe/;v=1", "x"),
+            Case("DELETE", "/safe/", ""),
+        )
+        val server = ScriptedServer { socket, request, _ -> socket.say(answer(request, "ok")) }
+        RelayFixture(server).use { relay ->
+            for (case in cases) {
+                assertContains(relay.exchange(case.path, case.method, body = case.body), "200 OK", message = "$case")
+                val seen = server.requests.last()
+                assertEquals("${case.method} ${case.path} HTTP/1.1", seen.line)
+                assertEquals(case.body, seen.body)
+                assertEquals("a.example", seen.header("Host"))
+            }
+        }
+    }
+
+    /** Guards against a client library that follows, retries or decodes by itself. */
+    @Test
+    fun `the backend server's own response reaches the caller unchanged`() {
+        data class Case(val status: String, val more: String, val body: String)
+        val cases = listOf(
+            Case("302 Found", "Location: /elsewhere\r\n", ""),
+            Case("401 Unauthorized", "WWW-Authenticate: Basic\r\n", "no"),
+            Case("404 Not Found", "", "none"),
+            Case("500 Internal Server Error", "Retry-After: 0\r\n", "broken"),
+        )
+        for (case in cases) {
+            val server = ScriptedServer { socket, request, _ ->
+                socket.say(answer(request, case.body, case.more).replace("200 OK", case.status))
+            }
+            RelayFixture(server).use { relay ->
+                val response = relay.exchange("/once/x", "POST", body = "b")
+                assertTrue(response.startsWith("HTTP/1.1 ${case.status}"), response)
+                assertTrue(response.endsWith("\r\n\r\n${case.body}"), response)
+                assertEquals(1, server.requests.size, "$case")
+            }
+        }
+    }
+
+    /** Guards against a second run of a request that may run once, and against a refusal that is not true. */
+    @Test
+    fun `a request is sent again only where that is allowed`() {
+        data class Case(val path: String, val first: (Socket, RawRequest) -> Unit, val status: String, val runs: Int)
+        val refuse = { socket: Socket, _: RawRequest ->
+            socket.say("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+        }
+        val breakOff = { socket: Socket, _: RawRequest -> socket.reset() }
+        val unsigned = { socket: Socket, request: RawRequest ->
+            socket.say(answer(request, "x").replace("Signature: s\r\n", ""))
+        }
+        val cases = listOf(
+            Case("/safe/x", refuse, "200", 2),
+            Case("/once/x", refuse, "200", 2),
+            Case("/safe/x", breakOff, "200", 2),
+            Case("/once/x", breakOff, "502", 1),
+            Case("/safe/x", unsigned, "200", 2),
+            Case("/once/x", unsigned, "502", 1),
+        )
+        for (case in cases) {
+            var count = 0
+            val script = { socket: Socket, request: RawRequest, _: Int ->
+                if (count++ == 0) case.first(socket, request) else socket.say(answer(request, "ok"))
+            }
+            val servers = listOf(ScriptedServer(script), ScriptedServer(script))
+            RelayFixture(*servers.toTypedArray()).use { relay ->
+                val response = relay.exchange(case.path, "POST", body = "b")
+                assertTrue(response.startsWith("HTTP/1.1 ${case.status}"), "$case $response")
+                assertEquals(case.runs, servers.sumOf { it.requests.size }, "$case")
+            }
+        }
+    }
+
+    /** Guards against a request that is refused although a port was merely closed. */
+    @Test
+    fun `a server that refuses connections costs no request`() {
+        val gone = ScriptedServer { _, _, _ -> }.apply { close() }
+        val server = ScriptedServer { socket, request, _ -> socket.say(answer(request, "ok")) }
+        RelayFixture(gone, server).use { relay ->
+            repeat(4) { assertContains(relay.exchange("/once/x", "POST", body = "b"), "200 OK") }
+        }
+    }
+
+    /** Guards against a late or surplus response that is given to the next request. */
+    @Test
+    fun `a response to another request is never used`() {
+        val server = ScriptedServer { socket, request, _ ->
+            val foreign = answer(RawRequest("", listOf("Attempt: other"), ""), "foreign")
+            if ("/safe/1" in
+                request.line
+            ) {
+                socket.say(answer(request, "first") + foreign)
+            } else {
+                socket.say(answer(request, "second"))
+            }
+        }
+        RelayFixture(server).use { relay ->
+            assertContains(relay.exchange("/safe/1"), "first")
+            assertContains(relay.exchange("/safe/2"), "second")
+        }
+        val late = ScriptedServer { socket, request, _ ->
+            socket.say(answer(RawRequest("", listOf("Attempt: other"), ""), "foreign") + answer(request, "own"))
+        }
+        RelayFixture(late).use { relay ->
+            val response = relay.exchange("/once/1", "POST", body = "b")
+            assertContains(response, "own")
+            assertFalse("foreign" in response)
+        }
+    }
+
+    /** Guards against a connection for each request, and against one that is used after a response without a length. */
+    @Test
+    fun `a backend connection is kept after a whole response only`() {
+        data class Case(val more: String, val connections: Int)
+        for (case in listOf(Case("", 1), Case("Connection: close\r\n", 3))) {
+            val server = ScriptedServer { socket, request, _ -> socket.say(answer(request, "ok", case.more)) }
+            RelayFixture(server).use { relay ->
+                relay.connect().use { caller ->
+                    repeat(3) {
+                        caller.send("/safe/$it")
+                        assertContains(caller.readResponse(), "ok")
+                    }
+                }
+                assertEquals(case.connections, server.sockets.size, "$case")
+            }
+        }
+    }
+
+    /** Guards against requests that are hidden inside others. */
+    @Test
+    fun `a request with two lengths or hosts is refused`() {
+        val cases = listOf(
+            "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+            "Content-Length: 3\r\nContent-Length: 4\r\n",
+            "Host: b.example\r\n",
+            "Bad Header: x\r\n",
+        )
+        val server = ScriptedServer { socket, request, _ -> socket.say(answer(request, "ok")) }
+        RelayFixture(server).use { relay ->
+            for (case in cases) {
+                val response = relay.exchange("/safe/x", "POST", case)
+                assertTrue(response.startsWith("HTTP/1.1 400"), "$case: $response")
+            }
+            assertEquals(0, server.requests.size)
+            assertTrue(relay.exchange("/safe/x", "POST", body = "b".repeat(2_000)).startsWith("HTTP/1.1 413"))
+            assertTrue(relay.exchange("/none/x").startsWith("HTTP/1.1 404"))
+        }
+    }
+
+    /** Guards against callers that ask several things on one connection and get the wrong order or nothing. */
+    @Test
+    fun `requests that are sent ahead are answered in order`() {
+        val server =
+            ScriptedServer { socket, request, _ -> socket.say(answer(request, request.line.substringAfterLast('/'))) }
+        RelayFixture(server).use { relay ->
+            relay.connect().use { caller ->
+                caller.send("/safe/1")
+                caller.send("/safe/2", more = "Connection: close\r\n")
+                val all = String(caller.getInputStream().readAllBytes())
+                assertEquals(2, Regex("200 OK").findAll(all).count(), all)
+            }
+        }
+    }
+
+    /** Guards against backend servers that go on working for callers who have left. */
+    @Test
+    fun `a caller that leaves ends the work that may be ended`() {
+        data class Case(val path: String, val isClosed: Boolean)
+        for (case in listOf(Case("/safe/x", true), Case("/stream/x", true), Case("/once/x", false))) {
+            val server = ScriptedServer { _, _, _ -> }
+            RelayFixture(server).use { relay ->
+                relay.connect().use {
+                    it.send(case.path, "POST", body = "b")
+                    awaitTrue { server.requests.size == 1 }
+                }
+                if (case.isClosed) awaitTrue { server.closed.size == 1 } else assertEquals(0, server.closed.size)
+            }
+        }
+    }
+}
+
+/** Waits for what other threads do; fails after ten seconds. */
+internal fun awaitTrue(condition: () -> Boolean) {
+    repeat(1_000) {
+        if (condition()) return
+        Thread.sleep(10)
+    }
+    error("the condition did not come true")
+}
--- /dev/null
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -0,0 +1,131 @@
+package org.arbutusrelay.relay
+
+import io.netty.channel.Channel
+import io.netty.channel.nio.NioEventLoopGroup
+import org.arbutusrelay.core.route.Route
+import org.arbutusrelay.core.route.RouteKind
+import org.arbutusrelay.core.route.RoutePlan
+import org.arbutusrelay.core.route.RouteTable
+import org.arbutusrelay.core.route.RouteTarget
+import org.arbutusrelay.core.route.RoutedService
+import org.arbutusrelay.core.routing.DefaultRequestScheduler
+import org.arbutusrelay.core.routing.FirstByteChoice
+import org.arbutusrelay.core.routing.RoutingTable
+import org.arbutusrelay.core.routing.SchedulerSettings
+import org.arbutusrelay.daemon.RelayClock
+import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.relay.backend.BackendPool
+import org.arbutusrelay.relay.exchange.Exchange
+import org.arbutusrelay.relay.exchange.ForwardTargets
+import org.arbutusrelay.relay.exchange.ProfileBuilder
+import org.arbutusrelay.relay.exchange.RelayCore
+import org.arbutusrelay.relay.exchange.RelayEvents
+import org.arbutusrelay.relay.ingress.IngressExchange
+import org.arbutusrelay.relay.ingress.IngressHandler
+import org.arbutusrelay.relay.ingress.IngressOptions
+import org.arbutusrelay.relay.ingress.IngressRequest
+import org.arbutusrelay.relay.ingress.IngressServer
+import org.arbutusrelay.relay.ingress.IngressService
+import org.arbutusrelay.relay.ingress.ResponseWriter
+import org.arbutusrelay.schema.message.BackendServerState
+import java.io.BufferedInputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.random.Random
+
+/** The request path of an entry host on loopback, with [servers] behind it. */
+internal class RelayFixture(private vararg val servers: ScriptedServer) : AutoCloseable {
+    private val group = NioEventLoopGroup(1)
+    private val loop = group.next()
+    private val clock = RelayClock()
+    private val scheduler = DefaultRequestScheduler(
+        callerOf = { null },
+        settings = SchedulerSettings(retryPermille = 1_000),
+        serverChoice = FirstByteChoice(),
+    )
+    private val core = RelayCore(
+        HostIdentity("host", "hue", "hue-a", 1), clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
+        ForwardTargets(1), RelayEvents.None, Random(1),
+    ) { _, _ -> }
+    private val profiles = ProfileBuilder("hue") { emptyList() }
+    private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+    private val options = IngressOptions(clock::nowMs) { MAX_BODY_BYTES }
+    private val server = IngressServer(group, options, Service(), isForwarded = false)
+
+    init {
+        val routes = listOf(
+            route("safe", RouteKind.IDEMPOTENT),
+            route("once", RouteKind.AT_MOST_ONCE),
+            route("stream", RouteKind.STREAM),
+            route("resumable", RouteKind.STREAM, isResumable = true),
+        )
+        core.routes.set(RouteTable(RoutePlan(1, routes, mapOf("svc" to RoutedService("svc")))))
+        scheduler.updateTable(
+            RoutingTable(
+                "hue",
+                "hue-a",
+                servers.mapIndexed { index, it ->
+                    state("s$index", it.address)
+                },
+            ),
+        )
+        server.start("127.0.0.1:$port")
+    }
+
+    /** Opens a connection as a caller does. */
+    fun connect(): Socket = Socket(InetAddress.getLoopbackAddress(), port).apply { soTimeout = TIMEOUT_MS }
+
+    /** Sends one request on a new connection and returns everything until the connection ends. */
+    fun exchange(path: String, method: String = "GET", more: String = "", body: String = ""): String = connect().use {
+        it.send(path, method, more + "Connection: close\r\n", body)
+        String(it.getInputStream().readAllBytes())
+    }
+
+    override fun close() {
+        server.stop()
+        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS)
+        servers.forEach { it.close() }
+    }
+
+    private fun route(name: String, kind: RouteKind, isResumable: Boolean = false) = Route(
+        name, "a.example", "/$name/", kind, 2_000, 300, 0, listOf(RouteTarget("svc", 1)), 2, isResumable, emptyList(),
+    )
+
+    private fun state(name: String, address: String) = BackendServerState(
+        name, "svc", "hue", "hue-a", address, 1, 1, 8, emptyList(), emptyList(), "", 0, 0, false, 3_000,
+    )
+
+    private inner class Service : IngressService {
+        override val isLeaving: Boolean get() = false
+
+        override fun open(request: IngressRequest, writer: ResponseWriter): IngressExchange =
+            Exchange(core, profiles, request, writer)
+
+        override fun onOpen(handler: IngressHandler, channel: Channel) = Unit
+
+        override fun onClose(handler: IngressHandler) = Unit
+    }
+
+    companion object {
+        const val MAX_BODY_BYTES = 1_000
+        const val TIMEOUT_MS = 10_000
+
+        fun Socket.send(path: String, method: String = "GET", more: String = "", body: String = "") {
+            val length = if (body.isEmpty()) "" else "Content-Length: ${body.length}\r\n"
+            val head = "$method $path HTTP/1.1\r\nHost: a.example\r\nAttempt: ${method + path}\r\n$more$length\r\n"
+            getOutputStream().write((head + body).encodeToByteArray())
+            getOutputStream().flush()
+        }
+
+        /** Reads one response with a length. */
+        fun Socket.readResponse(): String {
+            val input = BufferedInputStream(getInputStream())
+            val line = ScriptedServer.readLine(input).orEmpty()
+            val headers = generateSequence { ScriptedServer.readLine(input)?.takeIf { it.isNotEmpty() } }.toList()
+            val length = headers.firstOrNull { it.startsWith("content-length:", ignoreCase = true) }
+                ?.substringAfter(':')?.trim()?.toInt() ?: 0
+            return line + "\n" + String(input.readNBytes(length))
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ScriptedServer.kt
@@ -0,0 +1,100 @@
+package org.arbutusrelay.relay
+
+import java.io.BufferedInputStream
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.concurrent.thread
+
+/** A request as it arrived on the socket. */
+internal class RawRequest(val line: String, val headers: List<String>, val body: String) {
+    fun header(name: String): String? =
+        headers.firstOrNull { it.startsWith("$name:", ignoreCase = true) }?.substringAfter(':')?.trim()
+}
+
+/**
+ * A backend server on a raw socket, so that tests see each byte and each connection.
+ *
+ * [script] gets each request with its number on its connection and writes what it likes.
+ */
+internal class ScriptedServer(private val script: (Socket, RawRequest, Int) -> Unit) : AutoCloseable {
+    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    val address: String get() = "127.0.0.1:${server.localPort}"
+    val requests = CopyOnWriteArrayList<RawRequest>()
+    val sockets = CopyOnWriteArrayList<Socket>()
+
+    /** Connections that the other side has closed. */
+    val closed = CopyOnWriteArrayList<Socket>()
+
+    init {
+        thread(isDaemon = true) {
+            runCatching {
+                while (true) {
+                    val socket = server.accept()
+                    sockets += socket
+                    thread(isDaemon = true) { runCatching { serve(socket) } }
+                }
+            }
+        }
+    }
+
+    override fun close() {
+        server.close()
+        sockets.forEach { it.close() }
+    }
+
+    private fun serve(socket: Socket) {
+        val input = BufferedInputStream(socket.getInputStream())
+        var number = 0
+        while (true) {
+            val request = read(input)
+            if (request == null) {
+                closed += socket
+                return
+            }
+            requests += request
+            number++
+            val sequence = number
+            script(socket, request, sequence)
+        }
+    }
+
+    companion object {
+        /** Reads one request; null at the end of the connection. */
+        fun read(input: InputStream): RawRequest? {
+            val line = readLine(input) ?: return null
+            val headers = generateSequence { readLine(input)?.takeIf { it.isNotEmpty() } }.toList()
+            val length = headers.firstOrNull { it.startsWith("Content-Length:", ignoreCase = true) }
+                ?.substringAfter(':')?.trim()?.toInt() ?: 0
+            return RawRequest(line, headers, String(input.readNBytes(length)))
+        }
+
+        fun readLine(input: InputStream): String? {
+            val line = StringBuilder()
+            while (true) {
+                val next = input.read()
+                if (next < 0) return if (line.isEmpty()) null else line.toString()
+                if (next == '\n'.code) return line.toString().removeSuffix("\r")
+                line.append(next.toChar())
+            }
+        }
+
+        fun Socket.say(text: String) {
+            getOutputStream().write(text.encodeToByteArray())
+            getOutputStream().flush()
+        }
+
+        /** A whole signed response to [request]. */
+        fun answer(request: RawRequest, body: String, more: String = ""): String =
+            "HTTP/1.1 200 OK\r\nAttempt: ${request.header("Attempt")}\r\nSignature: s\r\n$more" +
+                "Content-Length: ${body.length}\r\n\r\n$body"
+
+        /** Ends the connection with a reset. */
+        fun Socket.reset() {
+            setSoLinger(true, 0)
+            close()
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/StreamForwardingTest.kt
@@ -0,0 +1,100 @@
+package org.arbutusrelay.relay
+
+import org.arbutusrelay.relay.ScriptedServer.Companion.reset
+import org.arbutusrelay.relay.ScriptedServer.Companion.say
+import java.net.Socket
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class StreamForwardingTest {
+    private fun event(id: Int) = "id: $id\ndata: part $id\n\n"
+
+    private fun chunk(text: String) = "${text.length.toString(16)}\r\n$text\r\n"
+
+    private fun head(request: RawRequest, signature: String = "s") =
+        "HTTP/1.1 200 OK\r\nAttempt: ${request.header("Attempt")}\r\nSignature: $signature\r\n" +
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+    private fun Socket.stream(request: RawRequest, ids: IntRange, signature: String = "s") {
+        say(head(request, signature) + ids.joinToString("") { chunk(event(it)) } + "0\r\n\r\n")
+    }
+
+    private fun body(response: String): String {
+        val text = response.substringAfter("\r\n\r\n")
+        return Regex("""[0-9a-f]+\r\n((?:(?!\r\n).|\n)+)\r\n""").findAll(text).joinToString("") { it.groupValues[1] }
+    }
+
+    /** Guards against a stream that broke off and looks complete, or goes on where it may not. */
+    @Test
+    fun `a stream that breaks off is resumed or visibly broken`() {
+        data class Case(val path: String, val isComplete: Boolean, val runs: Int)
+        for (case in listOf(Case("/resumable/x", true, 2), Case("/stream/x", false, 1))) {
+            var count = 0
+            val script = { socket: Socket, request: RawRequest, _: Int ->
+                if (count++ == 0) {
+                    socket.say(head(request) + chunk(event(1)) + chunk(event(2)) + chunk("id: 3\nda"))
+                    Thread.sleep(50)
+                    socket.reset()
+                } else {
+                    val from = checkNotNull(request.header("Last-Event-Id")).toInt() + 1
+                    socket.stream(request, from..5, signature = "other")
+                }
+            }
+            val servers = listOf(ScriptedServer(script), ScriptedServer(script))
+            RelayFixture(*servers.toTypedArray()).use { relay ->
+                val response = relay.exchange(case.path, "POST", body = "b")
+                val expected = if (case.isComplete) 1..5 else 1..2
+                assertEquals(expected.joinToString("") { event(it) }, body(response), "$case")
+                assertEquals(case.isComplete, response.endsWith("0\r\n\r\n"), "$case")
+                assertTrue("Signature: s" in response && "other" !in response, "$case keeps the first head")
+                assertEquals(case.runs, servers.sumOf { it.requests.size }, "$case")
+            }
+        }
+    }
+
+    /** Guards against events that are held back until the stream is complete. */
+    @Test
+    fun `events are passed on as they arrive`() {
+        val server = ScriptedServer { socket, request, _ -> socket.say(head(request) + chunk(event(1))) }
+        RelayFixture(server).use { relay ->
+            relay.connect().use { caller ->
+                with(RelayFixture.Companion) { caller.send("/stream/x", "POST", body = "b") }
+                val seen = StringBuilder()
+                while (event(1) !in seen) seen.append(caller.getInputStream().read().toChar())
+            }
+        }
+    }
+
+    /** Guards against an end that the backend server announced by closing its connection only. */
+    @Test
+    fun `a stream without a length ends with its connection`() {
+        data class Case(val isReset: Boolean, val isComplete: Boolean)
+        for (case in listOf(Case(false, true), Case(true, false))) {
+            val server = ScriptedServer { socket, request, _ ->
+                socket.say(head(request).replace("Transfer-Encoding: chunked\r\n", "") + event(1) + event(2))
+                Thread.sleep(50)
+                if (case.isReset) socket.reset() else socket.close()
+            }
+            RelayFixture(server).use { relay ->
+                val response = relay.exchange("/stream/x", "POST", body = "b")
+                assertEquals(event(1) + event(2), body(response), "$case")
+                assertEquals(case.isComplete, response.endsWith("0\r\n\r\n"), "$case")
+            }
+        }
+    }
+
+    /** Guards against a stream that is ended inside an event as if it were whole. */
+    @Test
+    fun `a stream that ends inside an event is not complete`() {
+        val server = ScriptedServer { socket, request, _ ->
+            socket.say(head(request) + chunk(event(1)) + chunk("id: 2\nda") + "0\r\n\r\n")
+        }
+        RelayFixture(server).use { relay ->
+            val response = relay.exchange("/stream/x", "POST", body = "b")
+            assertEquals(event(1), body(response))
+            assertFalse(response.endsWith("0\r\n\r\n"))
+        }
+    }
+}
