Turn to other regions while a region has no server, and refuse waits without hope

Requests stayed queued until their deadline for servers that had left. After the closing fault hosts had no document for 2 to 3 s (not_ready, 584).

Ruled out: the away budget (one request pays for one) and link capacity.

Change: FirstByteRegionChoice; streams away from home go where the first byte is soonest; a queued request is sent away or refused once its service has no server here or a third of its time is gone; shorter elections of the site log, whose reads do not use the lease; ramp of 500 ms on entry hosts.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -231,7 +231,7 @@
         isExpiring: Boolean = false,
     ) {
         val first = sink.size
-        if (isExpiring) queue.expire({ refuseIfLate(it, nowMs) }, sink)
+        if (isExpiring) queue.expire({ endHopelessWait(it, nowMs) }, sink)
         queue.drain(serverChoice.window, { prefer(it, nowMs) }, { placeQueued(it, nowMs) }, sink)
         for (index in first until sink.size) {
             if (sink[index].placement is Placement.Refused) endQueued(sink[index].profile)
@@ -249,6 +249,28 @@
         return placeNow(profile, nowMs)
     }
 
+    /** Ends the wait of a request that has nothing to wait for here, or has waited for as long as is of use. */
+    private fun endHopelessWait(profile: RequestProfile, nowMs: Long): Placement? {
+        refuseIfLate(profile, nowMs)?.let { return it }
+        val current = snapshot.get()
+        val isServed = profile.serviceName in current.services
+        val isWaitOver = profile.targetMs > 0 && nowMs > latestStartMs(profile)
+        if (isServed && !isWaitOver) return null
+        val away = remote.trySendAway(
+            profile,
+            current,
+            timesOf(profile.serviceName),
+            Double.POSITIVE_INFINITY,
+            true,
+            nowMs,
+        )
+        return away ?: refused(if (isServed) ErrorKind.OVERLOADED else ErrorKind.NO_BACKEND_SERVER)
+    }
+
+    /** A request that waits for longer could still be served, but a caller that is told at once can turn elsewhere. */
+    private fun latestStartMs(profile: RequestProfile): Long =
+        profile.submittedAtMs + ((profile.deadlineMs - profile.submittedAtMs) * settings.waitShare).toLong()
+
     /** Refuses a queued request that would miss its deadline if it began now. */
     private fun refuseIfLate(profile: RequestProfile, nowMs: Long): Placement? {
         val times = timesOf(profile.serviceName)
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteRegionChoice.kt
@@ -0,0 +1,16 @@
+package org.arbutusrelay.core.routing
+
+/**
+ * Sends a request that has no place here to the region with the earliest predicted first byte.
+ *
+ * A request whose finish here is predicted stays unless the first byte elsewhere comes before that. A region from which
+ * the first byte cannot come before the deadline is no help.
+ */
+public class FirstByteRegionChoice : RegionChoice {
+    override fun choose(query: RegionQuery): RegionSlots? {
+        val leftMs = (query.profile.deadlineMs - query.nowMs).toDouble()
+        val best = query.regions.minByOrNull { it.predictFirstByteMs(query.profile, query.times) } ?: return null
+        val firstMs = best.predictFirstByteMs(query.profile, query.times)
+        return best.takeIf { firstMs < minOf(leftMs, query.localMs) }
+    }
+}
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
@@ -57,6 +57,7 @@
     ): Placement? {
         if (profile.isForwarded) return null
         val targets = usableRegions(profile, snapshot, nowMs)
+        if (!isLocalAllowed && profile.targetMs > 0) return sendSoonest(profile, targets, times, nowMs)
         val target = targets.firstOrNull {
             (!isLocalAllowed || it.region.name == profile.allowedRegions.first()) &&
                 nowMs + it.predictMs(profile, times) <= profile.deadlineMs
@@ -64,6 +65,17 @@
         return target?.let { send(profile, it, times, nowMs) }
     }
 
+    private fun sendSoonest(
+        profile: RequestProfile,
+        targets: List<RegionSlots>,
+        times: ServiceTimes,
+        nowMs: Long,
+    ): Placement? {
+        val soonest = targets.minByOrNull { it.predictFirstByteMs(profile, times) } ?: return null
+        val isInTime = nowMs + soonest.predictFirstByteMs(profile, times) <= profile.deadlineMs
+        return if (isInTime) send(profile, soonest, times, nowMs) else null
+    }
+
     private fun usableRegions(profile: RequestProfile, snapshot: SchedulerSnapshot, nowMs: Long): List<RegionSlots> =
         profile.allowedRegions.mapNotNull { name ->
             snapshot.regions[name]?.takeIf { name != snapshot.table.region && it.isUsable(profile.serviceName, nowMs) }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestProfile.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestProfile.kt
@@ -29,6 +29,8 @@
     val isStream: Boolean = false,
     /** Time until the first byte that callers expect, in milliseconds; 0 when nothing is known of it. */
     val targetMs: Long = 0,
+    /** When the request arrived, on the local monotonic clock, in milliseconds. */
+    val submittedAtMs: Long = 0,
     /** Digest of the request, equal for resends. */
     val digest: String = "",
     /** True when the request must run on a backend server with nothing else in flight. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
@@ -14,6 +14,8 @@
     val maxRetryBurst: Long = 20,
     /** A request looks at other regions when its first byte is predicted after this share of its target. */
     val relieveFactor: Double = 0.8,
+    /** Share of its time that a request with a target may wait in the queue before it is refused. */
+    val waitShare: Double = 0.3,
     /** Hedges as a share of recent requests, in thousandths. */
     val hedgePermille: Long = 20,
     /** A hedge is due when an attempt without a first byte is older than this multiple of the predicted time. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -68,7 +68,15 @@
             ?: found.serviceFor(core.drawBelow(found.totalWeight))
         resolved = Resolved(found, facts, service, request.receivedMs + waitMs)
         core.schedule(waitMs) { onDeadline() }
-        profile = profiles.build(core.nextId(), found, service, facts, request.receivedMs + waitMs, request.isForwarded)
+        profile = profiles.build(
+            core.nextId(),
+            found,
+            service,
+            facts,
+            request.receivedMs,
+            request.receivedMs + waitMs,
+            request.isForwarded,
+        )
         submit()
     }
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ProfileBuilder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ProfileBuilder.kt
@@ -14,6 +14,7 @@
         route: Route,
         serviceName: String,
         facts: CallFacts,
+        submittedAtMs: Long,
         deadlineMs: Long,
         isForwarded: Boolean,
     ): RequestProfile = RequestProfile(
@@ -32,6 +33,7 @@
         affinityHash = PrefixHashes.ofParts(facts.promptParts.dropLast(1).map { it.id to it.tokens }).lastOrNull() ?: 0,
         isStream = route.kind == RouteKind.STREAM,
         targetMs = route.targetLatencyMs,
+        submittedAtMs = submittedAtMs,
         isForwarded = isForwarded,
     )
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -14,6 +14,7 @@
 import org.arbutusrelay.core.route.RouteTable
 import org.arbutusrelay.core.routing.DefaultRequestScheduler
 import org.arbutusrelay.core.routing.FirstByteChoice
+import org.arbutusrelay.core.routing.FirstByteRegionChoice
 import org.arbutusrelay.core.routing.PlacedAttempt
 import org.arbutusrelay.core.routing.SchedulerSettings
 import org.arbutusrelay.daemon.RelayClock
@@ -73,8 +74,10 @@
             maxRetryBurst = RETRY_BURST,
             retryPermille = (settings.bounds.retryShare * PERMILLE / 2).toLong(),
             historyBlocks = HISTORY_BLOCKS,
+            rampMs = RAMP_MS,
         ),
         serverChoice = FirstByteChoice(),
+        regionChoice = FirstByteRegionChoice(),
     )
     private val forwardTargets = ForwardTargets(settings.linkPort + 1)
     private val core = RelayCore(
@@ -197,6 +200,9 @@
         /** Retries for one service that one of about eight hosts may give at once. */
         const val RETRY_BURST = 4L
         const val HISTORY_BLOCKS = 8_192
+
+        /** Backend servers say themselves how long they are cold, so that no long ramp is needed. */
+        const val RAMP_MS = 500L
         const val MAX_BODY_BYTES = 4 * 1024 * 1024
         const val HTTP_IDLE_MS = 30_000L
         const val HTTP_THREADS = 8
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -47,6 +47,16 @@
         random = SecureRandom().asKotlinRandom(),
         foundingVoters = SiteLinks.seedNames(settings).takeIf { settings.isFounding },
         options = OPTIONS,
+        // Reads go through the log and not through the lease, so that the lease may be as short as the links allow.
+        configure = {
+            it.copy(
+                heartbeatMs = 120,
+                leaseMs = 400,
+                electionTimeoutMinMs = 600,
+                electionTimeoutMaxMs = 1_200,
+                recoveryQuietMs = 5_000,
+            )
+        },
     )
 
     /** Hosts and backend servers of the site. */
