--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -3,6 +3,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import org.apache.logging.log4j.LogManager
 import org.arbutusrelay.core.site.BackendServerRegistry
 import org.arbutusrelay.core.site.HostRegistry
 import org.arbutusrelay.core.site.SiteLog
@@ -108,6 +109,17 @@
         val isNews = synchronized(this) { servers.announce(server, clock.nowMs()) }
         if (!isNews) return
         val merged = synchronized(this) { servers.state(server.name, clock.nowMs()) } ?: return
+        logger.info(
+            "backend server announced: name={} incarnation={} version={} service={} zone={} address={} isLeaving={} coldMs={}",
+            merged.name,
+            merged.incarnation,
+            merged.version,
+            merged.service,
+            merged.availabilityZone,
+            merged.address,
+            merged.isLeaving,
+            merged.coldMs,
+        )
         tellChange(digest(servers = listOf(merged)), connectedHosts())
         publish()
     }
@@ -115,6 +127,7 @@
     /** Takes the notice that a backend server ends. */
     public fun depart(name: String, incarnation: Long?) {
         val departure = synchronized(this) { servers.depart(name, incarnation, clock.nowMs()) }
+        logger.info("backend server ends: name={} incarnation={}", name, departure.incarnation)
         tellChange(digest(departures = listOf(departure)), connectedHosts())
         publish()
     }
@@ -133,8 +146,9 @@
 
     private fun onReport(from: HostIdentity, report: SiteReport) {
         val nowMs = clock.nowMs()
+        var isNewSubscriber = false
         val isNews = synchronized(this) {
-            reportedMs[from.hostName] = nowMs
+            isNewSubscriber = reportedMs.put(from.hostName, nowMs) == null
             report.loads.forEach { servers.observe(it, nowMs) }
             hosts.hear(report.host, nowMs)
         }
@@ -142,9 +156,15 @@
             tellChange(digest(hosts = listOf(SiteHost(report.host, 0))), connectedHosts() - from.hostName)
             publish()
         }
+        if (isNewSubscriber) tellChange(fullDigest(nowMs), setOf(from.hostName))
         pushIfBehind(from.hostName, report.stateIndex, nowMs)
     }
 
+    override fun onLinkUp(host: HostIdentity) {
+        // An entry host that has just started must not wait for its next report to learn what it serves with.
+        if (!self.isStateHost) sendReports(clock.nowMs())
+    }
+
     private fun pushIfBehind(hostName: String, index: Long, nowMs: Long) {
         val newer = synchronized(this) {
             val isDue = nowMs - (pushedMs[hostName] ?: Long.MIN_VALUE / 2) >= times.statePushMs
@@ -221,18 +241,17 @@
         choice.active(ranked, network.connected().keys).forEach { network.send(it, LinkFrame(siteReport = report)) }
     }
 
-    private fun sendDigests(nowMs: Long) {
-        val full = synchronized(this) {
-            SiteDigest(
-                stateIndex = state.index,
-                isFull = true,
-                hosts = hosts.hosts(nowMs),
-                backendServers = servers.states(nowMs),
-                departures = servers.departures(nowMs),
-                loads = servers.loads(nowMs, times.loadMaxAgeMs),
-            )
-        }
-        tellChange(full, connectedHosts())
+    private fun sendDigests(nowMs: Long) = tellChange(fullDigest(nowMs), connectedHosts())
+
+    private fun fullDigest(nowMs: Long): SiteDigest = synchronized(this) {
+        SiteDigest(
+            stateIndex = state.index,
+            isFull = true,
+            hosts = hosts.hosts(nowMs),
+            backendServers = servers.states(nowMs),
+            departures = servers.departures(nowMs),
+            loads = servers.loads(nowMs, times.loadMaxAgeMs),
+        )
     }
 
     /** Entry hosts that report here, and all state hosts with a link. */
@@ -263,6 +282,8 @@
     }
 
     private companion object {
+        private val logger = LogManager.getLogger(SiteService::class.java)
+
         /** Until the next announcement tells the truth; announcements come about every 1,200 ms. */
         const val COLD_AFTER_RETURN_MS = 3_000L
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -38,6 +38,7 @@
 import org.arbutusrelay.relay.ingress.ResponseWriter
 import org.arbutusrelay.schema.message.BackendLoad
 import org.arbutusrelay.schema.settings.SiteSettings
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
 
@@ -129,10 +130,18 @@
         delay(minOf(graceMs / 2, LIST_LIFETIME_MS))
         loop.execute { connections.forEach { (handler, channel) -> if (handler.isIdle()) channel.close() } }
         while (core.openExchanges > 0 && clock.nowMs() - startMs < graceMs - EXIT_RESERVE_MS) delay(STOP_POLL_MS)
-        callerServer.stop()
         logger.info("stopped: {} requests were still open after {} ms", core.openExchanges, clock.nowMs() - startMs)
+        close()
+    }
+
+    /** Ends at once. */
+    internal fun close() {
+        callerServer.stop()
+        forwardServer.stop()
+        httpServers.forEach { it.stop() }
         scope.cancel()
         links.network.close()
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
     }
 
     private fun observe(placed: PlacedAttempt, load: AnswerLoad) =
