Copy cached prompt heads between engines and wait for what a fresh host learns

Change: engines copy shared heads from the engine that holds them; regions are closed later and for less; requests to a host that has just started wait up to a quarter of their time; entry hosts are named to callers once they have routes; one host, chosen by hashing, sends to a cold engine, at half its rate, so that three hosts that disagree stay within the bound.

--- a/core/src/main/kotlin/org/arbutusrelay/core/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/error/ErrorKind.kt
@@ -37,7 +37,7 @@
     HOME_MOVING(503, Outcome.NOT_RUN, true, 10_000, "the home region of the caller is being moved"),
     MANIFEST_STALE(503, Outcome.NOT_RUN, true, 1_000, "the request was decided by an older manifest"),
     REGION_UNREACHABLE(503, Outcome.NOT_RUN, true, 500, "no allowed region can be reached"),
-    NOT_READY(503, Outcome.NOT_RUN, true, 500, "this host is not ready"),
+    NOT_READY(503, Outcome.NOT_RUN, true, 1_000, "this host is not ready"),
     SHUTTING_DOWN(503, Outcome.NOT_RUN, true, 0, "this host is shutting down"),
     FORWARD_REFUSED(508, Outcome.NOT_RUN, true, 1_000, "the request was forwarded before"),
     BACKEND_REFUSED(503, Outcome.NOT_RUN, true, 1_000, "the backend server did not run the request"),
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/LocalPlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/LocalPlacement.kt
@@ -82,7 +82,9 @@
             slots.release()
             return null
         }
-        val uncached = FinishChoice.uncachedTokens(profile, slots)
+        val servers = snapshotOf().services[profile.serviceName]
+        val uncached = servers?.let { choice.tokensToRead(profile, slots, it) } ?: profile.promptTokens
+        val source = servers?.let { choice.cacheSource(profile, slots, it) }
         val load = slots.load()
         val idleMs = times.predictMs(uncached, profile.responseTokens)
         val predictedMs = idleMs * ServiceTimes.loadFactor(load, slots.capacity)
@@ -94,7 +96,10 @@
         slots.addPending(uncached)
         attempts.add(number, OpenAttempt(slots, null, times, uncached, load, predictedMs, aheadTokens, firstMs))
         val state = slots.state
-        return PlacedAttempt(profile, slots.name, state.incarnation, state.address, number, nowMs, isHedge, region)
+        return PlacedAttempt(
+            profile, slots.name, state.incarnation, state.address, number, nowMs, isHedge, region,
+            source?.state?.address.orEmpty(),
+        )
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
@@ -5,13 +5,18 @@
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Counts what this host sent to another region and predicts how long a request takes there. */
-public class RegionSlots(region: RemoteRegion, private val ramp: SlowRamp) {
+public class RegionSlots(
+    region: RemoteRegion,
+    private val ramp: SlowRamp,
+    failureThreshold: Int = 3,
+    openMs: Long = 2_000,
+) {
     /** Latest summary. */
     @Volatile
     public var region: RemoteRegion = region
         private set
 
-    public val breaker: CircuitBreaker = CircuitBreaker(failureThreshold = 3)
+    public val breaker: CircuitBreaker = CircuitBreaker(failureThreshold, openMs)
     private val own = AtomicInteger()
 
     /** Takes over a newer summary. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestProfile.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestProfile.kt
@@ -25,6 +25,8 @@
     val sharedTokens: Int = 0,
     /** Hash of the shared head of the prompt, for affinity; 0 when there is none. */
     val affinityHash: Long = 0,
+    /** True when a backend server can copy cached tokens from another one of its region. */
+    val canImportCache: Boolean = false,
     /** True when the response is a stream, which is late by its first event and not by its last. */
     val isStream: Boolean = false,
     /** Time until the first byte that callers expect, in milliseconds; 0 when nothing is known of it. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestScheduler.kt
@@ -76,6 +76,8 @@
     val isHedge: Boolean = false,
     /** Region that runs the attempt. */
     val region: String,
+    /** Address of a backend server that holds more of the prompt; empty when there is none. */
+    val cacheSourceAddress: String = "",
 )
 
 /** How an attempt ended. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
@@ -16,6 +16,9 @@
     val relieveFactor: Double = 0.8,
     /** Share of its time that a request with a target may wait in the queue before it is refused. */
     val waitShare: Double = 0.3,
+    /** Failures in a row after which a region gets no requests for [regionOpenMs]. */
+    val regionFailureThreshold: Int = 3,
+    val regionOpenMs: Long = 2_000,
     /** Hedges as a share of recent requests, in thousandths. */
     val hedgePermille: Long = 20,
     /** A hedge is due when an attempt without a first byte is older than this multiple of the predicted time. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
@@ -39,7 +39,8 @@
             ServiceServers(states.mapNotNull { slots[it.name] }, timesOf(service))
         }
         val regions = table.otherRegions.mapValues { (name, region) ->
-            old.regions[name]?.apply { update(region) } ?: RegionSlots(region, ramp())
+            old.regions[name]?.apply { update(region) }
+                ?: RegionSlots(region, ramp(), settings.regionFailureThreshold, settings.regionOpenMs)
         }
         // A backend server that comes back in the same incarnation must not start from zero requests in flight.
         val departed = (old.departed + old.slotsByName.values).filter { gone ->
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/dialect/CallDialect.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/dialect/CallDialect.kt
@@ -45,6 +45,8 @@
     val priority: Int,
     /** Last event that the caller has, when a stream is continued. */
     val lastEventId: Long?,
+    /** Address of a backend server from which cached tokens of the prompt can be copied; null when there is none. */
+    val cacheSource: String? = null,
 )
 
 /** Reads and writes the headers that callers, backend servers and this system agree on. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -59,7 +59,23 @@
 
     override fun start() {
         core.openExchanges++
-        val table = core.routes.get() ?: return refuse(RelayError(ErrorKind.NOT_READY))
+        resolve()
+    }
+
+    private fun resolve() {
+        val table = core.routes.get()
+        if (table ==
+            null
+        ) {
+            return if (isWorthWaiting(
+                    NOT_READY_WAIT_MS,
+                )
+            ) {
+                again(::resolve)
+            } else {
+                refuse(RelayError(ErrorKind.NOT_READY))
+            }
+        }
         val found = table.find(request.authority, request.path)
             ?: return refuse(RelayError(ErrorKind.UNKNOWN_SERVICE, "no route for ${request.authority}${request.path}"))
         val facts = core.dialect.readCall(request.headers).fold({ return refuse(it) }, { it })
@@ -72,6 +88,7 @@
             core.nextId(),
             found,
             service,
+            (table.plan.services[service]?.cacheTokens ?: 0) > 0,
             facts,
             request.receivedMs,
             request.receivedMs + waitMs,
@@ -82,7 +99,9 @@
 
     override fun onCallerLeft() {
         when (phase) {
-            Phase.NEW, Phase.DONE -> return
+            Phase.DONE -> return
+
+            Phase.NEW -> Unit
 
             Phase.WAITING -> core.withdraw(this)
 
@@ -102,10 +121,23 @@
             is Placement.Run -> send(placement.attempt, placement.attempt.address, placement.attempt.backendServer)
             is Placement.SendAway -> sendAway(placement)
             is Placement.Queued -> enterQueue()
-            is Placement.Refused -> giveUp(placement.error)
+            is Placement.Refused -> onRefused(placement.error)
         }
     }
 
+    /** Tries again for a while on a host that has just started and does not know all backend servers yet. */
+    private fun onRefused(error: RelayError) {
+        val isUnknown = error.kind == ErrorKind.NO_BACKEND_SERVER || error.kind == ErrorKind.REGION_UNREACHABLE
+        val waitMs = resolved?.let { (it.deadlineMs - request.receivedMs) / SETTLING_WAIT_PARTS } ?: 0
+        if (isUnknown && attempts == 0 && core.isSettling && isWorthWaiting(waitMs)) again(::submit) else giveUp(error)
+    }
+
+    private fun isWorthWaiting(waitMs: Long) = core.isSettling && ageMs < waitMs
+
+    private fun again(action: () -> Unit) {
+        core.schedule(SETTLING_POLL_MS) { if (phase == Phase.NEW || phase == Phase.WAITING) action() }
+    }
+
     private fun submit() = onPlacement(core.scheduler.submit(profile, core.clock.nowMs()))
 
     private fun enterQueue() {
@@ -129,16 +161,27 @@
         attempts++
         val opened = Attempt(core, this, placed, address)
         attempt = opened
-        opened.start(BackendRequest(request.method, request.uri, headersFor(call, backendServer), request.body))
+        opened.start(BackendRequest(request.method, request.uri, headersFor(call, placed, backendServer), request.body))
         if (attempt === opened && call.route.isRepeatable) watch(opened)
     }
 
-    private fun headersFor(call: Resolved, backendServer: String?): HttpHeaders {
+    private fun headersFor(call: Resolved, placed: PlacedAttempt, backendServer: String?): HttpHeaders {
         val headers = HopHeaders.strip(request.headers.copy())
         ForwardHeaders.removeFrom(headers)
         val remainingMs = (call.deadlineMs - core.clock.nowMs()).coerceAtLeast(1)
         val lastEventId = if (call.route.kind == RouteKind.STREAM) cursor.lastEventId else null
-        core.dialect.writeSend(headers, SendFacts(backendServer, remainingMs, call.route.priority, lastEventId))
+        core.dialect.writeSend(
+            headers,
+            SendFacts(
+                backendServer,
+                remainingMs,
+                call.route.priority,
+                lastEventId,
+                placed.cacheSourceAddress.ifEmpty {
+                    null
+                },
+            ),
+        )
         if (backendServer == null) ForwardHeaders.putService(headers, call.serviceName)
         if (request.body.isNotEmpty() || request.headers.contains("Content-Length")) {
             headers["Content-Length"] = request.body.size
@@ -258,10 +301,10 @@
 
     private fun onDeadline() {
         when (phase) {
-            Phase.NEW, Phase.DONE -> return
+            Phase.DONE -> return
 
-            Phase.WAITING -> {
-                core.withdraw(this)
+            Phase.NEW, Phase.WAITING -> {
+                if (phase == Phase.WAITING) core.withdraw(this)
                 giveUp(RelayError(ErrorKind.DEADLINE_UNREACHABLE))
             }
 
@@ -336,6 +379,13 @@
 
         /** Multiple of the target latency after which a silent backend server is given up. */
         const val SILENCE_TARGETS = 3L
+
+        /** How long a request waits for the routes of a host that has just started. */
+        const val NOT_READY_WAIT_MS = 1_000L
+
+        /** A request waits for backend servers of such a host for the time that it has, divided by this. */
+        const val SETTLING_WAIT_PARTS = 4
+        const val SETTLING_POLL_MS = 50L
         const val DEADLINE_GRACE_MS = 150L
         const val DEFAULT_RETRY_MS = 200L
         const val MS_PER_S = 1_000.0
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayCore.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayCore.kt
@@ -36,6 +36,11 @@
     private var requestNumber = 0L
     private var isPolling = false
 
+    private val startedMs = clock.nowMs()
+
+    /** True until this host has had the time to learn of all others and of the backend servers. */
+    val isSettling: Boolean get() = clock.nowMs() - startedMs < SETTLING_MS
+
     /** Exchanges that are not finished. */
     var openExchanges: Int = 0
 
@@ -86,5 +91,8 @@
     private companion object {
         /** How often waiting requests are looked at without an attempt that ended. */
         const val POLL_MS = 20L
+
+        /** Two announcement periods of backend servers and the start of a state host. */
+        const val SETTLING_MS = 4_000L
     }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import org.apache.logging.log4j.LogManager
 import org.arbutusrelay.core.invariant.Invariants
 import org.arbutusrelay.core.route.RoutePlan
@@ -61,12 +62,12 @@
     private val callerAddress = requireNotNull(settings.callerAddress) { "an entry host needs callerAddress" }
     private val site = SiteService(
         links.network,
-        links.selfState.copy(callerAddress = callerAddress),
+        links.selfState,
         SiteLinks.seedNames(settings),
         settings.linkPort,
         clock,
     )
-    private val routing = SiteRouting(links.identity, settings.bounds.coldMultiplier)
+    private val routing = SiteRouting(links.identity)
     private val pool = BackendPool(loop, clock::nowMs)
     private val scheduler = DefaultRequestScheduler(
         callerOf = { null },
@@ -76,6 +77,8 @@
             retryPermille = (settings.bounds.retryShare * PERMILLE / 2).toLong(),
             historyBlocks = HISTORY_BLOCKS,
             rampMs = RAMP_MS,
+            regionFailureThreshold = REGION_FAILURES,
+            regionOpenMs = REGION_OPEN_MS,
         ),
         serverChoice = FirstByteChoice(),
         regionChoice = FirstByteRegionChoice(),
@@ -155,6 +158,12 @@
         loop.execute {
             if (core.routes.get()?.plan !== plan && (core.routes.get()?.plan?.number ?: -1) <= plan.number) {
                 core.routes.set(RouteTable(plan))
+                if (site.view.hosts.none {
+                        it.hostName == links.identity.hostName && it.callerAddress.isNotEmpty()
+                    }
+                ) {
+                    advertise()
+                }
                 logger.info("document {} is in force, state index {}", plan.number, view.state.index)
             }
             scheduler.updateTable(table)
@@ -167,6 +176,11 @@
         }
     }
 
+    /** Lets callers be sent here; not before, because a host without routes can only refuse. */
+    private fun advertise() {
+        scope.launch { site.updateSelf { it.copy(callerAddress = callerAddress) } }
+    }
+
     private fun planOf(view: SiteView): RoutePlan? {
         val document = view.state.document ?: return null
         parsed.get()?.takeIf { it.number == document.number }?.let { return it }
@@ -212,6 +226,10 @@
 
         /** Backend servers say themselves how long they are cold, so that no long ramp is needed. */
         const val RAMP_MS = 500L
+
+        /** One server that crashes there breaks many requests at once, which says little about the others. */
+        const val REGION_FAILURES = 20
+        const val REGION_OPEN_MS = 500L
         const val MAX_BODY_BYTES = 4 * 1024 * 1024
         const val HTTP_IDLE_MS = 30_000L
         const val HTTP_THREADS = 8
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SelfCheck.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SelfCheck.kt
@@ -90,7 +90,8 @@
     private fun routes() = listOf(HealthRoutes("", RelayMetrics()) { true })
 
     private fun server() = BackendServerState(
-        "check", "check", "here", "here-a", "$STATE_ADDRESS:${backend.localPort}", 1, 1, 8, emptyList(), emptyList(), "", 0, 0, false, 0,
+        "check", "check", "here", "here-a", "$STATE_ADDRESS:${backend.localPort}", 1, 1, 8,
+        emptyList(), emptyList(), "", 0, 0, false, 0,
     )
 
     private fun settings(address: String, isState: Boolean) = SiteSettings(
@@ -112,7 +113,8 @@
 
     private object Parser : RoutePlanParser {
         private val route = Route(
-            "check", "check", "/check/", RouteKind.STREAM, 5_000, 1_000, 0, listOf(RouteTarget("check", 1)), 2, true, emptyList(),
+            "check", "check", "/check/", RouteKind.STREAM, 5_000, 1_000, 0, listOf(RouteTarget("check", 1)), 2, true,
+            emptyList(),
         )
 
         override fun parse(content: ByteArray): Either<RelayError, RoutePlan> =
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteRouting.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteRouting.kt
@@ -11,7 +11,7 @@
 import org.arbutusrelay.schema.message.ServiceSummary
 
 /** Makes the scheduler's routing table from what a host knows of its site. */
-internal class SiteRouting(private val self: HostIdentity, private val coldMultiplier: Double) {
+internal class SiteRouting(private val self: HostIdentity) {
     fun table(view: SiteView, plan: RoutePlan): RoutingTable {
         val usable = view.backendServers.filter {
             it.service in plan.services && !it.isLeaving && it.availabilityZone !in view.state.evacuatedZones
@@ -48,21 +48,20 @@
     /**
      * Returns what this host may send to each cold backend server.
      *
-     * Only [COLD_SENDERS] entry hosts of the region send to a cold backend server, chosen by rendezvous hashing, so
-     * that the sum stays within what it tolerates even while hosts disagree on who is there.
+     * One entry host of the region, chosen by rendezvous hashing, sends to a cold backend server, at half of what it
+     * tolerates. Hosts may disagree for a moment on who is there, and the sum must stay within the bound then as well.
      */
     private fun coldRates(here: List<BackendServerState>, view: SiteView, plan: RoutePlan): Map<String, Double> {
         val cold = here.filter { it.coldMs > 0 }
         if (cold.isEmpty()) return emptyMap()
         val names = view.entryHosts.filter { it.region == self.region }.map { it.hostName }
-        return cold.filter { self.hostName in Rendezvous.rank(it.name, names).take(COLD_SENDERS) }.associate {
-            it.name to (plan.services[it.service]?.coldRatePerSecond ?: 0.0) * coldMultiplier / COLD_SENDERS
-        }
+        return cold.filter { Rendezvous.rank(it.name, names).firstOrNull() == self.hostName }
+            .associate { it.name to (plan.services[it.service]?.coldRatePerSecond ?: 0.0) * COLD_RATE_SHARE }
     }
 
     private companion object {
         const val ALL_PERMILLE = 1_000L
-        const val COLD_SENDERS = 2
+        const val COLD_RATE_SHARE = 0.5
 
         /** One way, in milliseconds; the regions of both users are about this far apart. */
         const val REGION_DELAY_MS = 55L
