--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/FirstByteChoiceTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/FirstByteChoiceTest.kt
@@ -66,6 +66,24 @@
         assertTrue(counts.values.max() <= 20, "$counts")
     }
 
+    /** Guards against a prompt that is read again although another engine holds it, and against copies of nothing. */
+    @Test
+    fun `a cached head is copied from the engine that holds it`() {
+        val servers = ServiceServers(List(4) { slots("engine-$it") }, ServiceTimes())
+        val choice = FirstByteChoice()
+        val profile = request(1).copy(canImportCache = true)
+        val preferred = checkNotNull(choice.choose(profile, servers, 0))
+        val other = servers.slots.first { it !== preferred }
+        assertEquals(preferred, choice.cacheSource(profile, other, servers), "the preferred engine is taken to hold it")
+        assertEquals(null, choice.cacheSource(profile, preferred, servers), "nobody is known to hold it")
+        other.history.add(profile.prefixHashes)
+        assertEquals(other, choice.cacheSource(profile, preferred, servers))
+        assertEquals(null, choice.cacheSource(profile.copy(canImportCache = false), preferred, servers))
+        val idle = servers.slots.first { it !== preferred && it !== other }
+        val read = choice.tokensToRead(profile, idle, servers)
+        assertTrue(read < profile.promptTokens - profile.sharedTokens + profile.sharedTokens / 4, "$read")
+    }
+
     /** Guards against an engine that is preferred for its cache while other hosts' requests wait there. */
     @Test
     fun `requests of other hosts that wait are seen in the load of a response`() {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -43,7 +43,7 @@
     private val servers = BackendServerRegistry(times.backendLeaseMs)
     private val choice = StateHostChoice(self.hostName, self.region)
     private val dialled = HashSet<String>()
-    private val reportedMs = HashMap<String, Long>()
+    private val subscriptions = HashMap<String, Subscription>()
     private val pushedMs = HashMap<String, Long>()
     private val freshLoads = LinkedHashMap<String, BackendLoad>()
     private val listeners = CopyOnWriteArrayList<(SiteView) -> Unit>()
@@ -148,7 +148,8 @@
         val nowMs = clock.nowMs()
         var isNewSubscriber = false
         val isNews = synchronized(this) {
-            isNewSubscriber = reportedMs.put(from.hostName, nowMs) == null
+            isNewSubscriber = subscriptions.put(from.hostName, Subscription(from.epoch, nowMs))?.epoch != from.epoch
+            if (isNewSubscriber) pushedMs.remove(from.hostName)
             report.loads.forEach { servers.observe(it, nowMs) }
             hosts.hear(report.host, nowMs)
         }
@@ -259,8 +260,8 @@
 
     private fun subscribers(): Set<String> = synchronized(this) {
         val nowMs = clock.nowMs()
-        reportedMs.values.removeIf { nowMs - it > times.subscriptionMs }
-        reportedMs.keys.toSet()
+        subscriptions.values.removeIf { nowMs - it.atMs > times.subscriptionMs }
+        subscriptions.keys.toSet()
     }
 
     private fun digest(
@@ -281,6 +282,9 @@
         listeners.forEach { it(next) }
     }
 
+    /** The last report of an entry host; another epoch is a process that knows nothing yet. */
+    private class Subscription(val epoch: Long, val atMs: Long)
+
     private companion object {
         private val logger = LogManager.getLogger(SiteService::class.java)
 
--- /dev/null
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
@@ -0,0 +1,118 @@
+package org.arbutusrelay.daemon.site
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.runTest
+import org.arbutusrelay.daemon.RelayClock
+import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.daemon.link.InMemoryLinks
+import org.arbutusrelay.schema.message.BackendServerState
+import org.arbutusrelay.schema.message.DocumentRecord
+import org.arbutusrelay.schema.message.HostState
+import org.arbutusrelay.schema.message.SiteState
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class SiteServiceTest {
+    private val stateHosts = listOf("10.1.0.1", "10.2.0.1", "10.3.0.1")
+    private val entryHosts = listOf("10.1.0.9", "10.2.0.9")
+
+    private class Site(val scope: TestScope, val links: InMemoryLinks, val services: MutableMap<String, SiteService>)
+
+    private fun Site.start(name: String, seeds: List<String>, epoch: Long = 1) {
+        val isState = name.endsWith(".1")
+        val region = name.split('.')[1]
+        val self =
+            HostState(name, region, "$region-a", epoch, 1, "", if (isState) "" else "$name:80", 0, 0, false, isState)
+        val network = links.start(HostIdentity(name, region, "$region-a", epoch))
+        val clock = RelayClock(scope.testScheduler.timeSource)
+        services[name] = SiteService(network, self, seeds, linkPort = 1, clock).apply { start(scope.backgroundScope) }
+    }
+
+    private fun site(seeds: List<String> = stateHosts, test: suspend Site.() -> Unit) = runTest {
+        val site = Site(this, InMemoryLinks(backgroundScope), HashMap())
+        (stateHosts + entryHosts).forEach { site.start(it, seeds) }
+        delay(5_000)
+        site.test()
+    }
+
+    private fun document(index: Long) =
+        SiteState(index, DocumentRecord(index, "", byteArrayOf(1)), emptyList())
+
+    private fun server(version: Long, isLeaving: Boolean = false) = BackendServerState(
+        "b", "s", "1", "1-a", "10.1.0.50:80", 1, version, 8, emptyList(), emptyList(), "", 0, 0, isLeaving, 0,
+    )
+
+    private fun Site.view(name: String) = services.getValue(name).view
+
+    /** Guards against hosts that know only the seeds they were given. */
+    @Test
+    fun `one seed is enough to find all hosts`() = site(seeds = stateHosts.take(1)) {
+        for (name in stateHosts + entryHosts) {
+            assertEquals((stateHosts + entryHosts).toSet(), view(name).hosts.map { it.hostName }.toSet(), name)
+        }
+    }
+
+    /** Guards against a document, an announcement or a departure that reaches only some hosts, or too late. */
+    @Test
+    fun `what one state host learns reaches all hosts within half a second`() = site {
+        val first = services.getValue(stateHosts[0])
+        stateHosts.forEach { services.getValue(it).install(document(3)) }
+        first.announce(server(1))
+        delay(500)
+        for (name in entryHosts) {
+            assertEquals(3, view(name).state.index, name)
+            assertEquals(listOf("b"), view(name).backendServers.map { it.name }, name)
+        }
+        services.getValue(stateHosts[1]).depart("b", 1)
+        delay(500)
+        for (name in stateHosts + entryHosts) assertTrue(view(name).backendServers.single().isLeaving, name)
+    }
+
+    /** Guards against an entry host that stays without news because the state hosts it reports to are gone. */
+    @Test
+    fun `an entry host turns to other state hosts`() = site {
+        links.partition(entryHosts, stateHosts.take(2), isCut = true)
+        delay(3_000)
+        services.getValue(stateHosts[2]).install(document(4))
+        delay(1_500)
+        for (name in entryHosts) assertEquals(4, view(name).state.index, name)
+    }
+
+    /** Guards against an entry host that serves callers only when its next report is due. */
+    @Test
+    fun `an entry host that starts again knows everything at once`() = site {
+        stateHosts.forEach { services.getValue(it).install(document(5)) }
+        services.getValue(stateHosts[0]).announce(server(1))
+        delay(1_000)
+        val name = entryHosts[0]
+        start(name, stateHosts, epoch = 2)
+        delay(600)
+        assertEquals(5, view(name).state.index)
+        assertEquals(1, view(name).backendServers.size)
+    }
+
+    /** Guards against an older state that a lagging state host sends and that is put in force. */
+    @Test
+    fun `the state of an entry host never goes back`() = site {
+        services.getValue(stateHosts[0]).install(document(8))
+        delay(1_500)
+        services.getValue(stateHosts[1]).install(document(7))
+        delay(2_500)
+        for (name in entryHosts) assertEquals(8, view(name).state.index, name)
+    }
+
+    /** Guards against callers that are sent to a host that stops or has died. */
+    @Test
+    fun `a leaving or silent entry host is no longer named`() = site {
+        services.getValue(entryHosts[0]).updateSelf { it.copy(isLeaving = true) }
+        delay(500)
+        for (name in stateHosts) assertEquals(listOf(entryHosts[1]), view(name).entryHosts.map { it.hostName }, name)
+        links.stop(entryHosts[1])
+        delay(6_000)
+        for (name in stateHosts) assertEquals(emptyList(), view(name).entryHosts, name)
+    }
+}
