Count requests sent to another region by service

Ruled out: the away budget (each request pays for one), the prediction (110 ms link and 40 ms service against 5 s), the breaker of the region.

Change: RegionSlots counts by service. RegionReliefTest replays the load; its first case fails without the change. RoutingPartsTest names the service.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
@@ -4,12 +4,12 @@
 internal object AttemptRecorder {
     /** Frees the slot of an attempt that ended and learns from its [result]. */
     fun end(open: OpenAttempt, attempt: PlacedAttempt, result: AttemptResult, nowMs: Long) {
-        open.region?.let { endRemote(it, result, nowMs) }
+        open.region?.let { endRemote(it, attempt.profile.serviceName, result, nowMs) }
         open.slots?.let { endLocal(it, open, attempt, result, nowMs) }
     }
 
-    private fun endRemote(region: RegionSlots, result: AttemptResult, nowMs: Long) {
-        region.release()
+    private fun endRemote(region: RegionSlots, serviceName: String, result: AttemptResult, nowMs: Long) {
+        region.release(serviceName)
         when (result) {
             AttemptResult.COMPLETE -> region.breaker.recordSuccess()
             AttemptResult.CONNECTION_LOST, AttemptResult.REFUSED -> region.breaker.recordFailure(nowMs)
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
@@ -2,6 +2,7 @@
 
 import org.arbutusrelay.core.admission.CircuitBreaker
 import org.arbutusrelay.core.admission.SlowRamp
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Counts what this host sent to another region and predicts how long a request takes there. */
@@ -17,15 +18,15 @@
         private set
 
     public val breaker: CircuitBreaker = CircuitBreaker(failureThreshold, openMs)
-    private val own = AtomicInteger()
+    private val own = ConcurrentHashMap<String, AtomicInteger>()
 
     /** Takes over a newer summary. */
     public fun update(newer: RemoteRegion) {
         region = newer
     }
 
-    /** Requests of this host in flight there. */
-    public fun ownInFlight(): Int = own.get()
+    /** Requests of this host for [serviceName] in flight there. */
+    public fun ownInFlight(serviceName: String): Int = own[serviceName]?.get() ?: 0
 
     /** Share of its work that the region may get at [nowMs] after it has returned, in thousandths. */
     public fun sharePermille(nowMs: Long): Long = ramp.sharePermille(nowMs)
@@ -35,7 +36,7 @@
         val latest = region
         val summary = latest.services[serviceName] ?: return false
         return summary.backendServers > 0 && latest.ageMs <= MAX_AGE_MS && latest.linkUsePermille < MAX_LINK_USE &&
-            breaker.isReady(nowMs) && ownInFlight() * PERMILLE <= summary.capacity * sharePermille(nowMs)
+            breaker.isReady(nowMs) && ownInFlight(serviceName) * PERMILLE <= summary.capacity * sharePermille(nowMs)
     }
 
     /**
@@ -48,7 +49,7 @@
         val summary = latest.services[profile.serviceName] ?: return Double.MAX_VALUE
         val useShare = minOf(latest.linkUsePermille, MAX_LINK_USE) / PERMILLE.toDouble()
         val linkMs = 2 * latest.link.oneWayDelayMs / (1 - useShare)
-        val load = maxOf(ownInFlight().toLong(), summary.running + summary.queued)
+        val load = maxOf(ownInFlight(profile.serviceName).toLong(), summary.running + summary.queued)
         val runMs = times.predictMs(profile.promptTokens, profile.responseTokens) *
             ServiceTimes.loadFactor(load.toInt(), summary.capacity.toInt())
         val meanMs = maxOf(summary.predictedMs.toDouble(), times.meanMs())
@@ -63,21 +64,21 @@
         val servers = maxOf(1L, summary.backendServers).toDouble()
         val linkMs = 2.0 * latest.link.oneWayDelayMs
         if (profile.promptTokens == 0) {
-            val load = maxOf(ownInFlight().toLong(), summary.running + summary.queued)
+            val load = maxOf(ownInFlight(profile.serviceName).toLong(), summary.running + summary.queued)
             return linkMs + times.meanMs() * maxOf(1.0, (load + 1.0) / maxOf(1L, summary.capacity))
         }
-        val aheadTokens = maxOf(summary.queued.toDouble(), ownInFlight() * WAITING_SHARE) / servers *
+        val aheadTokens = maxOf(summary.queued.toDouble(), ownInFlight(profile.serviceName) * WAITING_SHARE) / servers *
             times.meanUncachedTokens()
         return linkMs +
             times.firstByte.predictMs(aheadTokens + profile.promptTokens - profile.sharedTokens * HELD_SHARE)
     }
 
-    internal fun acquire() {
-        own.incrementAndGet()
+    internal fun acquire(serviceName: String) {
+        own.computeIfAbsent(serviceName) { AtomicInteger() }.incrementAndGet()
     }
 
-    internal fun release() {
-        own.decrementAndGet()
+    internal fun release(serviceName: String) {
+        own[serviceName]?.decrementAndGet()
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
@@ -90,7 +90,7 @@
             "${profile.id} sent on to $name"
         }
         if (!isAllowed || !isFirstHop || !region.breaker.tryAdmit(nowMs)) return null
-        region.acquire()
+        region.acquire(profile.serviceName)
         val number = attempts.nextNumber()
         val predictedMs = region.predictMs(profile, times)
         attempts.add(number, OpenAttempt(null, region, times, profile.promptTokens, 0, predictedMs))
--- /dev/null
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/RegionReliefTest.kt
@@ -0,0 +1,87 @@
+package org.arbutusrelay.core.routing
+
+import org.arbutusrelay.core.request.RequestId
+import org.arbutusrelay.schema.manifest.RegionLink
+import org.arbutusrelay.schema.message.BackendServerState
+import org.arbutusrelay.schema.message.ServiceSummary
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertTrue
+
+class RegionReliefTest {
+    private val scheduler = DefaultRequestScheduler(
+        callerOf = { null },
+        settings = SchedulerSettings(rampMs = 1),
+        serverChoice = FirstByteChoice(),
+        regionChoice = FirstByteRegionChoice(),
+    )
+    private var number = 0L
+
+    private fun engine(name: String, region: String = "hue") = BackendServerState(
+        name, "drafting", region, "$region-a", name, 1, 1, 64, emptyList(), emptyList(), "", 0, 0, false, 3_000,
+    )
+
+    private fun region(name: String, vararg services: ServiceSummary) =
+        RemoteRegion(name, RegionLink("hue", name, 55, 1), services.associateBy { it.service }, 0)
+
+    private fun summary(service: String, capacity: Long, queued: Long = 0) =
+        ServiceSummary(service, 1, capacity, 0, queued, 0)
+
+    private fun table(servers: List<BackendServerState>, vararg regions: RemoteRegion) = RoutingTable(
+        "hue",
+        "hue-a",
+        servers,
+        regions.associateBy { it.name },
+        sentAwayPermille = 1_000,
+    )
+
+    private fun submit(service: String, regions: List<String>, promptTokens: Int = 0): Placement = scheduler.submit(
+        RequestProfile(
+            RequestId("hue-1", 1, ++number), "", service, "k", 1, false, 5_000, regions,
+            promptTokens = promptTokens, isStream = promptTokens > 0, targetMs = 600,
+        ),
+        0,
+    )
+
+    /**
+     * Replays a region without a server of a plain service beside streams that must run elsewhere. Guards against
+     * streams in flight that count against the few places of the plain service there.
+     */
+    @Test
+    fun `requests of one service do not use up the places of another elsewhere`() {
+        scheduler.updateTable(
+            table(emptyList(), region("danang", summary("drafting", 256), summary("bulletin", 6))),
+        )
+        repeat(40) { assertIs<Placement.SendAway>(submit("drafting", listOf("danang"), 700)) }
+        repeat(6) { assertIs<Placement.SendAway>(submit("bulletin", listOf("hue", "danang")), "request $it") }
+    }
+
+    /** Replays a rush of prompts in one region. Guards against a queue here beside idle engines elsewhere. */
+    @Test
+    fun `a rush is shared with the region whose first byte comes sooner`() {
+        scheduler.updateTable(table(List(2) { engine("e$it") }, region("danang", summary("drafting", 256))))
+        val placements = List(40) { submit("drafting", listOf("hue", "danang"), 9_000) }
+        val away = placements.count { it is Placement.SendAway }
+        assertTrue(placements.take(2).all { it is Placement.Run }, "the first ones stay")
+        assertTrue(away in 10..35, "$away of 40")
+    }
+
+    /** Guards against requests that leave their homes, and against a region that is as busy as this one. */
+    @Test
+    fun `a rush stays where no better region is allowed`() {
+        data class Case(val regions: List<String>, val queued: Long)
+        for (case in listOf(Case(listOf("hue"), 0), Case(listOf("hue", "danang"), 60))) {
+            scheduler.updateTable(
+                table(
+                    List(2) {
+                        engine("e$it")
+                    },
+                    region("danang", summary("drafting", 256, case.queued)),
+                ),
+            )
+            val placements = List(20) { submit("drafting", case.regions, 9_000) }
+            assertEquals(0, placements.count { it is Placement.SendAway }, "$case")
+        }
+    }
+}
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/RoutingPartsTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/RoutingPartsTest.kt
@@ -118,7 +118,7 @@
         assertFalse(RegionSlots(remote("danang", ageMs = 6_000), ended).isUsable("drafting", 0), "old summary")
         assertFalse(RegionSlots(remote("danang", linkUse = 900), ended).isUsable("drafting", 0), "full link")
         val ramped = RegionSlots(remote("danang", capacity = 4), SlowRamp(0, 1_000))
-        repeat(2) { ramped.acquire() }
+        repeat(2) { ramped.acquire("drafting") }
         assertFalse(ramped.isUsable("drafting", 0), "a returning region gets a quarter of its work first")
         assertTrue(ramped.isUsable("drafting", 1_000))
         repeat(3) { ramped.breaker.recordFailure(2_000) }
