Log and count what becomes of relayed requests

Cause: a failed request left lines without outcome, document and age of the attempt, without a bound, on standard error, and no metrics.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -57,6 +57,9 @@
     val isForwarded: Boolean get() = request.isForwarded
     val attemptCount: Int get() = attempts
 
+    /** Number of the document by which the request was decided. */
+    val documentNumber: Long? get() = resolved?.documentNumber
+
     override fun start() {
         core.openExchanges++
         resolve()
@@ -82,7 +85,7 @@
         val waitMs = minOf(facts.deadlineMs ?: found.timeoutMs, found.timeoutMs)
         val service = ForwardHeaders.serviceOf(request.headers)?.takeIf { request.isForwarded }
             ?: found.serviceFor(core.drawBelow(found.totalWeight))
-        resolved = Resolved(found, facts, service, request.receivedMs + waitMs)
+        resolved = Resolved(found, facts, service, request.receivedMs + waitMs, table.plan.number)
         core.schedule(waitMs) { onDeadline() }
         profile = profiles.build(
             core.nextId(),
@@ -365,7 +368,13 @@
         core.openExchanges--
     }
 
-    private class Resolved(val route: Route, val facts: CallFacts, val serviceName: String, val deadlineMs: Long)
+    private class Resolved(
+        val route: Route,
+        val facts: CallFacts,
+        val serviceName: String,
+        val deadlineMs: Long,
+        val documentNumber: Long,
+    )
 
     private class HeldAnswer(val head: BackendHead, val body: ByteArray)
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -21,6 +21,7 @@
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.http.HttpServer
 import org.arbutusrelay.daemon.http.RouteGroup
+import org.arbutusrelay.daemon.observe.RelayMetrics
 import org.arbutusrelay.daemon.site.SiteService
 import org.arbutusrelay.daemon.site.SiteView
 import org.arbutusrelay.relay.backend.BackendPool
@@ -56,6 +57,7 @@
 ) : SiteNode {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val clock = RelayClock()
+    private val metrics = RelayMetrics()
     private val links = SiteLinks(settings, scope)
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -85,7 +87,11 @@
     )
     private val forwardTargets = ForwardTargets(settings.linkPort + 1)
     private val core = RelayCore(
-        links.identity, clock, loop, pool, scheduler, dialect, forwardTargets, LoggedEvents(),
+        links.identity, clock, loop, pool, scheduler, dialect, forwardTargets,
+        CountedEvents(
+            metrics,
+            LoggedEvents(clock::nowMs),
+        ),
         Random(
             links.identity.epoch,
         ),
@@ -99,10 +105,10 @@
     private val connections = HashMap<IngressHandler, Channel>()
     private val parsed = AtomicReference<RoutePlan?>(null)
     private var otherRegions = emptyList<String>()
-    private val httpServers = listOfNotNull(settings.readyAddress).map { address ->
-        val port = address.substringAfterLast(':').toInt()
-        HttpServer(settings.bindAddress, port, HTTP_IDLE_MS, readyRoutes(::isReady), HTTP_THREADS)
+    private val readyServer = settings.readyAddress?.let {
+        server(it.substringAfterLast(':').toInt(), readyRoutes(::isReady))
     }
+    private val httpServers = listOfNotNull(readyServer, server(settings.metricsPort, listOf(MetricsRoutes(metrics))))
 
     @Volatile
     private var isLeaving = false
@@ -118,6 +124,9 @@
         httpServers.forEach { it.start() }
         site.start(scope)
         core.schedule(SWEEP_MS, ::sweep)
+        metrics.gauge("arbutus.requests.open") { core.openExchanges }
+        metrics.gauge("arbutus.requests.queued") { scheduler.queuedRequests() }
+        metrics.gauge("arbutus.document.number") { core.routes.get()?.plan?.number ?: -1 }
         logger.info("started: entry host {} of {} for callers at {}", settings.nodeName, settings.region, callerAddress)
     }
 
@@ -147,6 +156,9 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
     }
 
+    private fun server(port: Int, groups: List<RouteGroup>) =
+        HttpServer(settings.bindAddress, port, HTTP_IDLE_MS, groups, HTTP_THREADS)
+
     private fun observe(placed: PlacedAttempt, load: AnswerLoad) =
         site.observe(BackendLoad(placed.backendServer, placed.incarnation, load.running, load.queued, 0))
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SelfCheck.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SelfCheck.kt
@@ -102,7 +102,7 @@
         callerAddress = if (isState) null else "$address:${ports[1]}",
         controlAddress = if (isState) "$address:${ports[2]}" else null,
         linkPort = ports[0],
-        metricsPort = ports[2],
+        metricsPort = if (isState) ports[3] else ports[2],
         sharedSecret = "self-check",
         dataFolder = if (isState) "$folder" else null,
         isFounding = isState,
@@ -134,7 +134,7 @@
         private const val STATE_ADDRESS = "127.0.0.1"
         private const val ENTRY_ADDRESS = "127.0.0.2"
         private const val REQUEST = "GET /check/x HTTP/1.1\r\nHost: check\r\nConnection: close\r\n\r\n"
-        private const val PORTS = 3
+        private const val PORTS = 4
         private const val REQUESTS = 20
         private const val MAX_TRIES = 100
         private const val POLL_MS = 20L
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -13,6 +13,7 @@
 import org.arbutusrelay.daemon.consensus.ReplicaGroupOptions
 import org.arbutusrelay.daemon.http.HttpServer
 import org.arbutusrelay.daemon.http.RouteGroup
+import org.arbutusrelay.daemon.observe.RelayMetrics
 import org.arbutusrelay.daemon.site.SiteControl
 import org.arbutusrelay.daemon.site.SiteService
 import org.arbutusrelay.daemon.storage.FileConsensusStorage
@@ -36,6 +37,7 @@
 ) : SiteNode {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val clock = RelayClock()
+    private val metrics = RelayMetrics()
     private val links = SiteLinks(settings, scope)
     private val log: SiteLog = SiteLog { onState(it) }
     private val group = ReplicaGroup(
@@ -75,6 +77,7 @@
     private val httpServers = listOfNotNull(
         settings.controlAddress?.let { server(it, controlRoutes(this)) },
         settings.directoryAddress?.let { server(it, directoryRoutes(this)) },
+        server("${settings.bindAddress}:${settings.metricsPort}", listOf(MetricsRoutes(metrics))),
     )
 
     override suspend fun start() {
@@ -82,6 +85,10 @@
         group.start().onLeft { throw IOException("${settings.dataFolder}: $it") }
         site.start(scope)
         httpServers.forEach { it.start() }
+        metrics.gauge("arbutus.site.term") { group.term }
+        metrics.gauge("arbutus.site.index") { log.current.index }
+        metrics.gauge("arbutus.site.backend.servers") { site.view.backendServers.size }
+        metrics.gauge("arbutus.site.entry.hosts") { site.view.entryHosts.size }
         logger.info(
             "started: state host {} of {}, founding {}",
             settings.nodeName,
