--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/LineBudget.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/LineBudget.kt
@@ -11,7 +11,7 @@
     private var written = 0
     private var leftOut = 0L
 
-    /** Returns how many lines were left out since the last one when a line may be written at [nowMs]; null otherwise. */
+    /** Returns how many lines were left out before the one that may be written at [nowMs]; null when none may. */
     public fun tryTake(nowMs: Long): Long? {
         if (nowMs - windowStartMs >= windowMs) {
             windowStartMs = nowMs
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -29,14 +29,13 @@
     private val snapshot = AtomicReference(SchedulerSnapshot.EMPTY)
     private val latestMs = AtomicLong()
     private val startedAtMs = AtomicLong(NOT_STARTED)
-    private val times = ConcurrentHashMap<String, ServiceTimes>()
-    private val queues = ConcurrentHashMap<String, ServiceQueue>()
+    private val services = ServiceRecords(settings)
     private val attempts = OpenAttempts()
     private val callers = CallerLimits(callerOf)
-    private val retryBudgets = ConcurrentHashMap<String, ShareBudget>()
     private val hedgeBudget = ShareBudget()
     private val awayBudget = ShareBudget()
-    private val builder = SnapshotBuilder(settings, ::timesOf)
+    private val rules = WaitRules(settings)
+    private val builder = SnapshotBuilder(settings, services::timesOf)
     private val local = LocalPlacement(serverChoice, attempts, invariants, snapshot::get)
     private val remote = RemotePlacement(regionChoice, attempts, invariants, awayBudget)
 
@@ -70,7 +69,7 @@
         open.endPending()
         AttemptRecorder.end(open, attempt, result, nowMs)
         if (!attempt.isHedge) callers.release(attempt.profile.callerName)
-        val queue = queues[attempt.profile.serviceName]
+        val queue = services.queues[attempt.profile.serviceName]
         if (queue == null || queue.size == 0) return emptyList()
         return ArrayList<QueuedPlacement>().also { drain(queue, it, nowMs) }
     }
@@ -78,7 +77,7 @@
     override fun poll(nowMs: Long): List<QueuedPlacement> {
         recordTime(nowMs)
         var placed: MutableList<QueuedPlacement>? = null
-        for (queue in queues.values) {
+        for (queue in services.queues.values) {
             if (queue.size == 0) continue
             val sink = placed ?: ArrayList<QueuedPlacement>().also { placed = it }
             drain(queue, sink, nowMs, isExpiring = true)
@@ -87,14 +86,14 @@
     }
 
     override fun cancel(profile: RequestProfile): Boolean {
-        if (queues[profile.serviceName]?.cancel(profile.id) != true) return false
+        if (services.queues[profile.serviceName]?.cancel(profile.id) != true) return false
         endQueued(profile)
         return true
     }
 
     override fun tryRetry(profile: RequestProfile, nowMs: Long): Boolean {
-        val fastestMs = fastestMs(profile, timesOf(profile.serviceName))
-        return nowMs + fastestMs <= profile.deadlineMs && retryBudgetOf(profile.serviceName).trySpend()
+        val fastestMs = rules.fastestMs(profile, services.timesOf(profile.serviceName))
+        return nowMs + fastestMs <= profile.deadlineMs && services.retryBudgetOf(profile.serviceName).trySpend()
     }
 
     override fun tryHedge(attempt: PlacedAttempt, nowMs: Long): PlacedAttempt? {
@@ -104,7 +103,7 @@
         val isWaiting = !open.hedged.get() && open.firstByteMs == OpenAttempt.NONE &&
             nowMs - attempt.placedAtMs >= open.predictedMs * settings.hedgeAfterFactor
         if (!mayHedge || !isWaiting) return null
-        if ((queues[profile.serviceName]?.size ?: 0) > 0 || !hedgeBudget.canSpend()) return null
+        if ((services.queues[profile.serviceName]?.size ?: 0) > 0 || !hedgeBudget.canSpend()) return null
         if (!open.hedged.compareAndSet(false, true)) return null
         val hedge = local.tryHedge(attempt, nowMs)
         if (hedge == null) open.hedged.set(false)
@@ -126,20 +125,20 @@
         snapshot.get().slotsByName[name]?.view(nowMs)
 
     override fun loadPermille(): Long {
-        val services = snapshot.get().services.values
-        val capacity = services.sumOf { it.capacity }
-        val queued = queues.values.sumOf { it.size }
-        return if (capacity == 0) 0 else (services.sumOf { it.load() } + queued) * PERMILLE / capacity
+        val present = snapshot.get().services.values
+        val capacity = present.sumOf { it.capacity }
+        val queued = services.queues.values.sumOf { it.size }
+        return if (capacity == 0) 0 else (present.sumOf { it.load() } + queued) * PERMILLE / capacity
     }
 
     /** Predicts the time of a request of [serviceName] under the present load, for the region's summary, in ms. */
-    public fun predictedMs(serviceName: String): Long = timesOf(serviceName).meanMs().toLong()
+    public fun predictedMs(serviceName: String): Long = services.timesOf(serviceName).meanMs().toLong()
 
     /** Number of attempts that occupy a slot. */
     public fun openAttempts(): Int = attempts.size()
 
     /** Number of waiting requests. */
-    public fun queuedRequests(): Int = queues.values.sumOf { it.size }
+    public fun queuedRequests(): Int = services.queues.values.sumOf { it.size }
 
     private fun recordTime(nowMs: Long) {
         latestMs.set(nowMs)
@@ -147,7 +146,7 @@
     }
 
     private fun recordRequest(profile: RequestProfile) {
-        retryBudgetOf(profile.serviceName).recordRequest(settings.retryPermille)
+        services.retryBudgetOf(profile.serviceName).recordRequest(settings.retryPermille)
         hedgeBudget.recordRequest(settings.hedgePermille)
         awayBudget.recordRequest(snapshot.get().table.sentAwayPermille)
     }
@@ -155,7 +154,7 @@
     private fun placeNew(profile: RequestProfile, nowMs: Long): Placement {
         val current = snapshot.get()
         val here = current.table.region
-        val serviceTimes = timesOf(profile.serviceName)
+        val serviceTimes = services.timesOf(profile.serviceName)
         val isLocalAllowed = here in profile.allowedRegions
         if (!isLocalAllowed || profile.allowedRegions.first() != here) {
             remote.trySendHome(profile, current, serviceTimes, isLocalAllowed, nowMs)?.let { return it }
@@ -175,12 +174,12 @@
         servers: ServiceServers,
         nowMs: Long,
     ): Placement {
-        val fastestMs = fastestMs(profile, servers.times)
+        val fastestMs = rules.fastestMs(profile, servers.times)
         if (nowMs + fastestMs > profile.deadlineMs) return refused(ErrorKind.DEADLINE_UNREACHABLE, fastestMs.toLong())
-        val queue = queueOf(profile.serviceName)
+        val queue = services.queueOf(profile.serviceName)
         if (profile.isIsolated) return if (queue.offer(profile)) Placement.Queued else refused(ErrorKind.OVERLOADED)
         relieve(profile, current, servers, nowMs)?.let { return it }
-        if (queue.size == 0) placeNow(profile, nowMs)?.let { return it }
+        if (queue.size == 0) local.tryRun(profile, nowMs)?.let { return Placement.Run(it) }
         return enqueue(profile, current, servers, queue, nowMs)
     }
 
@@ -197,9 +196,6 @@
         return remote.tryRelieve(profile, current, servers.times, firstMs, nowMs)
     }
 
-    private fun placeNow(profile: RequestProfile, nowMs: Long): Placement? =
-        local.tryRun(profile, nowMs)?.let(Placement::Run)
-
     private fun enqueue(
         profile: RequestProfile,
         current: SchedulerSnapshot,
@@ -208,8 +204,8 @@
         nowMs: Long,
     ): Placement {
         val leftMs = profile.deadlineMs - nowMs
-        val waitMs = predictWaitMs(queue.countAhead(profile), servers)
-        val localMs = waitMs + servers.times.predictTypicalMs(profile.promptTokens, profile.responseTokens)
+        val waitMs = rules.predictWaitMs(queue.countAhead(profile), servers)
+        val localMs = waitMs + rules.typicalMs(profile, servers.times)
         val isLate = localMs > leftMs * settings.refuseFactor
         remote.trySendAway(profile, current, servers.times, localMs, isLate, nowMs)?.let { return it }
         if (isLate) return refused(ErrorKind.DEADLINE_UNREACHABLE, (localMs - leftMs).toLong())
@@ -218,12 +214,6 @@
             ?: refused(ErrorKind.OVERLOADED, waitMs.toLong())
     }
 
-    /** By Little's law this host's throughput is what it has in flight divided by the mean time of a request. */
-    private fun predictWaitMs(ahead: Int, servers: ServiceServers): Double {
-        val inFlight = servers.slots.sumOf { it.ownInFlight() }
-        return (ahead + 1) * servers.times.meanMs() / maxOf(1, inFlight)
-    }
-
     private fun drain(
         queue: ServiceQueue,
         sink: MutableList<QueuedPlacement>,
@@ -246,7 +236,7 @@
     private fun placeQueued(profile: RequestProfile, nowMs: Long): Placement? {
         refuseIfLate(profile, nowMs)?.let { return it }
         if (profile.isIsolated) return local.tryRunIsolated(profile, nowMs)?.let(Placement::Run)
-        return placeNow(profile, nowMs)
+        return local.tryRun(profile, nowMs)?.let(Placement::Run)
     }
 
     /** Ends the wait of a request that has nothing to wait for here, or has waited for as long as is of use. */
@@ -254,12 +244,12 @@
         refuseIfLate(profile, nowMs)?.let { return it }
         val current = snapshot.get()
         val isServed = profile.serviceName in current.services
-        val isWaitOver = profile.targetMs > 0 && nowMs > latestStartMs(profile)
+        val isWaitOver = rules.isWaitOver(profile, nowMs)
         if (isServed && !isWaitOver) return null
         val away = remote.trySendAway(
             profile,
             current,
-            timesOf(profile.serviceName),
+            services.timesOf(profile.serviceName),
             Double.POSITIVE_INFINITY,
             true,
             nowMs,
@@ -267,21 +257,18 @@
         return away ?: refused(if (isServed) ErrorKind.OVERLOADED else ErrorKind.NO_BACKEND_SERVER)
     }
 
-    /** A request that waits for longer could still be served, but a caller that is told at once can turn elsewhere. */
-    private fun latestStartMs(profile: RequestProfile): Long =
-        profile.submittedAtMs + ((profile.deadlineMs - profile.submittedAtMs) * settings.waitShare).toLong()
-
     /** Refuses a queued request that would miss its deadline if it began now. */
-    private fun refuseIfLate(profile: RequestProfile, nowMs: Long): Placement? {
-        val times = timesOf(profile.serviceName)
-        val needMs = if (profile.isStream) {
-            fastestMs(profile, times)
+    private fun refuseIfLate(profile: RequestProfile, nowMs: Long): Placement? =
+        if (rules.isTooLate(
+                profile,
+                services.timesOf(profile.serviceName),
+                nowMs,
+            )
+        ) {
+            refused(ErrorKind.DEADLINE_UNREACHABLE)
         } else {
-            times.predictTypicalMs(profile.promptTokens, profile.responseTokens)
+            null
         }
-        if (nowMs + needMs * settings.startFactor <= profile.deadlineMs) return null
-        return refused(ErrorKind.DEADLINE_UNREACHABLE)
-    }
 
     /** Frees what a queued request held that was refused or withdrawn. */
     private fun endQueued(profile: RequestProfile) {
@@ -295,17 +282,6 @@
         return Placement.Refused(RelayError(kind, retryAfterMs = boundedMs))
     }
 
-    private fun retryBudgetOf(serviceName: String) =
-        retryBudgets.computeIfAbsent(serviceName) { ShareBudget(settings.maxRetryBurst) }
-
-    /** A stream whose length is a guess is only given up for its first byte. */
-    private fun fastestMs(profile: RequestProfile, times: ServiceTimes): Double =
-        if (profile.isStream) times.firstByte.predictMs(0.0) else times.predictMs(0, profile.responseTokens)
-
-    private fun timesOf(serviceName: String) = times.computeIfAbsent(serviceName) { ServiceTimes() }
-
-    private fun queueOf(serviceName: String) = queues.computeIfAbsent(serviceName) { ServiceQueue(settings) }
-
     private companion object {
         private const val NOT_STARTED = Long.MIN_VALUE
         private const val PERMILLE = 1_000L
--- a/core/src/test/kotlin/org/arbutusrelay/core/relay/RetryRulesTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/relay/RetryRulesTest.kt
@@ -10,7 +10,7 @@
     private fun route(kind: RouteKind, isResumable: Boolean = false, maxAttempts: Int = 2) =
         Route("r", "a", "/", kind, 1_000, 300, 0, listOf(RouteTarget("s", 1)), maxAttempts, isResumable, emptyList())
 
-    /** Guards against a request that runs twice although it may not, and against one that is given up although it may. */
+    /** Guards against a request that runs twice although it may not, or is given up although it may run again. */
     @Test
     fun `a request runs again only where its route allows it`() {
         val idempotent = route(RouteKind.IDEMPOTENT)
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/FirstByteChoiceTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/FirstByteChoiceTest.kt
@@ -33,7 +33,7 @@
         )
     }
 
-    /** Guards against hosts that read the same session's prompt on different engines because each knows only its own. */
+    /** Guards against hosts that read one session's prompt on different engines because each knows only its own. */
     @Test
     fun `hosts that have not seen a session choose the same engine`() {
         val names = List(6) { "engine-$it" }
@@ -47,8 +47,8 @@
     }
 
     /**
-     * Replays the rush of one session: prompts queue on the engine that holds them until reading them again elsewhere is
-     * sooner than waiting. Guards against a queue on one engine beside idle ones.
+     * Replays the rush of one session: prompts queue on the engine that holds them until reading them again elsewhere
+     * is sooner than waiting. Guards against a queue on one engine beside idle ones.
      */
     @Test
     fun `a rush for one session spreads before its first bytes are late`() {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -110,7 +110,8 @@
         if (!isNews) return
         val merged = synchronized(this) { servers.state(server.name, clock.nowMs()) } ?: return
         logger.info(
-            "backend server announced: name={} incarnation={} version={} service={} zone={} address={} isLeaving={} coldMs={}",
+            "backend server announced: name={} incarnation={} version={} service={} zone={} address={} isLeaving={} " +
+                "coldMs={}",
             merged.name,
             merged.incarnation,
             merged.version,
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -132,7 +132,7 @@
     private fun onRefused(error: RelayError) {
         val isUnknown = error.kind == ErrorKind.NO_BACKEND_SERVER || error.kind == ErrorKind.REGION_UNREACHABLE
         val waitMs = resolved?.let { (it.deadlineMs - request.receivedMs) / SETTLING_WAIT_PARTS } ?: 0
-        if (isUnknown && attempts == 0 && core.isSettling && isWorthWaiting(waitMs)) again(::submit) else giveUp(error)
+        if (isUnknown && attempts == 0 && isWorthWaiting(waitMs)) again(::submit) else giveUp(error)
     }
 
     private fun isWorthWaiting(waitMs: Long) = core.isSettling && ageMs < waitMs
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -65,8 +65,8 @@
             RoutingTable(
                 "hue",
                 "hue-a",
-                servers.mapIndexed { index, it ->
-                    state("s$index", it.address)
+                servers.mapIndexed { index, server ->
+                    state("s$index", server.address)
                 },
             ),
         )
