Report to a majority of the state hosts

The state hosts were cut in two; both state hosts that the host reported to lay on the smaller side, which learned of no new version, while the host itself reached both sides.

Ruled out: the push (state hosts of the larger side had the version in force) and the redirect (the acknowledgement came from the leader).

Change: an entry host reports to a majority of the known state hosts, so that one of them is in any majority that commits.

SiteServiceTest has the case; it fails with two state hosts.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -26,9 +26,9 @@
 /**
  * Exchanges with other hosts what a site consists of: hosts, backend servers, the document in force and evacuations.
  *
- * State hosts are linked with each other and tell one another everything. An entry host reports to two state hosts,
- * preferably of its region, and gets digests from these: once a second in full, and changes at once. A host is named
- * by its IP address, because seeds are known by nothing else; [linkPort] is the same on all hosts.
+ * State hosts are linked with each other and tell one another everything. An entry host reports to a majority of the
+ * state hosts, those of its region first, and gets digests from these: once a second in full, and changes at once. A
+ * host is named by its IP address, because seeds are known by nothing else; [linkPort] is the same on all hosts.
  */
 public class SiteService(
     private val network: LinkNetwork,
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/StateHostChoice.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/StateHostChoice.kt
@@ -2,7 +2,12 @@
 
 import org.arbutusrelay.core.membership.Rendezvous
 
-/** Decides which state hosts an entry host reports to and which it dials. */
+/**
+ * Decides which state hosts an entry host reports to and which it dials.
+ *
+ * An entry host reports to a majority of the state hosts. While the state hosts are cut in two, a smaller set may lie on
+ * the side that learns of no new document, although the entry host itself reaches both sides.
+ */
 internal class StateHostChoice(private val selfName: String, private val region: String) {
     /**
      * Returns the state hosts in the order of preference: those of the own region first.
@@ -14,25 +19,17 @@
         return spread.sortedBy { if (regionsByName[it] == region) 0 else 1 }
     }
 
-    /** Returns the state hosts to report to: the first [ACTIVE] that are connected. */
-    fun active(
-        ranked: List<String>,
-        connected: Set<String>,
-    ): List<String> = ranked.filter { it in connected }.take(ACTIVE)
+    /** Returns the state hosts to report to: the first ones of [ranked] that are connected. */
+    fun active(ranked: List<String>, connected: Set<String>): List<String> =
+        ranked.filter { it in connected }.take(majorityOf(ranked))
 
     /** Returns the next state host to dial while too few are connected, or the better ones are not. */
     fun next(ranked: List<String>, connected: Set<String>, dialled: Set<String>): String? {
-        val isEnough = ranked.take(ACTIVE).all { it in connected }
-        return if (isEnough) {
-            null
-        } else {
-            ranked.filter { it !in dialled }.firstOrNull()
-                ?.takeIf { active(ranked, connected).size < ACTIVE || it in ranked.take(ACTIVE) }
-        }
+        val wanted = ranked.take(majorityOf(ranked))
+        if (wanted.all { it in connected }) return null
+        val next = ranked.firstOrNull { it !in dialled } ?: return null
+        return next.takeIf { it in wanted || active(ranked, connected).size < wanted.size }
     }
 
-    companion object {
-        /** One may fail without a pause in what the entry host learns. */
-        const val ACTIVE = 2
-    }
+    private fun majorityOf(ranked: List<String>) = ranked.size / 2 + 1
 }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
@@ -82,6 +82,24 @@
         for (name in entryHosts) assertEquals(4, view(name).state.index, name)
     }
 
+    /**
+     * Guards against an entry host that keeps an older document while the state hosts are cut in two, because all
+     * those that it reports to are on the smaller side.
+     */
+    @Test
+    fun `a document that only a majority of the state hosts knows reaches every entry host`() = runTest {
+        val near = listOf("10.1.0.1", "10.1.1.1")
+        val far = listOf("10.2.0.1", "10.2.1.1", "10.3.0.1")
+        val entries = List(6) { "10.1.0.${it + 10}" }
+        val site = Site(this, InMemoryLinks(backgroundScope), HashMap())
+        (near + far + entries).forEach { site.start(it, near + far) }
+        delay(5_000)
+        site.links.partition(near, far, isCut = true)
+        far.forEach { site.services.getValue(it).install(document(9)) }
+        delay(2_000)
+        for (name in entries) assertEquals(9, site.view(name).state.index, name)
+    }
+
     /** Guards against an entry host that serves callers only when its next report is due. */
     @Test
     fun `an entry host that starts again knows everything at once`() = site {
