Split what writes to callers and backend servers out of Exchange

Cause: Exchange had grown to 402 lines with three concerns, a fraction in Retry-After followed the locale of the host, and RequestLabel had no user.

Change: CallerResponse and SendHeaders; the format is that of the root locale.

Conclusion: no behaviour changed but the locale.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/StateHostChoice.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/StateHostChoice.kt
@@ -5,8 +5,8 @@
 /**
  * Decides which state hosts an entry host reports to and which it dials.
  *
- * An entry host reports to a majority of the state hosts. While the state hosts are cut in two, a smaller set may lie on
- * the side that learns of no new document, although the entry host itself reaches both sides.
+ * An entry host reports to a majority of the state hosts. While these are cut in two, a smaller set may lie on the side
+ * that learns of no new document, although the entry host itself reaches both sides.
  */
 internal class StateHostChoice(private val selfName: String, private val region: String) {
     /**
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -1,6 +1,5 @@
 package org.arbutusrelay.relay.exchange
 
-import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpHeaders
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.Outcome
@@ -20,7 +19,6 @@
 import org.arbutusrelay.relay.backend.BackendRequest
 import org.arbutusrelay.relay.dialect.CallFacts
 import org.arbutusrelay.relay.dialect.SendFacts
-import org.arbutusrelay.relay.ingress.HopHeaders
 import org.arbutusrelay.relay.ingress.IngressExchange
 import org.arbutusrelay.relay.ingress.IngressRequest
 import org.arbutusrelay.relay.ingress.ResponseWriter
@@ -36,15 +34,16 @@
     private val core: RelayCore,
     private val profiles: ProfileBuilder,
     private val request: IngressRequest,
-    private val writer: ResponseWriter,
+    writer: ResponseWriter,
 ) : IngressExchange {
+    private val response = CallerResponse(request, writer)
     private var resolved: Resolved? = null
     private var phase = Phase.NEW
     private var attempt: Attempt? = null
     private var attempts = 0
     private var runs = 0
     private var tried = emptySet<String>()
-    private var heldAnswer: HeldAnswer? = null
+    private var heldAnswer: WholeAnswer? = null
     private val cursor by lazy { EventStreamCursor(resolved?.facts?.lastEventId) }
 
     /** What the scheduler knows of the request; valid once it was submitted. */
@@ -169,27 +168,14 @@
     }
 
     private fun headersFor(call: Resolved, placed: PlacedAttempt, backendServer: String?): HttpHeaders {
-        val headers = HopHeaders.strip(request.headers.copy())
-        ForwardHeaders.removeFrom(headers)
-        val remainingMs = (call.deadlineMs - core.clock.nowMs()).coerceAtLeast(1)
-        val lastEventId = if (call.route.kind == RouteKind.STREAM) cursor.lastEventId else null
-        core.dialect.writeSend(
-            headers,
-            SendFacts(
-                backendServer,
-                remainingMs,
-                call.route.priority,
-                lastEventId,
-                placed.cacheSourceAddress.ifEmpty {
-                    null
-                },
-            ),
+        val facts = SendFacts(
+            backendServer = backendServer,
+            remainingMs = (call.deadlineMs - core.clock.nowMs()).coerceAtLeast(1),
+            priority = call.route.priority,
+            lastEventId = if (call.route.kind == RouteKind.STREAM) cursor.lastEventId else null,
+            cacheSource = placed.cacheSourceAddress.ifEmpty { null },
         )
-        if (backendServer == null) ForwardHeaders.putService(headers, call.serviceName)
-        if (request.body.isNotEmpty() || request.headers.contains("Content-Length")) {
-            headers["Content-Length"] = request.body.size
-        }
-        return headers
+        return SendHeaders.of(request, core.dialect, facts, call.serviceName.takeIf { backendServer == null })
     }
 
     /** Turns to another backend server when this one stays silent for longer than a response should take. */
@@ -219,11 +205,10 @@
     fun onStreamBytes(from: Attempt, head: BackendHead, bytes: ByteArray) {
         val events = cursor.push(bytes)
         if (events.isEmpty()) return
-        if (!writer.isStarted) writer.startStream(head.statusCode, answerHeaders(head))
-        writer.write(events)
-        if (!writer.isWritable) {
+        response.writeStream(head, events)
+        if (!response.isWritable) {
             from.setReading(false)
-            writer.onWritable = { attempt?.setReading(true) }
+            response.onWritable { attempt?.setReading(true) }
         }
     }
 
@@ -232,21 +217,20 @@
         if (cursor.isInsideEvent) return onAttemptFailed(from, AttemptFailure.UNKNOWN, "ended inside an event")
         attempt = null
         core.complete(from.placed, AttemptResult.COMPLETE)
-        if (!writer.isStarted) writer.startStream(head.statusCode, answerHeaders(head))
         core.events.answered(this, head.statusCode)
-        writer.endStream()
+        response.endStream(head)
         finish()
     }
 
     /** A response arrived as a whole; [isFailure] tells that the backend server failed after it ran the request. */
     fun onAnswer(from: Attempt, head: BackendHead, body: ByteArray, isFailure: Boolean) {
         if (isFailure) {
-            heldAnswer = HeldAnswer(head, body)
+            heldAnswer = WholeAnswer(head, body)
             return onAttemptFailed(from, AttemptFailure.RAN_AND_FAILED, "status ${head.statusCode}")
         }
         attempt = null
         core.complete(from.placed, AttemptResult.COMPLETE)
-        deliver(HeldAnswer(head, body))
+        deliver(WholeAnswer(head, body))
     }
 
     /** An attempt ended without a response that the caller can get. */
@@ -290,7 +274,7 @@
         val isUnrun = failure == AttemptFailure.NOT_SENT || failure == AttemptFailure.NOT_EXECUTED
         val countedRuns = if (failure == AttemptFailure.SILENT && !isUnrun) runs + 1 else runs
         val remainingMs = call.deadlineMs - core.clock.nowMs()
-        val isStarted = writer.isStarted
+        val isStarted = response.isStarted
         return RetryRules.decide(RetryQuestion(call.route, failure, countedRuns, attempts, isStarted, remainingMs))
     }
 
@@ -328,9 +312,9 @@
         when {
             phase == Phase.DONE -> return
 
-            writer.isStarted -> {
+            response.isStarted -> {
                 core.events.failed(this, RelayError(ErrorKind.STREAM_BROKEN, error.detail))
-                writer.abort()
+                response.abort()
                 finish()
             }
 
@@ -344,25 +328,18 @@
         }
     }
 
-    private fun deliver(answer: HeldAnswer) {
+    private fun deliver(answer: WholeAnswer) {
         core.events.answered(this, answer.head.statusCode)
-        writer.sendWhole(answer.head.statusCode, answerHeaders(answer.head), answer.body)
+        response.deliver(answer)
         finish()
     }
 
     private fun refuse(error: RelayError) {
         core.events.failed(this, error)
-        val headers = DefaultHttpHeaders()
-        error.retryAfterMs?.let { headers["Retry-After"] = "%.3f".format(it / MS_PER_S) }
-        if (request.isForwarded) ForwardHeaders.putOutcome(headers, error.kind.outcome)
-        headers["Content-Type"] = "text/plain"
-        writer.sendWhole(error.kind.statusCode, headers, "${error.kind.id}: ${error.detail}\n".encodeToByteArray())
+        response.refuse(error)
         finish()
     }
 
-    private fun answerHeaders(head: BackendHead): HttpHeaders =
-        head.headers.copy().also { if (!request.isForwarded) ForwardHeaders.removeFrom(it) }
-
     private fun finish() {
         phase = Phase.DONE
         core.openExchanges--
@@ -376,8 +353,6 @@
         val documentNumber: Long,
     )
 
-    private class HeldAnswer(val head: BackendHead, val body: ByteArray)
-
     private enum class Phase { NEW, WAITING, SENT, DONE }
 
     private companion object {
@@ -397,6 +372,5 @@
         const val SETTLING_POLL_MS = 50L
         const val DEADLINE_GRACE_MS = 150L
         const val DEFAULT_RETRY_MS = 200L
-        const val MS_PER_S = 1_000.0
     }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayEvents.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayEvents.kt
@@ -2,7 +2,6 @@
 
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.relay.AttemptFailure
-import org.arbutusrelay.core.request.RequestId
 import org.arbutusrelay.core.routing.PlacedAttempt
 
 /** Learns what is decided on requests; must not block. */
@@ -42,6 +41,3 @@
         override fun callerLeft(exchange: Exchange) = Unit
     }
 }
-
-/** Identifies a request in logs. */
-internal data class RequestLabel(val id: RequestId, val attemptId: String)
--- /dev/null
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/SendHeaders.kt
@@ -0,0 +1,28 @@
+package org.arbutusrelay.relay.exchange
+
+import io.netty.handler.codec.http.HttpHeaders
+import org.arbutusrelay.relay.dialect.CallDialect
+import org.arbutusrelay.relay.dialect.SendFacts
+import org.arbutusrelay.relay.ingress.HopHeaders
+import org.arbutusrelay.relay.ingress.IngressRequest
+
+/** Makes the headers of a request to a backend server or to a host of another region. */
+internal object SendHeaders {
+    /** Returns the caller's headers and those that this system sets; only a host gets the [forwardedService]. */
+    fun of(
+        request: IngressRequest,
+        dialect: CallDialect,
+        facts: SendFacts,
+        forwardedService: String?,
+    ): HttpHeaders {
+        val headers = HopHeaders.strip(request.headers.copy())
+        ForwardHeaders.removeFrom(headers)
+        dialect.writeSend(headers, facts)
+        forwardedService?.let { ForwardHeaders.putService(headers, it) }
+        // A request without a body and without a length stays without one.
+        if (request.body.isNotEmpty() || request.headers.contains("Content-Length")) {
+            headers["Content-Length"] = request.body.size
+        }
+        return headers
+    }
+}
