--- a/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
@@ -83,7 +83,7 @@
     private fun learn(state: BackendServerState, heardMs: Long, nowMs: Long): Boolean {
         if (nowMs - heardMs >= leaseMs || isSuperseded(state)) return false
         val old = entries[state.name]?.takeIf { it.state.incarnation == state.incarnation }
-        if (old != null && state.version < old.state.version) return false
+        if (old != null && (state.version < old.state.version || !isSameServer(old.state, state))) return false
         entries.values.removeIf { it.state.address == state.address && it.state.name != state.name }
         return if (old == null) insert(state, heardMs, nowMs) else renew(old, state, heardMs, nowMs)
     }
@@ -105,6 +105,10 @@
         return isLeaving != old.isLeaving || isColder || state.address != old.address
     }
 
+    /** An incarnation keeps its service and its place; an announcement with others is not its own. */
+    private fun isSameServer(old: BackendServerState, new: BackendServerState): Boolean =
+        old.service == new.service && old.availabilityZone == new.availabilityZone
+
     private fun hasDeparted(state: BackendServerState): Boolean =
         departures[state.name]?.let { it.incarnation >= state.incarnation } == true
 
--- a/core/src/test/kotlin/org/arbutusrelay/core/site/BackendServerRegistryTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/site/BackendServerRegistryTest.kt
@@ -46,6 +46,15 @@
         }
     }
 
+    /** Guards against an announcement of another writer that takes a server out of its service. */
+    @Test
+    fun `an incarnation keeps its service and its zone`() {
+        registry.announce(server("a", 1), 0)
+        registry.announce(server("a", 2).copy(service = "other"), 10)
+        registry.announce(server("a", 3).copy(availabilityZone = "hue-b"), 20)
+        assertEquals("drafting" to "hue-a", registry.states(30).single().let { it.service to it.availabilityZone })
+    }
+
     /** Guards against a server that is sent work after its own notice because a delayed announcement came later. */
     @Test
     fun `a departure is final for its incarnation`() {
