End the caution with a cold engine by the time the table was built

Cause: the gate for cold engines counted from the scheduler's last call. A host without a call for a while took an old time for the present, and opened the gate as much too early as it had been idle; the next requests came unspaced.

Change: the routing table carries the time at which it was built.

Figures: RegionReliefTest fails without the change (placed 400 ms too early).

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
@@ -34,7 +34,8 @@
         val active = table.backendServers.filter { !it.isLeaving && it.region == table.region }
         val historyBlocks = minOf(MAX_BLOCKS, settings.historyBlocks / maxOf(1, active.size))
         val slots = active.associate { it.name to slotsOf(old, it, ramp, historyBlocks) }
-        slots.values.forEach { it.coldGate.update(it.state.coldMs, table.coldRatesPerSecond[it.name] ?: 0.0, nowMs) }
+        val builtMs = table.builtAtMs ?: nowMs
+        slots.values.forEach { it.coldGate.update(it.state.coldMs, table.coldRatesPerSecond[it.name] ?: 0.0, builtMs) }
         val services = active.groupBy { it.service }.mapValues { (service, states) ->
             ServiceServers(states.mapNotNull { slots[it.name] }, timesOf(service))
         }
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/RegionReliefTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/RegionReliefTest.kt
@@ -67,6 +67,20 @@
         assertTrue(away in 10..35, "$away of 40")
     }
 
+    /** Guards against a host that was idle, takes its last call for the present and ends the caution too early. */
+    @Test
+    fun `a cold server stays cold for as long as the table says`() {
+        val cold = engine("cold").copy(coldMs = 1_000)
+        submit("drafting", listOf("hue"), 700)
+        scheduler.updateTable(table(listOf(cold)).copy(builtAtMs = 900))
+        val profile = RequestProfile(
+            RequestId("hue-1", 1, ++number), "", "drafting", "k", 1, false, 5_000, listOf("hue"),
+            promptTokens = 700, isStream = true, targetMs = 600,
+        )
+        assertIs<Placement.Queued>(scheduler.submit(profile, 1_500))
+        assertIs<Placement.Run>(scheduler.poll(1_901).single().placement)
+    }
+
     /** Guards against requests that leave their homes, and against a region that is as busy as this one. */
     @Test
     fun `a rush stays where no better region is allowed`() {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteRouting.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteRouting.kt
@@ -26,6 +26,7 @@
             otherRegions = regions.mapValues { (name, servers) -> remote(name, servers) },
             sentAwayPermille = ALL_PERMILLE,
             coldRatesPerSecond = coldRates(here, view, plan),
+            builtAtMs = view.builtAtMs,
         )
     }
 
