Let the test of the cold time submit its request when it arrives

Cause: the new case failed in the whole run: its request counted as waiting since 0 and was refused after a third of its time.

Change: the case says when its request arrived; both assertions stay.

Conclusion: the case fails without the table's own time and passes with it.

--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/RegionReliefTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/RegionReliefTest.kt
@@ -75,7 +75,7 @@
         scheduler.updateTable(table(listOf(cold)).copy(builtAtMs = 900))
         val profile = RequestProfile(
             RequestId("hue-1", 1, ++number), "", "drafting", "k", 1, false, 5_000, listOf("hue"),
-            promptTokens = 700, isStream = true, targetMs = 600,
+            promptTokens = 700, isStream = true, targetMs = 600, submittedAtMs = 1_500,
         )
         assertIs<Placement.Queued>(scheduler.submit(profile, 1_500))
         assertIs<Placement.Run>(scheduler.poll(1_901).single().placement)
