Remove repeated work and derivable state from the forwarded path

Cause: a reading of the whole change found the name of a part hashed once for each of its blocks, the held prompt worked out twice for one prediction, the set of state hosts and the host of a replica written twice, a flag beside the count of runs that it stood for, and a call that did nothing (flatMap to right).

Change: each is done or said once; ReplicaGroup names the hosts of its voters.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteChoice.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteChoice.kt
@@ -10,8 +10,27 @@
  * load.
  */
 public class FirstByteChoice(override val window: Int = 1) : ServerChoice {
-    override fun choose(profile: RequestProfile, servers: ServiceServers, nowMs: Long): BackendSlots? {
+    override fun choose(profile: RequestProfile, servers: ServiceServers, nowMs: Long): BackendSlots? =
+        best(profile, servers, HeldPrompt.of(profile, servers), nowMs)
+
+    override fun predictFirstByteMs(profile: RequestProfile, servers: ServiceServers, nowMs: Long): Double? {
         val prompt = HeldPrompt.of(profile, servers)
+        val slots = best(profile, servers, prompt, nowMs) ?: return null
+        return predictMs(profile, slots, servers, prompt.expectedTokens(profile, slots), nowMs)
+    }
+
+    override fun tokensToRead(profile: RequestProfile, slots: BackendSlots, servers: ServiceServers): Int =
+        HeldPrompt.of(profile, servers).expectedTokens(profile, slots).toInt()
+
+    override fun cacheSource(profile: RequestProfile, slots: BackendSlots, servers: ServiceServers): BackendSlots? =
+        if (profile.canImportCache) HeldPrompt.of(profile, servers).sourceFor(profile, slots) else null
+
+    private fun best(
+        profile: RequestProfile,
+        servers: ServiceServers,
+        prompt: HeldPrompt,
+        nowMs: Long,
+    ): BackendSlots? {
         var best: BackendSlots? = null
         var bestScore = Double.MAX_VALUE
         for (slots in servers.slots) {
@@ -25,18 +44,6 @@
         return best
     }
 
-    override fun predictFirstByteMs(profile: RequestProfile, servers: ServiceServers, nowMs: Long): Double? =
-        choose(profile, servers, nowMs)
-            ?.let {
-                predictMs(profile, it, servers, HeldPrompt.of(profile, servers).expectedTokens(profile, it), nowMs)
-            }
-
-    override fun tokensToRead(profile: RequestProfile, slots: BackendSlots, servers: ServiceServers): Int =
-        HeldPrompt.of(profile, servers).expectedTokens(profile, slots).toInt()
-
-    override fun cacheSource(profile: RequestProfile, slots: BackendSlots, servers: ServiceServers): BackendSlots? =
-        if (profile.canImportCache) HeldPrompt.of(profile, servers).sourceFor(profile, slots) else null
-
     private fun score(
         profile: RequestProfile,
         slots: BackendSlots,
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/PrefixHashes.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/PrefixHashes.kt
@@ -31,10 +31,12 @@
         require(blockTokens > 0) { "blockTokens $blockTokens is below 1" }
         var previous = 0L
         return parts.asSequence()
-            .flatMap { (id, tokens) -> List(maxOf(1, tokens / blockTokens)) { id }.asSequence() }
-            .take(maxBlocks)
-            .map { id ->
+            .flatMap { (id, tokens) ->
                 val hash = Hashing.xxh3_64().hashCharsToLong(id)
+                List(maxOf(1, tokens / blockTokens)) { hash }.asSequence()
+            }
+            .take(maxBlocks)
+            .map { hash ->
                 previous = BackendSlots.mix(previous * CHAIN_FACTOR + hash).let { if (it == 0L) 1L else it }
                 previous
             }.toList()
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -79,6 +79,9 @@
     /** Voters in force as far as this replica knows. */
     public val voters: List<String> get() = status.value.voters
 
+    /** Hosts of the voters in force as far as this replica knows. */
+    public val voterHosts: Set<String> get() = voters.map(ReplicaAddress::hostOf).toSet()
+
     /** Why this replica has stopped by itself, or null. */
     public val failure: String? get() = status.value.failure
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteControl.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteControl.kt
@@ -1,9 +1,7 @@
 package org.arbutusrelay.daemon.site
 
 import arrow.core.Either
-import arrow.core.flatMap
 import arrow.core.left
-import arrow.core.right
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.arbutusrelay.core.error.ErrorKind
@@ -72,7 +70,7 @@
 
     private suspend fun propose(command: ReplicatedCommand, remainingMs: Long): Either<RelayError, SiteState> {
         val decided = withTimeoutOrNull(remainingMs) { group.propose(command) }
-        return decided?.flatMap { it.right() } ?: RelayError(ErrorKind.MANIFEST_OUTCOME_UNKNOWN).left()
+        return decided ?: RelayError(ErrorKind.MANIFEST_OUTCOME_UNKNOWN).left()
     }
 
     private fun sha256(content: ByteArray): String =
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -77,8 +77,7 @@
     }
 
     /** Names of all hosts that may run a replica, as far as they are known. */
-    public fun stateHosts(): Set<String> =
-        view.hosts.filter { it.isStateHost }.map { it.hostName }.toSet() + seeds + otherStateHosts()
+    public fun stateHosts(): Set<String> = stateHostRegions().keys
 
     /** Changes what this host says of itself and tells it at once. */
     public fun updateSelf(change: (HostState) -> HostState) {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -33,10 +33,6 @@
     var hasProgressed: Boolean = false
         private set
 
-    /** True when the attempt was given up because nothing arrived. */
-    var isSilenced: Boolean = false
-        private set
-
     /** True when another backend server has the address now. */
     var isMisdirected: Boolean = false
         private set
@@ -46,7 +42,6 @@
     }
 
     fun cancel(result: AttemptResult) {
-        isSilenced = result == AttemptResult.TIMED_OUT
         call?.cancel()
         core.complete(placed, result)
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -66,17 +66,9 @@
 
     private fun resolve() {
         val table = core.routes.get()
-        if (table ==
-            null
-        ) {
-            return if (isWorthWaiting(
-                    NOT_READY_WAIT_MS,
-                )
-            ) {
-                again(::resolve)
-            } else {
-                refuse(RelayError(ErrorKind.NOT_READY))
-            }
+        if (table == null) {
+            if (isWorthWaiting(NOT_READY_WAIT_MS)) again(::resolve) else refuse(RelayError(ErrorKind.NOT_READY))
+            return
         }
         val found = table.find(request.authority, request.path)
             ?: return refuse(RelayError(ErrorKind.UNKNOWN_SERVICE, "no route for ${request.authority}${request.path}"))
@@ -194,6 +186,7 @@
         val isWorthwhile = decide(AttemptFailure.SILENT) == RetryVerdict.RETRY
         if (isWorthwhile && core.scheduler.tryRetry(profile, core.clock.nowMs())) {
             watched.cancel(AttemptResult.TIMED_OUT)
+            runs++
             core.events.attemptFailed(this, watched.placed, AttemptFailure.SILENT, "silent for $silentMs ms", true)
             resend(watched)
         } else {
@@ -246,23 +239,11 @@
             (isFree || core.scheduler.tryRetry(profile, core.clock.nowMs()))
         core.events.attemptFailed(this, from.placed, failure, detail, isRetried)
         if (isRetried) return resend(from)
-        giveUp(
-            RelayError(
-                if (runs >
-                    0
-                ) {
-                    ErrorKind.BACKEND_FAILED
-                } else {
-                    ErrorKind.BACKEND_REFUSED
-                },
-                detail,
-                retryAfterMs ?: DEFAULT_RETRY_MS,
-            ),
-        )
+        val kind = if (runs > 0) ErrorKind.BACKEND_FAILED else ErrorKind.BACKEND_REFUSED
+        giveUp(RelayError(kind, detail, retryAfterMs ?: DEFAULT_RETRY_MS))
     }
 
     private fun resend(from: Attempt) {
-        if (from.isSilenced) runs++
         attempt = null
         tried = tried + from.placed.backendServer + from.address
         profile = profile.copy(triedBackendServers = tried)
@@ -271,8 +252,8 @@
 
     private fun decide(failure: AttemptFailure): RetryVerdict {
         val call = resolved ?: return RetryVerdict.GIVE_UP
-        val isUnrun = failure == AttemptFailure.NOT_SENT || failure == AttemptFailure.NOT_EXECUTED
-        val countedRuns = if (failure == AttemptFailure.SILENT && !isUnrun) runs + 1 else runs
+        // A silent attempt is still open; the others were counted when they ended.
+        val countedRuns = if (failure == AttemptFailure.SILENT) runs + 1 else runs
         val remainingMs = call.deadlineMs - core.clock.nowMs()
         val isStarted = response.isStarted
         return RetryRules.decide(RetryQuestion(call.route, failure, countedRuns, attempts, isStarted, remainingMs))
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -88,14 +88,7 @@
     private val forwardTargets = ForwardTargets(settings.linkPort + 1)
     private val core = RelayCore(
         links.identity, clock, loop, pool, scheduler, dialect, forwardTargets,
-        CountedEvents(
-            metrics,
-            LoggedEvents(clock::nowMs),
-        ),
-        Random(
-            links.identity.epoch,
-        ),
-        ::observe,
+        CountedEvents(metrics, LoggedEvents(clock::nowMs)), Random(links.identity.epoch), ::observe,
     )
     private val profiles = ProfileBuilder(settings.region) { otherRegions }
     private val options =
@@ -169,13 +162,8 @@
         forwardTargets.update(view.entryHosts)
         loop.execute {
             if (core.routes.get()?.plan !== plan && (core.routes.get()?.plan?.number ?: -1) <= plan.number) {
-                core.routes.set(RouteTable(plan))
-                if (site.view.hosts.none {
-                        it.hostName == links.identity.hostName && it.callerAddress.isNotEmpty()
-                    }
-                ) {
-                    advertise()
-                }
+                val isFirst = core.routes.getAndSet(RouteTable(plan)) == null
+                if (isFirst) advertise()
                 logger.info("document {} is in force, state index {}", plan.number, view.state.index)
             }
             scheduler.updateTable(table)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -68,7 +68,7 @@
         SiteLinks.seedNames(settings),
         settings.linkPort,
         clock,
-        otherStateHosts = { group.voters.map { it.substringBefore('#') }.toSet() },
+        otherStateHosts = { group.voterHosts },
     )
 
     /** Orders of operators. */
