Write one structured line for each decision, and explain a request from them

Lines were free text, placements, waits and responses had none, and beliefs of entry hosts (backend servers, hosts, links) had none. Besides, views of the site were handed to listeners without order, so that an older view could be put in force after a newer one. Ruled out: one line type for each event (25 schemas for one reader); logging inside the registries (the difference of two views tells the same in one place and for both kinds of host). Change: schema/log/event-line is the closed list of events and fields; EventLog limits lines by kind, leaves half of the buffer to failures and beliefs, and counts what it drops; SiteChangeLog writes changes of belief; PlacementBasis carries what a placement rested on; responses have a histogram by kind of route; `arbutusctl explain` orders the lines of one request by cause and names the cause. SiteService publishes under a lock. EventLogTest, LogFloodTest, RequestStoryTest and the new case of SiteServiceTest pass.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ColdGate.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ColdGate.kt
@@ -23,6 +23,9 @@
         coldUntilMs = if (coldMs > 0) nowMs + coldMs else Long.MIN_VALUE
     }
 
+    /** Returns how much longer the backend server is cold at [nowMs], in milliseconds. */
+    public fun remainingMs(nowMs: Long): Long = if (nowMs >= coldUntilMs) 0 else coldUntilMs - nowMs
+
     /** Returns true when a request may be sent at [nowMs]; it reserves nothing. */
     public fun isOpen(nowMs: Long): Boolean = nowMs >= coldUntilMs || (intervalMs < NEVER_MS && nowMs >= nextMs.get())
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/LocalPlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/LocalPlacement.kt
@@ -98,7 +98,19 @@
         val state = slots.state
         return PlacedAttempt(
             profile, slots.name, state.incarnation, state.address, number, nowMs, isHedge, region,
-            source?.state?.address.orEmpty(),
+            source?.state?.address.orEmpty(), basisOf(slots, load, firstMs, nowMs),
+        )
+    }
+
+    private fun basisOf(slots: BackendSlots, load: Int, firstMs: Double, nowMs: Long): PlacementBasis {
+        val builtAtMs = snapshotOf().table.builtAtMs
+        return PlacementBasis(
+            load = load.toLong(),
+            limit = slots.limitAt(nowMs).toLong(),
+            predictedMs = firstMs.toLong(),
+            coldMs = slots.coldGate.remainingMs(nowMs),
+            version = slots.state.version,
+            tableAgeMs = builtAtMs?.let { nowMs - it },
         )
     }
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
@@ -94,7 +94,13 @@
         val number = attempts.nextNumber()
         val predictedMs = region.predictMs(profile, times)
         attempts.add(number, OpenAttempt(null, region, times, profile.promptTokens, 0, predictedMs))
-        return Placement.SendAway(PlacedAttempt(profile, "", 0, "", number, nowMs, region = name), name)
+        val summary = region.region.services[profile.serviceName]
+        val basis = PlacementBasis(
+            load = (summary?.running ?: 0) + (summary?.queued ?: 0),
+            limit = summary?.capacity ?: 0,
+            predictedMs = region.predictFirstByteMs(profile, times).toLong(),
+        )
+        return Placement.SendAway(PlacedAttempt(profile, "", 0, "", number, nowMs, region = name, basis = basis), name)
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestScheduler.kt
@@ -78,6 +78,8 @@
     val region: String,
     /** Address of a backend server that holds more of the prompt; empty when there is none. */
     val cacheSourceAddress: String = "",
+    /** What the choice rested on; null when the scheduler does not tell. */
+    val basis: PlacementBasis? = null,
 )
 
 /** How an attempt ended. */
--- a/ctl/src/main/kotlin/org/arbutusrelay/ctl/ArbutusCtl.kt
+++ b/ctl/src/main/kotlin/org/arbutusrelay/ctl/ArbutusCtl.kt
@@ -22,6 +22,7 @@
         DemoCommand::class,
         StandInCommand::class,
         LoadCommand::class,
+        ExplainCommand::class,
         AutoComplete.GenerateCompletion::class,
     ],
 )
--- /dev/null
+++ b/ctl/src/main/kotlin/org/arbutusrelay/ctl/ExplainCommand.kt
@@ -0,0 +1,79 @@
+package org.arbutusrelay.ctl
+
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import org.arbutusrelay.ctl.explain.LogContent
+import org.arbutusrelay.ctl.explain.LogFile
+import org.arbutusrelay.ctl.explain.LoggedLine
+import org.arbutusrelay.ctl.explain.RequestStory
+import org.arbutusrelay.schema.log.EventLine
+import picocli.CommandLine.Command
+import picocli.CommandLine.Model.CommandSpec
+import picocli.CommandLine.Parameters
+import picocli.CommandLine.Spec
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.Callable
+import kotlin.streams.asSequence
+
+/** Tells from the logs of hosts what happened to a request. */
+@Command(
+    name = "explain",
+    description = ["Tells from the logs of hosts what happened to a request."],
+    mixinStandardHelpOptions = true,
+)
+internal class ExplainCommand : Callable<Int> {
+    @Spec
+    lateinit var spec: CommandSpec
+
+    @Parameters(index = "0", paramLabel = "REQUEST_ID", description = ["Identifier that the caller gave the request."])
+    lateinit var request: String
+
+    @Parameters(index = "1..*", arity = "1..*", paramLabel = "FILE", description = ["Logs of one or more hosts."])
+    lateinit var files: List<Path>
+
+    override fun call(): Int {
+        val content = try {
+            files.map(::read).reduce(LogContent::plus)
+        } catch (e: IOException) {
+            spec.commandLine().err.println("${spec.root().name()}: ${e.message}: cannot be read")
+            return ExitCode.USAGE
+        }
+        val story = RequestStory.of(request, content.lines)
+        val out = spec.commandLine().out
+        if (content.unreadable > 0) out.println("${content.unreadable} lines cannot be read")
+        if (story.steps.isEmpty()) {
+            spec.commandLine().err.println("${spec.root().name()}: no line about $request; ${leftOut(content)}")
+            return ExitCode.FAILED
+        }
+        out.println(rows(story.steps))
+        if (story.surroundings.isNotEmpty()) out.println("\naround it\n${rows(story.surroundings)}")
+        out.println("\ncause: ${story.cause ?: "the lines do not tell"}")
+        return ExitCode.DONE
+    }
+
+    private fun read(file: Path): LogContent = Files.lines(file).use { LogFile.read(it.asSequence()) }
+
+    private fun leftOut(content: LogContent): String =
+        "${content.lines.sumOf { it.line.leftOut }} lines of the files were left out under load"
+
+    private fun rows(lines: List<LoggedLine>): String = table(
+        listOf("TIME", "HOST", "EVENT", "FIELDS"),
+        lines.map { listOf(it.time, it.writer, it.line.event.name.lowercase(), fields(it.line)) },
+    )
+
+    private fun fields(line: EventLine): String {
+        val encoded = JSON.encodeToJsonElement(EventLine.serializer(), line) as JsonObject
+        return encoded.filterKeys { it != "event" && it != "request" }.entries.joinToString(" ") { (key, value) ->
+            "$key=$value"
+        }
+    }
+
+    private companion object {
+        val JSON = Json {
+            encodeDefaults = false
+            explicitNulls = false
+        }
+    }
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/org/arbutusrelay/ctl/explain/LogFile.kt
@@ -0,0 +1,68 @@
+package org.arbutusrelay.ctl.explain
+
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.arbutusrelay.schema.log.EventLine
+
+/** A line of a host's log, with the host that wrote it. */
+internal data class LoggedLine(
+    /** Time of day by the clock of the host, as it was written. */
+    val time: String,
+    /** Host that wrote the line. */
+    val writer: String,
+    val line: EventLine,
+)
+
+/** What was read from one or more log files. */
+internal data class LogContent(val lines: List<LoggedLine>, val unreadable: Int) {
+    operator fun plus(other: LogContent): LogContent = LogContent(lines + other.lines, unreadable + other.unreadable)
+}
+
+/** Reads the JSON lines of a host. */
+internal object LogFile {
+    private val JSON = Json { ignoreUnknownKeys = true }
+
+    /**
+     * Reads [text], the lines of a file.
+     *
+     * What stands before the first brace of a line, such as a time that a collector has added, is left out. Lines that
+     * hold no event are passed over; those that begin like JSON and cannot be read are counted.
+     */
+    fun read(text: Sequence<String>): LogContent {
+        val lines = ArrayList<LoggedLine>()
+        var unreadable = 0
+        for (raw in text) {
+            val start = raw.indexOf('{')
+            if (start < 0) continue
+            val fields = parse(raw.substring(start))
+            val message = fields?.get("message") as? JsonObject
+            when {
+                fields == null -> unreadable++
+                message != null -> decode(fields, message)?.let(lines::add) ?: unreadable++
+            }
+        }
+        return LogContent(lines, unreadable)
+    }
+
+    private fun parse(text: String): JsonObject? = try {
+        JSON.parseToJsonElement(text) as? JsonObject
+    } catch (_: SerializationException) {
+        // Counted by the caller: a file may be cut off within a line.
+        null
+    }
+
+    private fun decode(fields: JsonObject, message: JsonObject): LoggedLine? = try {
+        LoggedLine(
+            fields.text("time"),
+            fields.text("host"),
+            JSON.decodeFromJsonElement(EventLine.serializer(), message),
+        )
+    } catch (_: IllegalArgumentException) {
+        // Counted by the caller: a newer version may write events that this one does not know.
+        null
+    }
+
+    private fun JsonObject.text(key: String): String = (get(key) as? JsonPrimitive)?.content.orEmpty()
+}
--- /dev/null
+++ b/ctl/src/main/kotlin/org/arbutusrelay/ctl/explain/RequestStory.kt
@@ -0,0 +1,63 @@
+package org.arbutusrelay.ctl.explain
+
+import org.arbutusrelay.schema.log.EventLine.Event
+
+/**
+ * What happened to one request, in the order of cause and effect.
+ *
+ * Clocks of hosts may differ, so that times order only the lines of one host: what a second host did with a request
+ * follows the line by which the first one sent it there.
+ */
+internal class RequestStory private constructor(
+    /** Lines about the request. */
+    val steps: List<LoggedLine>,
+    /** Lines about the backend servers, links and zones that the request met, by time. */
+    val surroundings: List<LoggedLine>,
+) {
+    /** The cause in one sentence, or null when the lines do not tell. */
+    val cause: String? get() = CauseFinder(steps, surroundings).find()
+
+    companion object {
+        /** Finds the story of [request] in [lines], which hold those of each host in the order of writing. */
+        fun of(request: String, lines: List<LoggedLine>): RequestStory {
+            val own = lines.filter { it.line.request == request }
+            return RequestStory(order(own, namesByAddress(lines)), surroundings(own, lines))
+        }
+
+        private fun namesByAddress(lines: List<LoggedLine>): Map<String, String> = lines
+            .filter { it.line.event == Event.STARTED }
+            .mapNotNull { started -> started.line.host?.let { it to started.writer } }
+            .toMap()
+
+        private fun order(own: List<LoggedLine>, namesByAddress: Map<String, String>): List<LoggedLine> {
+            val (forwarded, first) = own.partition { it.line.isForwarded == true }
+            val groups = forwarded.groupBy { it.writer }.toMutableMap()
+            val ordered = ArrayList<LoggedLine>()
+            for (step in first) {
+                ordered += step
+                if (!isSentAway(step)) continue
+                val named = namesByAddress[step.line.address.orEmpty().substringBefore(':')]
+                val writer = named?.takeIf { it in groups } ?: groups.minByOrNull { it.value.first().time }?.key
+                writer?.let { ordered += groups.remove(it).orEmpty() }
+            }
+            return ordered + groups.values.flatten()
+        }
+
+        private fun isSentAway(step: LoggedLine) =
+            step.line.event in setOf(Event.REQUEST_PLACED, Event.REQUEST_RESENT) &&
+                step.line.backendServer.isNullOrEmpty()
+
+        private fun surroundings(own: List<LoggedLine>, lines: List<LoggedLine>): List<LoggedLine> {
+            val servers = own.mapNotNull { it.line.backendServer }.filter { it.isNotEmpty() }.toSet()
+            val regions = own.mapNotNull { it.line.region }.toSet()
+            return lines.filter {
+                when (it.line.event) {
+                    Event.BACKEND_SERVER_CHANGED, Event.BACKEND_SERVER_LOST -> it.line.backendServer in servers
+                    Event.LINK_DOWN, Event.HOST_LOST -> it.line.region == null || it.line.region in regions
+                    Event.STATE_CHANGED -> !it.line.evacuatedZones.isNullOrEmpty()
+                    else -> false
+                }
+            }.sortedBy { it.time }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/EventMessage.kt
@@ -0,0 +1,33 @@
+package org.arbutusrelay.daemon.observe
+
+import kotlinx.serialization.json.Json
+import org.apache.logging.log4j.message.AsynchronouslyFormattable
+import org.apache.logging.log4j.message.MultiformatMessage
+import org.arbutusrelay.schema.log.EventLine
+
+/**
+ * Lets Log4j's JSON layout write an [EventLine] as an object.
+ *
+ * The line is immutable, so that an asynchronous appender may encode it on its own thread.
+ */
+@AsynchronouslyFormattable
+internal class EventMessage(private val line: EventLine) : MultiformatMessage {
+    override fun getFormattedMessage(): String = JSON.encodeToString(EventLine.serializer(), line)
+
+    override fun getFormattedMessage(formats: Array<out String>): String = formattedMessage
+
+    override fun getFormats(): Array<String> = arrayOf("JSON")
+
+    override fun getParameters(): Array<Any> = emptyArray()
+
+    override fun getThrowable(): Throwable? = null
+
+    private companion object {
+        private const val serialVersionUID = 1L
+
+        private val JSON = Json {
+            encodeDefaults = false
+            explicitNulls = false
+        }
+    }
+}
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/RelayMetrics.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/RelayMetrics.kt
@@ -8,13 +8,16 @@
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.Outcome
 import org.arbutusrelay.core.invariant.Guarantee
+import org.arbutusrelay.core.route.RouteKind
 import org.arbutusrelay.daemon.backend.DropReason
+import org.arbutusrelay.schema.log.EventLine.Event
+import java.time.Duration
 import java.util.concurrent.TimeUnit
 
 /** Counts what the daemon does; every meter exists from the start, so that a rate is known from the first event. */
 public class RelayMetrics(
     private val registry: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
-) {
+) : EventCounters {
     private val errors = ErrorKind.entries.map { counter("arbutus.errors", "kind", it.id) }
     private val outcomes = Outcome.entries.map { counter("arbutus.requests", "outcome", it.id) }
     private val violations = Guarantee.entries.map { counter("arbutus.guarantee.violations", "guarantee", it.id) }
@@ -23,6 +26,9 @@
     private val retries = counter("arbutus.attempts", "type", "retry")
     private val hedges = counter("arbutus.attempts", "type", "hedge")
     private val forwards = counter("arbutus.attempts", "type", "forward")
+    private val events = Event.entries.map { counter("arbutus.events", "event", it.name.lowercase()) }
+    private val lineDrops = LineDrop.entries.map { counter("arbutus.log.lines.dropped", "reason", it.id) }
+    private val responses = RouteKind.entries.map(::responseTimer)
 
     /** Counts a request that ended with an error of [kind]. */
     public fun countError(kind: ErrorKind): Unit = errors[kind.ordinal].increment()
@@ -45,6 +51,14 @@
     /** Counts a request that was sent to another region. */
     public fun countForward(): Unit = forwards.increment()
 
+    override fun count(event: Event): Unit = events[event.ordinal].increment()
+
+    override fun countDropped(reason: LineDrop): Unit = lineDrops[reason.ordinal].increment()
+
+    /** Records the time from the arrival of a request on a route of [kind] to the end of its response. */
+    public fun recordResponse(kind: RouteKind, durationMs: Long): Unit =
+        responses[kind.ordinal].record(durationMs, TimeUnit.MILLISECONDS)
+
     /** Records the duration of a stage, in milliseconds. */
     public fun recordStage(stage: Stage, durationMs: Long): Unit =
         stages[stage.ordinal].record(durationMs, TimeUnit.MILLISECONDS)
@@ -60,14 +74,27 @@
     /** Returns the number of parts of responses that were dropped for [reason]. */
     public fun dropCount(reason: DropReason): Long = drops[reason.ordinal].count().toLong()
 
+    /** Returns the number of log lines that were not written for [reason]. */
+    public fun lineDropCount(reason: LineDrop): Long = lineDrops[reason.ordinal].count().toLong()
+
     /** Returns all meters in the text format of Prometheus. */
     public fun scrape(): String = registry.scrape()
 
     private fun counter(name: String, tag: String, value: String): Counter =
         Counter.builder(name).tag(tag, value).register(registry)
 
+    private fun responseTimer(kind: RouteKind): Timer = Timer.builder("arbutus.response")
+        .tag("kind", kind.name.lowercase())
+        .serviceLevelObjectives(*RESPONSE_BOUNDS_MS.map(Duration::ofMillis).toTypedArray())
+        .register(registry)
+
     private fun timer(stage: Stage): Timer =
         Timer.builder("arbutus.stage").tag("stage", stage.id).publishPercentileHistogram().register(registry)
+
+    private companion object {
+        /** Objectives of the routes in use lie between 200 ms and 10 s. */
+        val RESPONSE_BOUNDS_MS = listOf<Long>(50, 100, 200, 400, 800, 1_200, 2_000, 4_000, 8_000, 15_000)
+    }
 }
 
 /** The stages of a request whose durations are recorded. */
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.apache.logging.log4j.LogManager
 import org.arbutusrelay.core.site.BackendServerRegistry
 import org.arbutusrelay.core.site.HostRegistry
 import org.arbutusrelay.core.site.SiteLog
@@ -39,6 +38,7 @@
     private val times: SiteTimes = SiteTimes(),
     private val otherStateHosts: () -> Set<String> = { emptySet() },
 ) : FrameReceiver {
+    private val publishing = Any()
     private val hosts = HostRegistry()
     private val servers = BackendServerRegistry(times.backendLeaseMs)
     private val choice = StateHostChoice(self.hostName, self.region)
@@ -55,7 +55,7 @@
     /** What this host knows now. */
     public val view: SiteView get() = latest.get()
 
-    /** Calls [listener] after each change and at least once a tick; it must not block. */
+    /** Calls [listener] after each change and at least once a tick, in order of the views; it must not block. */
     public fun addListener(listener: (SiteView) -> Unit) {
         listeners += listener
     }
@@ -108,18 +108,6 @@
         val isNews = synchronized(this) { servers.announce(server, clock.nowMs()) }
         if (!isNews) return
         val merged = synchronized(this) { servers.state(server.name, clock.nowMs()) } ?: return
-        logger.info(
-            "backend server announced: name={} incarnation={} version={} service={} zone={} address={} isLeaving={} " +
-                "coldMs={}",
-            merged.name,
-            merged.incarnation,
-            merged.version,
-            merged.service,
-            merged.availabilityZone,
-            merged.address,
-            merged.isLeaving,
-            merged.coldMs,
-        )
         tellChange(digest(servers = listOf(merged)), connectedHosts())
         publish()
     }
@@ -127,7 +115,6 @@
     /** Takes the notice that a backend server ends. */
     public fun depart(name: String, incarnation: Long?) {
         val departure = synchronized(this) { servers.depart(name, incarnation, clock.nowMs()) }
-        logger.info("backend server ends: name={} incarnation={}", name, departure.incarnation)
         tellChange(digest(departures = listOf(departure)), connectedHosts())
         publish()
     }
@@ -275,7 +262,8 @@
         (targets - self.hostName).forEach { network.send(it, frame) }
     }
 
-    private fun publish() {
+    /** Builds a view and hands it to the listeners; a listener that got an older one last would go back in time. */
+    private fun publish() = synchronized(publishing) {
         val nowMs = clock.nowMs()
         val next = synchronized(this) { SiteView(state, hosts.live(nowMs), servers.states(nowMs), nowMs) }
         latest.set(next)
@@ -286,8 +274,6 @@
     private class Subscription(val epoch: Long, val atMs: Long)
 
     private companion object {
-        private val logger = LogManager.getLogger(SiteService::class.java)
-
         /** Until the next announcement tells the truth; announcements come about every 1,200 ms. */
         const val COLD_AFTER_RETURN_MS = 3_000L
     }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
@@ -11,6 +11,10 @@
 import org.arbutusrelay.schema.message.DocumentRecord
 import org.arbutusrelay.schema.message.HostState
 import org.arbutusrelay.schema.message.SiteState
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -133,4 +137,27 @@
         delay(6_000)
         for (name in stateHosts) assertEquals(emptyList(), view(name).entryHosts, name)
     }
+
+    /** Guards against a host that takes over an older view last and forgets a backend server or its cold time. */
+    @Test
+    fun `listeners get the views in the order in which they were built`() = site {
+        val service = services.getValue(entryHosts[0])
+        val counts = CopyOnWriteArrayList<Int>()
+        val isSecondSeen = CountDownLatch(1)
+        service.addListener { view ->
+            // Holds up the first view for as long as the second one may overtake it.
+            if (view.backendServers.size == 1) isSecondSeen.await(HOLD_MS, TimeUnit.MILLISECONDS)
+            counts += view.backendServers.size
+            if (view.backendServers.size == 2) isSecondSeen.countDown()
+        }
+        val first = thread { service.announce(server(1)) }
+        while (service.view.backendServers.isEmpty()) Thread.onSpinWait()
+        val second = thread { service.announce(server(1).copy(name = "c", address = "10.1.0.51:80")) }
+        listOf(first, second).forEach { it.join() }
+        assertEquals(listOf(1, 2), counts.toList())
+    }
+
+    private companion object {
+        const val HOLD_MS = 500L
+    }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -52,6 +52,8 @@
 
     val route: Route? get() = resolved?.route
     val attemptId: String? get() = resolved?.facts?.attemptId
+    val serviceName: String? get() = resolved?.serviceName
+    val remainingMs: Long? get() = resolved?.let { it.deadlineMs - core.clock.nowMs() }
     val ageMs: Long get() = core.clock.nowMs() - request.receivedMs
     val isForwarded: Boolean get() = request.isForwarded
     val attemptCount: Int get() = attempts
@@ -137,6 +139,7 @@
     private fun enterQueue() {
         phase = Phase.WAITING
         core.await(profile.id, this)
+        core.events.queued(this, core.scheduler.queuedRequests())
     }
 
     private fun sendAway(placement: Placement.SendAway) {
@@ -155,6 +158,7 @@
         attempts++
         val opened = Attempt(core, this, placed, address)
         attempt = opened
+        core.events.placed(this, placed, address, if (attempts > 1) cursor.lastEventId else null)
         opened.start(BackendRequest(request.method, request.uri, headersFor(call, placed, backendServer), request.body))
         if (attempt === opened && call.route.isRepeatable) watch(opened)
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayEvents.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayEvents.kt
@@ -6,6 +6,12 @@
 
 /** Learns what is decided on requests; must not block. */
 internal interface RelayEvents {
+    /** The request waits for a place behind or beside [waiting] requests of its service, itself included. */
+    fun queued(exchange: Exchange, waiting: Int)
+
+    /** The request is sent to [address]; [lastEventId] tells where a stream goes on. */
+    fun placed(exchange: Exchange, attempt: PlacedAttempt, address: String, lastEventId: Long?)
+
     /** The request was refused or failed with an error of this system. */
     fun failed(exchange: Exchange, error: RelayError)
 
@@ -26,6 +32,10 @@
 
     /** Ignores everything. */
     object None : RelayEvents {
+        override fun queued(exchange: Exchange, waiting: Int) = Unit
+
+        override fun placed(exchange: Exchange, attempt: PlacedAttempt, address: String, lastEventId: Long?) = Unit
+
         override fun failed(exchange: Exchange, error: RelayError) = Unit
 
         override fun attemptFailed(
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/CountedEvents.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/CountedEvents.kt
@@ -11,6 +11,13 @@
 
 /** Counts what becomes of requests, and passes each event on to [next]. */
 internal class CountedEvents(private val metrics: RelayMetrics, private val next: RelayEvents) : RelayEvents {
+    override fun queued(exchange: Exchange, waiting: Int) = next.queued(exchange, waiting)
+
+    override fun placed(exchange: Exchange, attempt: PlacedAttempt, address: String, lastEventId: Long?) {
+        if (attempt.backendServer.isEmpty()) metrics.countForward()
+        next.placed(exchange, attempt, address, lastEventId)
+    }
+
     override fun failed(exchange: Exchange, error: RelayError) {
         metrics.countError(error.kind)
         metrics.countOutcome(error.kind.outcome)
@@ -31,6 +38,7 @@
     override fun answered(exchange: Exchange, statusCode: Int) {
         metrics.countOutcome(Outcome.RAN)
         metrics.recordStage(Stage.TOTAL, exchange.ageMs)
+        exchange.route?.let { metrics.recordResponse(it.kind, exchange.ageMs) }
         next.answered(exchange, statusCode)
     }
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -8,7 +8,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.apache.logging.log4j.LogManager
+import org.arbutusrelay.core.invariant.Guarantee
 import org.arbutusrelay.core.invariant.Invariants
 import org.arbutusrelay.core.route.RoutePlan
 import org.arbutusrelay.core.route.RoutePlanParser
@@ -21,6 +21,7 @@
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.http.HttpServer
 import org.arbutusrelay.daemon.http.RouteGroup
+import org.arbutusrelay.daemon.observe.EventLog
 import org.arbutusrelay.daemon.observe.RelayMetrics
 import org.arbutusrelay.daemon.site.SiteService
 import org.arbutusrelay.daemon.site.SiteView
@@ -38,6 +39,8 @@
 import org.arbutusrelay.relay.ingress.IngressServer
 import org.arbutusrelay.relay.ingress.IngressService
 import org.arbutusrelay.relay.ingress.ResponseWriter
+import org.arbutusrelay.schema.log.EventLine
+import org.arbutusrelay.schema.log.EventLine.Event
 import org.arbutusrelay.schema.message.BackendLoad
 import org.arbutusrelay.schema.settings.SiteSettings
 import java.util.concurrent.TimeUnit
@@ -58,6 +61,8 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val clock = RelayClock()
     private val metrics = RelayMetrics()
+    private val log = EventLog(clock::nowMs, counters = metrics)
+    private val changes = SiteChangeLog(log)
     private val links = SiteLinks(settings, scope)
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -73,7 +78,7 @@
     private val pool = BackendPool(loop, clock::nowMs)
     private val scheduler = DefaultRequestScheduler(
         callerOf = { null },
-        invariants = Invariants(isFatal = false) { guarantee, detail -> logger.error("{}: {}", guarantee.id, detail) },
+        invariants = Invariants(isFatal = false, ::onViolation),
         settings = SchedulerSettings(
             maxRetryBurst = RETRY_BURST,
             retryPermille = (settings.bounds.retryShare * PERMILLE / 2).toLong(),
@@ -88,7 +93,7 @@
     private val forwardTargets = ForwardTargets(settings.linkPort + 1)
     private val core = RelayCore(
         links.identity, clock, loop, pool, scheduler, dialect, forwardTargets,
-        CountedEvents(metrics, LoggedEvents(clock::nowMs)), Random(links.identity.epoch), ::observe,
+        CountedEvents(metrics, LoggedEvents(log, clock::nowMs)), Random(links.identity.epoch), ::observe,
     )
     private val profiles = ProfileBuilder(settings.region) { otherRegions }
     private val options =
@@ -111,6 +116,8 @@
 
     override suspend fun start() {
         links.listen()
+        links.network.addReceiver(changes)
+        site.addListener(changes::onView)
         site.addListener(::onView)
         callerServer.start(callerAddress)
         forwardServer.start("${settings.bindAddress}:${settings.linkPort + 1}")
@@ -120,7 +127,7 @@
         metrics.gauge("arbutus.requests.open") { core.openExchanges }
         metrics.gauge("arbutus.requests.queued") { scheduler.queuedRequests() }
         metrics.gauge("arbutus.document.number") { core.routes.get()?.plan?.number ?: -1 }
-        logger.info("started: entry host {} of {} for callers at {}", settings.nodeName, settings.region, callerAddress)
+        log.write(links.line(Event.STARTED).copy(address = callerAddress))
     }
 
     override fun reload(settings: SiteSettings): Unit = site.replaceSeeds(SiteLinks.seedNames(settings))
@@ -128,14 +135,17 @@
     override suspend fun stop() {
         isLeaving = true
         val startMs = clock.nowMs()
-        logger.info("stopping: {} requests are open", core.openExchanges)
+        log.write(links.line(Event.STOPPING).copy(openRequests = core.openExchanges.toLong()))
         site.updateSelf { it.copy(isLeaving = true) }
         val graceMs = (settings.bounds.graceSeconds * MS_PER_SECOND).toLong()
         // Callers keep an old list of hosts for a while and would meet a closed port.
         delay(minOf(graceMs / 2, LIST_LIFETIME_MS))
         loop.execute { connections.forEach { (handler, channel) -> if (handler.isIdle()) channel.close() } }
         while (core.openExchanges > 0 && clock.nowMs() - startMs < graceMs - EXIT_RESERVE_MS) delay(STOP_POLL_MS)
-        logger.info("stopped: {} requests were still open after {} ms", core.openExchanges, clock.nowMs() - startMs)
+        val durationMs = clock.nowMs() - startMs
+        log.write(
+            links.line(Event.STOPPED).copy(openRequests = core.openExchanges.toLong(), durationMs = durationMs),
+        )
         close()
     }
 
@@ -152,6 +162,11 @@
     private fun server(port: Int, groups: List<RouteGroup>) =
         HttpServer(settings.bindAddress, port, HTTP_IDLE_MS, groups, HTTP_THREADS)
 
+    private fun onViolation(guarantee: Guarantee, detail: String) {
+        metrics.countViolation(guarantee)
+        log.write(EventLine(Event.GUARANTEE_VIOLATED, kind = guarantee.id, detail = detail))
+    }
+
     private fun observe(placed: PlacedAttempt, load: AnswerLoad) =
         site.observe(BackendLoad(placed.backendServer, placed.incarnation, load.running, load.queued, 0))
 
@@ -164,7 +179,13 @@
             if (core.routes.get()?.plan !== plan && (core.routes.get()?.plan?.number ?: -1) <= plan.number) {
                 val isFirst = core.routes.getAndSet(RouteTable(plan)) == null
                 if (isFirst) advertise()
-                logger.info("document {} is in force, state index {}", plan.number, view.state.index)
+                log.write(
+                    EventLine(
+                        Event.DOCUMENT_IN_FORCE,
+                        documentNumber = plan.number,
+                        stateIndex = view.state.index,
+                    ),
+                )
             }
             scheduler.updateTable(table)
             otherRegions = table.otherRegions.values
@@ -186,7 +207,8 @@
         parsed.get()?.takeIf { it.number == document.number }?.let { return it }
         return parser.parse(document.content).fold(
             { error ->
-                logger.error("document {} cannot be read: {}", document.number, error.detail)
+                val number = document.number
+                log.write(EventLine(Event.DOCUMENT_REFUSED, documentNumber = number, detail = error.detail))
                 parsed.get()
             },
             { plan -> plan.also { parsed.set(it) } },
@@ -216,7 +238,6 @@
     }
 
     private companion object {
-        private val logger = LogManager.getLogger(EntryNode::class.java)
         const val PERMILLE = 1_000
         const val MS_PER_SECOND = 1_000
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/LoggedEvents.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/LoggedEvents.kt
@@ -1,88 +1,80 @@
 package org.arbutusrelay.relay.node
 
-import org.apache.logging.log4j.LogManager
-import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.relay.AttemptFailure
-import org.arbutusrelay.core.relay.LineBudget
 import org.arbutusrelay.core.routing.PlacedAttempt
+import org.arbutusrelay.daemon.observe.EventLog
 import org.arbutusrelay.relay.exchange.Exchange
 import org.arbutusrelay.relay.exchange.RelayEvents
+import org.arbutusrelay.schema.log.EventLine
+import org.arbutusrelay.schema.log.EventLine.Event
 
-/**
- * Writes a line for each request that failed, was sent again or was left by its caller.
- *
- * Each kind of line has its own budget, so that a flood of one kind does not hide another. Complete responses have no
- * line; metrics count them.
- */
-internal class LoggedEvents(private val nowMs: () -> Long) : RelayEvents {
-    private val errorBudgets = ErrorKind.entries.associateWith { LineBudget(MAX_LINES, WINDOW_MS) }
-    private val attemptBudgets = AttemptFailure.entries.associateWith { LineBudget(MAX_LINES, WINDOW_MS) }
-    private val leftBudget = LineBudget(MAX_LINES, WINDOW_MS)
+/** Writes a line for each decision on a request. */
+internal class LoggedEvents(private val log: EventLog, private val nowMs: () -> Long) : RelayEvents {
+    override fun queued(exchange: Exchange, waiting: Int): Unit =
+        log.write(line(Event.REQUEST_QUEUED, exchange).copy(waiting = waiting.toLong()))
 
-    override fun failed(exchange: Exchange, error: RelayError) {
-        val leftOut = errorBudgets.getValue(error.kind).tryTake(nowMs()) ?: return
-        logger.info(
-            "request failed: request={} route={} kind={} outcome={} detail=\"{}\" ageMs={} attempts={} " +
-                "isForwarded={} documentNumber={} retryAfterMs={} leftOut={}",
-            exchange.attemptId,
-            exchange.route?.name,
-            error.kind.id,
-            error.kind.outcome.id,
-            error.detail,
-            exchange.ageMs,
-            exchange.attemptCount,
-            exchange.isForwarded,
-            exchange.documentNumber,
-            error.retryAfterMs,
-            leftOut,
+    override fun placed(exchange: Exchange, attempt: PlacedAttempt, address: String, lastEventId: Long?) {
+        val event = if (exchange.attemptCount > 1) Event.REQUEST_RESENT else Event.REQUEST_PLACED
+        val basis = attempt.basis
+        log.write(
+            line(event, exchange).copy(
+                backendServer = attempt.backendServer,
+                incarnation = attempt.incarnation,
+                region = attempt.region,
+                address = address,
+                load = basis?.load,
+                limit = basis?.limit,
+                predictedMs = basis?.predictedMs,
+                coldMs = basis?.coldMs,
+                version = basis?.version,
+                tableAgeMs = basis?.tableAgeMs,
+                lastEventId = lastEventId,
+            ),
         )
     }
 
+    override fun failed(exchange: Exchange, error: RelayError): Unit = log.write(
+        line(Event.REQUEST_FAILED, exchange).copy(
+            kind = error.kind.id,
+            outcome = error.kind.outcome.id,
+            detail = error.detail,
+            retryAfterMs = error.retryAfterMs,
+        ),
+    )
+
     override fun attemptFailed(
         exchange: Exchange,
         attempt: PlacedAttempt,
         failure: AttemptFailure,
         detail: String,
         isRetried: Boolean,
-    ) {
-        val leftOut = attemptBudgets.getValue(failure).tryTake(nowMs()) ?: return
-        logger.info(
-            "attempt failed: request={} route={} backendServer={} incarnation={} region={} failure={} detail=\"{}\" " +
-                "ageMs={} attemptAgeMs={} isRetried={} leftOut={}",
-            exchange.attemptId,
-            exchange.route?.name,
-            attempt.backendServer,
-            attempt.incarnation,
-            attempt.region,
-            failure.name.lowercase(),
-            detail,
-            exchange.ageMs,
-            nowMs() - attempt.placedAtMs,
-            isRetried,
-            leftOut,
-        )
-    }
+    ): Unit = log.write(
+        line(Event.ATTEMPT_FAILED, exchange).copy(
+            backendServer = attempt.backendServer,
+            incarnation = attempt.incarnation,
+            region = attempt.region,
+            failure = failure.name.lowercase(),
+            detail = detail,
+            attemptAgeMs = nowMs() - attempt.placedAtMs,
+            isRetried = isRetried,
+        ),
+    )
 
-    override fun answered(exchange: Exchange, statusCode: Int) = Unit
+    override fun answered(exchange: Exchange, statusCode: Int): Unit =
+        log.write(line(Event.REQUEST_ANSWERED, exchange).copy(statusCode = statusCode.toLong()))
 
-    override fun callerLeft(exchange: Exchange) {
-        val leftOut = leftBudget.tryTake(nowMs()) ?: return
-        logger.info(
-            "caller left: request={} route={} ageMs={} attempts={} leftOut={}",
-            exchange.attemptId,
-            exchange.route?.name,
-            exchange.ageMs,
-            exchange.attemptCount,
-            leftOut,
-        )
-    }
-
-    private companion object {
-        private val logger = LogManager.getLogger(LoggedEvents::class.java)
+    override fun callerLeft(exchange: Exchange): Unit = log.write(line(Event.CALLER_LEFT, exchange))
 
-        /** Lines of one kind in a window; a line costs about as much processor time as forwarding a short request. */
-        const val MAX_LINES = 10
-        const val WINDOW_MS = 1_000L
-    }
+    private fun line(event: Event, exchange: Exchange) = EventLine(
+        event,
+        request = exchange.attemptId,
+        route = exchange.route?.name,
+        service = exchange.serviceName,
+        ageMs = exchange.ageMs,
+        remainingMs = exchange.remainingMs,
+        attempts = exchange.attemptCount.toLong(),
+        isForwarded = exchange.isForwarded,
+        documentNumber = exchange.documentNumber,
+    )
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteLinks.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteLinks.kt
@@ -4,6 +4,8 @@
 import org.arbutusrelay.daemon.link.HostIdentity
 import org.arbutusrelay.daemon.link.LinkOptions
 import org.arbutusrelay.daemon.link.SocketLinkNetwork
+import org.arbutusrelay.schema.log.EventLine
+import org.arbutusrelay.schema.log.EventLine.Event
 import org.arbutusrelay.schema.message.HostState
 import org.arbutusrelay.schema.settings.SiteSettings
 import java.security.SecureRandom
@@ -34,6 +36,14 @@
         isStateHost = settings.dataFolder != null,
     )
 
+    /** Returns a line about this host's own process. */
+    fun line(event: Event): EventLine = EventLine(
+        event,
+        host = identity.hostName,
+        region = identity.region,
+        availabilityZone = identity.availabilityZone,
+    )
+
     suspend fun listen(): Int = network.listen(settings.bindAddress, settings.linkPort)
 
     companion object {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -4,7 +4,6 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import org.apache.logging.log4j.LogManager
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.route.RoutePlanParser
 import org.arbutusrelay.core.site.SiteLog
@@ -13,11 +12,13 @@
 import org.arbutusrelay.daemon.consensus.ReplicaGroupOptions
 import org.arbutusrelay.daemon.http.HttpServer
 import org.arbutusrelay.daemon.http.RouteGroup
+import org.arbutusrelay.daemon.observe.EventLog
 import org.arbutusrelay.daemon.observe.RelayMetrics
 import org.arbutusrelay.daemon.site.SiteControl
 import org.arbutusrelay.daemon.site.SiteService
 import org.arbutusrelay.daemon.storage.FileConsensusStorage
-import org.arbutusrelay.schema.message.SiteState
+import org.arbutusrelay.schema.log.EventLine
+import org.arbutusrelay.schema.log.EventLine.Event
 import org.arbutusrelay.schema.settings.SiteSettings
 import java.io.IOException
 import java.nio.file.Path
@@ -38,8 +39,11 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val clock = RelayClock()
     private val metrics = RelayMetrics()
+    private val eventLog = EventLog(clock::nowMs, counters = metrics)
+    private val changes = SiteChangeLog(eventLog)
     private val links = SiteLinks(settings, scope)
-    private val log: SiteLog = SiteLog { onState(it) }
+    private val log: SiteLog = SiteLog { site.install(it) }
+    private var leader: String? = null
     private val group = ReplicaGroup(
         name = "site",
         storage = FileConsensusStorage(Path.of(requireNotNull(settings.dataFolder)).resolve("site")),
@@ -82,6 +86,9 @@
 
     override suspend fun start() {
         links.listen()
+        links.network.addReceiver(changes)
+        site.addListener(changes::onView)
+        site.addListener { logLeader() }
         group.start().onLeft { throw IOException("${settings.dataFolder}: $it") }
         site.start(scope)
         httpServers.forEach { it.start() }
@@ -89,41 +96,34 @@
         metrics.gauge("arbutus.site.index") { log.current.index }
         metrics.gauge("arbutus.site.backend.servers") { site.view.backendServers.size }
         metrics.gauge("arbutus.site.entry.hosts") { site.view.entryHosts.size }
-        logger.info(
-            "started: state host {} of {}, founding {}",
-            settings.nodeName,
-            settings.region,
-            settings.isFounding,
-        )
+        val detail = if (settings.isFounding) "founds the group unless its disk holds a replica" else null
+        eventLog.write(links.line(Event.STARTED).copy(address = settings.controlAddress, detail = detail))
     }
 
     override fun reload(settings: SiteSettings): Unit = site.replaceSeeds(SiteLinks.seedNames(settings))
 
     override suspend fun stop() {
-        logger.info("stopping")
+        val startMs = clock.nowMs()
+        eventLog.write(links.line(Event.STOPPING))
         site.updateSelf { it.copy(isLeaving = true) }
         group.stop()
         httpServers.forEach { it.stop() }
         scope.cancel()
         links.network.close()
-        logger.info("stopped")
+        eventLog.write(links.line(Event.STOPPED).copy(durationMs = clock.nowMs() - startMs))
     }
 
-    private fun onState(state: SiteState) {
-        logger.info(
-            "state index {}: document {}, evacuated {}",
-            state.index,
-            state.document?.number,
-            state.evacuatedZones,
-        )
-        site.install(state)
+    private fun logLeader() {
+        val latest = group.leaderName
+        if (latest == leader) return
+        leader = latest
+        eventLog.write(EventLine(Event.LEADER_CHANGED, host = latest, term = group.term))
     }
 
     private fun server(address: String, groups: List<RouteGroup>) =
         HttpServer(settings.bindAddress, address.substringAfterLast(':').toInt(), HTTP_IDLE_MS, groups, HTTP_THREADS)
 
     private companion object {
-        private val logger = LogManager.getLogger(StateNode::class.java)
         const val HTTP_IDLE_MS = 60_000L
         const val HTTP_THREADS = 24
         val OPTIONS = ReplicaGroupOptions(
