Avoid backend servers that fail part of their requests, and size retries by the site

A circuit breaker counts failures in a row, and every success closes it again. The retries that a host may give at once were a constant that fitted about eight hosts. Ruled out: a lower threshold of the breaker (opens for sound servers that fail one response in fifty). Change: FailureShare estimates the share of failures of each backend server with a half-life; FirstByteChoice adds what a failure costs the caller to the score. A host's retry burst is its part of the site's retry slack.

--- a/core/src/main/kotlin/org/arbutusrelay/core/admission/ShareBudget.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/admission/ShareBudget.kt
@@ -8,9 +8,14 @@
  * Each request adds its share to the budget and each action takes 1 from it. The budget holds at most [maxActions],
  * which bounds the burst after a quiet time; it starts with [initialActions].
  */
-public class ShareBudget(private val maxActions: Long = 20, initialActions: Long = 2) {
+public class ShareBudget(@Volatile private var maxActions: Long = 20, initialActions: Long = 2) {
     private val balanceMilli = AtomicLong(initialActions * MILLI)
 
+    /** Changes how many actions the budget holds at most; what it holds beyond is lost with the next request. */
+    public fun resize(maxActions: Long) {
+        this.maxActions = maxActions
+    }
+
     /** Adds one request that allows [sharePermille] thousandths of an action. */
     public fun recordRequest(sharePermille: Long) {
         val balance = balanceMilli.get()
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
@@ -2,6 +2,7 @@
 
 import org.arbutusrelay.core.admission.CircuitBreaker
 import org.arbutusrelay.core.admission.ConcurrencyLimit
+import org.arbutusrelay.core.admission.FailureShare
 import org.arbutusrelay.core.admission.SlowRamp
 import org.arbutusrelay.core.request.RequestId
 import org.arbutusrelay.schema.message.BackendServerState
@@ -40,6 +41,9 @@
     /** How much longer it takes than predicted. */
     public val slowdown: Slowdown = Slowdown()
 
+    /** Which share of its requests fails. */
+    public val failureShare: FailureShare = FailureShare()
+
     /** Limits what this host sends while the backend server is cold. */
     public val coldGate: ColdGate = ColdGate()
     internal val cacheSequence = CacheSequence(this)
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -41,6 +41,7 @@
 
     override fun updateTable(table: RoutingTable): Unit = synchronized(builder) {
         val nowMs = latestMs.get()
+        services.limitRetryBurst(table.maxRetryBurst ?: settings.maxRetryBurst)
         val isStarting = startedAtMs.get() == NOT_STARTED || nowMs - startedAtMs.get() < settings.rampMs
         snapshot.set(builder.build(snapshot.get(), table, nowMs, isStarting))
     }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteChoice.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteChoice.kt
@@ -7,7 +7,7 @@
  * their own time; a first byte after the target counts for more as well. The engine that rendezvous hashing ranks
  * first for the shared head of a prompt is taken to hold most of it, because all hosts send it there. Where engines can
  * copy cached tokens from each other, a short queue counts for more than a warm cache. A plain service is chosen by its
- * load.
+ * load. A backend server that fails part of its requests is avoided by what a failure costs the caller.
  */
 public class FirstByteChoice(override val window: Int = 1) : ServerChoice {
     override fun choose(profile: RequestProfile, servers: ServiceServers, nowMs: Long): BackendSlots? =
@@ -54,8 +54,10 @@
         val firstMs = predictMs(profile, slots, servers, prompt.expectedTokens(profile, slots), nowMs)
         val lateMs = if (profile.targetMs > 0) maxOf(0.0, firstMs - profile.targetMs * TARGET_SHARE) else 0.0
         val tried = if (slots.name in profile.triedBackendServers) TRIED_PENALTY_MS else 0.0
+        val failing = slots.failureShare.at(nowMs) * if (profile.isIdempotent) REPEAT_COST_MS else LOSS_COST_MS
         val tie = TIE_MS * HeldPrompt.rank(slots, profile.id.requestNumber) / Long.MAX_VALUE
-        return firstMs + prompt.rereadCost(profile, slots) * REREAD_MS_PER_TOKEN + lateMs * LATE_WEIGHT + tried + tie
+        return firstMs + prompt.rereadCost(profile, slots) * REREAD_MS_PER_TOKEN + lateMs * LATE_WEIGHT + tried +
+            failing + tie
     }
 
     private fun predictMs(
@@ -85,6 +87,10 @@
         /** Share of the target from which a first byte counts as at risk. */
         const val TARGET_SHARE = 0.7
         const val LATE_WEIGHT = 2.0
+
+        /** What a failure costs, as a delay: a repeat reads the prompt again; what must not run twice is lost. */
+        const val REPEAT_COST_MS = 1_500.0
+        const val LOSS_COST_MS = 4_000.0
         const val TIE_MS = 2.0
         const val LOAD_TIE_MS = 0.5
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RoutingTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RoutingTable.kt
@@ -20,6 +20,8 @@
     val sentAwayPermille: Long = 0,
     /** Requests a second that this host may send to each cold backend server, by name; 0 when it is not named. */
     val coldRatesPerSecond: Map<String, Double> = emptyMap(),
+    /** Retries for one service that this host may give at once; null when the scheduler's settings say it. */
+    val maxRetryBurst: Long? = null,
     /** When the table was built, on the scheduler's clock; null when it is the time of the scheduler's last call. */
     val builtAtMs: Long? = null,
 )
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceRecords.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceRecords.kt
@@ -6,6 +6,9 @@
 /** What the scheduler keeps for each service, whatever happens to its backend servers. */
 internal class ServiceRecords(private val settings: SchedulerSettings) {
     private val times = ConcurrentHashMap<String, ServiceTimes>()
+
+    @Volatile
+    private var maxRetryBurst = settings.maxRetryBurst
     private val retryBudgets = ConcurrentHashMap<String, ShareBudget>()
 
     /** Queues by the name of the service. */
@@ -16,5 +19,12 @@
     fun queueOf(serviceName: String): ServiceQueue = queues.computeIfAbsent(serviceName) { ServiceQueue(settings) }
 
     fun retryBudgetOf(serviceName: String): ShareBudget =
-        retryBudgets.computeIfAbsent(serviceName) { ShareBudget(settings.maxRetryBurst) }
+        retryBudgets.computeIfAbsent(serviceName) { ShareBudget(maxRetryBurst, minOf(2, maxRetryBurst)) }
+
+    /** Bounds the retries that each service may give at once. */
+    fun limitRetryBurst(maxRetries: Long) {
+        if (maxRetries == maxRetryBurst) return
+        maxRetryBurst = maxRetries
+        retryBudgets.values.forEach { it.resize(maxRetries) }
+    }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -74,14 +74,13 @@
         settings.linkPort,
         clock,
     )
-    private val routing = SiteRouting(links.identity)
+    private val routing = SiteRouting(links.identity, settings.bounds)
     private val pool = BackendPool(loop, clock::nowMs)
     private val scheduler = DefaultRequestScheduler(
         callerOf = { null },
         invariants = Invariants(isFatal = false, ::onViolation),
         settings = SchedulerSettings(
-            maxRetryBurst = RETRY_BURST,
-            retryPermille = (settings.bounds.retryShare * PERMILLE / 2).toLong(),
+            retryPermille = (settings.bounds.retryShare * RETRY_PART * PERMILLE).toLong(),
             historyBlocks = HISTORY_BLOCKS,
             rampMs = RAMP_MS,
             regionFailureThreshold = REGION_FAILURES,
@@ -241,8 +240,8 @@
         const val PERMILLE = 1_000
         const val MS_PER_SECOND = 1_000
 
-        /** Retries for one service that one of about eight hosts may give at once. */
-        const val RETRY_BURST = 4L
+        /** Part of the allowed retries that is used: an attempt that another host forwards counts there as well. */
+        const val RETRY_PART = 0.6
         const val HISTORY_BLOCKS = 8_192
 
         /** Backend servers say themselves how long they are cold, so that no long ramp is needed. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteRouting.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteRouting.kt
@@ -9,9 +9,10 @@
 import org.arbutusrelay.schema.manifest.RegionLink
 import org.arbutusrelay.schema.message.BackendServerState
 import org.arbutusrelay.schema.message.ServiceSummary
+import org.arbutusrelay.schema.settings.SiteBounds
 
 /** Makes the scheduler's routing table from what a host knows of its site. */
-internal class SiteRouting(private val self: HostIdentity) {
+internal class SiteRouting(private val self: HostIdentity, private val bounds: SiteBounds) {
     fun table(view: SiteView, plan: RoutePlan): RoutingTable {
         val usable = view.backendServers.filter {
             it.service in plan.services && !it.isLeaving && it.availabilityZone !in view.state.evacuatedZones
@@ -26,6 +27,7 @@
             otherRegions = regions.mapValues { (name, servers) -> remote(name, servers) },
             sentAwayPermille = ALL_PERMILLE,
             coldRatesPerSecond = coldRates(here, view, plan),
+            maxRetryBurst = retryBurst(view.entryHosts.size),
             builtAtMs = view.builtAtMs,
         )
     }
@@ -60,7 +62,16 @@
             .associate { it.name to (plan.services[it.service]?.coldRatePerSecond ?: 0.0) * COLD_RATE_SHARE }
     }
 
+    /**
+     * Returns the retries for one service that this host may give at once.
+     *
+     * The bound is for all entry hosts together; a part of it is left for hosts that have not heard of each other.
+     */
+    private fun retryBurst(entryHosts: Int): Long =
+        maxOf(1, (bounds.retrySlack * RETRY_SLACK_SHARE / maxOf(1, entryHosts)).toLong())
+
     private companion object {
+        const val RETRY_SLACK_SHARE = 0.7
         const val ALL_PERMILLE = 1_000L
         const val COLD_RATE_SHARE = 0.5
 
