Serve under overload those first who can still be in time

Hosts of hue kept sending to danang (predicted 600 ms, seen 3 s), because queues of hosts are not announced; hosts of danang kept their own free requests, because the wait was worked out from the own rate alone. Ruled out: slow start of the JVM (predictions and loads were normal), lack of places elsewhere (quangtri had 2 to 10 requests on 192 places). Change: a waiting request that can no longer be in time is sent to another region, or waits on behind the others of its priority. The wait of others counts in the prediction of a new one. First bytes from another region that come later than announced load lets expect, and refusals, count against that region with a half-life of a second. A forwarded request tells its age.

--- a/core/src/main/kotlin/org/arbutusrelay/core/admission/DeadlineQueue.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/admission/DeadlineQueue.kt
@@ -6,6 +6,8 @@
 /**
  * Orders waiting requests: the most urgent priority first, the earliest deadline first within it, fair between callers.
  *
+ * An entry that was postponed comes after all others of its priority: when more arrives than can be served, requests
+ * that can still be in time must not wait behind those that are late whatever happens.
  * A caller that was served more than [fairnessLag] requests ahead of the least served waiting caller of the same
  * priority waits until the others have caught up. The queue holds at most [maxSize] entries. It is not thread-safe.
  */
@@ -21,11 +23,19 @@
     public fun offer(value: T, priority: Int, caller: String, deadlineMs: Long): Entry<T>? {
         if (size >= maxSize) return null
         val entry = Entry(value, priority, caller, deadlineMs, sequence++)
-        lanes.getOrPut(priority) { Lane() }.add(entry)
+        laneOf(entry).add(entry)
         size++
         return entry
     }
 
+    /** Puts [entry] behind all entries of its priority that were not postponed. */
+    public fun postpone(entry: Entry<T>) {
+        if (entry.isPostponed || !remove(entry, isServed = false)) return
+        entry.isPostponed = true
+        laneOf(entry).add(entry)
+        size++
+    }
+
     /** Returns the entry that is served next, or null when the queue is empty. */
     public fun peek(): Entry<T>? = head(1).firstOrNull()
 
@@ -34,19 +44,22 @@
 
     /** Removes an entry; [isServed] counts it towards its caller's share. Returns false when it is not in the queue. */
     public fun remove(entry: Entry<T>, isServed: Boolean): Boolean {
-        val lane = lanes[entry.priority] ?: return false
+        val lane = lanes[entry.laneNumber] ?: return false
         if (!lane.remove(entry, isServed)) return false
         size--
-        if (lane.isEmpty()) lanes.remove(entry.priority)
+        if (lane.isEmpty()) lanes.remove(entry.laneNumber)
         return true
     }
 
+    private fun laneOf(entry: Entry<T>): Lane<T> = lanes.getOrPut(entry.laneNumber) { Lane() }
+
     /** Counts the entries that are served before a new one with this priority and deadline. */
     public fun countAhead(priority: Int, deadlineMs: Long): Int {
         var count = 0
-        for ((lanePriority, lane) in lanes) {
-            if (lanePriority > priority) break
-            count += if (lanePriority < priority) lane.size else lane.countBefore(deadlineMs)
+        val own = priority * LANES
+        for ((number, lane) in lanes) {
+            if (number > own) break
+            count += if (number < own) lane.size else lane.countBefore(deadlineMs)
         }
         return count
     }
@@ -62,7 +75,13 @@
         /** When the response must be complete, on the monotonic clock, in milliseconds. */
         public val deadlineMs: Long,
         internal val sequence: Long,
-    )
+    ) {
+        /** True once it was put behind the others of its priority. */
+        public var isPostponed: Boolean = false
+            internal set
+
+        internal val laneNumber: Int get() = priority * LANES + (if (isPostponed) 1 else 0)
+    }
 
     private class Waiting<T : Any>(var served: Long) {
         val entries = TreeSet<Entry<T>>(ORDER)
@@ -105,6 +124,8 @@
     }
 
     private companion object {
+        /** Lanes of one priority: those in time, and those that were postponed. */
+        private const val LANES = 2
         private val ORDER = compareBy<Entry<*>>({ it.deadlineMs }, { it.sequence })
     }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
@@ -4,15 +4,24 @@
 internal object AttemptRecorder {
     /** Frees the slot of an attempt that ended and learns from its [result]. */
     fun end(open: OpenAttempt, attempt: PlacedAttempt, result: AttemptResult, nowMs: Long) {
-        open.region?.let { endRemote(it, attempt.profile.serviceName, result, nowMs) }
+        open.region?.let { endRemote(it, attempt, result, nowMs) }
         open.slots?.let { endLocal(it, open, attempt, result, nowMs) }
     }
 
-    private fun endRemote(region: RegionSlots, serviceName: String, result: AttemptResult, nowMs: Long) {
+    private fun endRemote(region: RegionSlots, attempt: PlacedAttempt, result: AttemptResult, nowMs: Long) {
+        val serviceName = attempt.profile.serviceName
         region.release(serviceName)
         when (result) {
             AttemptResult.COMPLETE -> region.breaker.recordSuccess()
-            AttemptResult.CONNECTION_LOST, AttemptResult.REFUSED -> region.breaker.recordFailure(nowMs)
+
+            AttemptResult.CONNECTION_LOST -> region.breaker.recordFailure(nowMs)
+
+            AttemptResult.REFUSED -> {
+                region.breaker.recordFailure(nowMs)
+                val waitedMs = (nowMs - attempt.placedAtMs).toDouble()
+                region.recordExcess(serviceName, waitedMs + REFUSAL_EXCESS_MS, nowMs)
+            }
+
             else -> Unit
         }
     }
@@ -90,6 +99,9 @@
         )
     }
 
+    /** A refused request would have waited longer than it did; how much longer is unknown. */
+    private const val REFUSAL_EXCESS_MS = 500.0
+
     // Predictions are within a factor of 2 in the policy measurement, so 3 times as long is a sign of overload.
     private const val OVERLOAD_RATIO = 3.0
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -62,6 +62,8 @@
         val open = attempts.find(attempt.attemptNumber) ?: return
         open.firstByteMs = nowMs
         open.endPending()
+        val excessMs = nowMs - attempt.placedAtMs - open.predictedFirstMs
+        open.region?.recordExcess(attempt.profile.serviceName, excessMs, nowMs)
     }
 
     override fun complete(attempt: PlacedAttempt, result: AttemptResult, nowMs: Long): List<QueuedPlacement> {
@@ -205,7 +207,9 @@
         nowMs: Long,
     ): Placement {
         val leftMs = profile.deadlineMs - nowMs
-        val waitMs = rules.predictWaitMs(queue.countAhead(profile), servers)
+        // Other hosts take places of the same servers, so that the wait of others here tells more than a rate.
+        val seenWaitMs = queue.longestWaitMs(nowMs).toDouble()
+        val waitMs = maxOf(rules.predictWaitMs(queue.countAhead(profile), servers), seenWaitMs)
         val localMs = waitMs + rules.typicalMs(profile, servers.times)
         val isLate = localMs > leftMs * settings.refuseFactor
         remote.trySendAway(profile, current, servers.times, localMs, isLate, nowMs)?.let { return it }
@@ -222,7 +226,13 @@
         isExpiring: Boolean = false,
     ) {
         val first = sink.size
-        if (isExpiring) queue.expire({ endHopelessWait(it, nowMs) }, sink)
+        if (isExpiring) {
+            queue.expire({ endHopelessWait(it, nowMs) }, sink)
+            val isLate = { profile: RequestProfile ->
+                rules.isTargetMissed(profile, services.timesOf(profile.serviceName), nowMs)
+            }
+            queue.postpone(isLate, { sendLate(it, nowMs) }, sink)
+        }
         queue.drain(serverChoice.window, { prefer(it, nowMs) }, { placeQueued(it, nowMs) }, sink)
         for (index in first until sink.size) {
             if (sink[index].placement is Placement.Refused) endQueued(sink[index].profile)
@@ -243,21 +253,22 @@
     /** Ends the wait of a request that has nothing to wait for here, or has waited for as long as is of use. */
     private fun endHopelessWait(profile: RequestProfile, nowMs: Long): Placement? {
         refuseIfLate(profile, nowMs)?.let { return it }
-        val current = snapshot.get()
-        val isServed = profile.serviceName in current.services
+        val isServed = profile.serviceName in snapshot.get().services
         val isWaitOver = rules.isWaitOver(profile, nowMs)
         if (isServed && !isWaitOver) return null
-        val away = remote.trySendAway(
-            profile,
-            current,
-            services.timesOf(profile.serviceName),
-            Double.POSITIVE_INFINITY,
-            true,
-            nowMs,
-        )
-        return away ?: refused(if (isServed) ErrorKind.OVERLOADED else ErrorKind.NO_BACKEND_SERVER)
+        return sendLate(profile, nowMs) ?: refused(if (isServed) ErrorKind.OVERLOADED else ErrorKind.NO_BACKEND_SERVER)
     }
 
+    /** Sends a request away that is late here, to any region that can still serve it. */
+    private fun sendLate(profile: RequestProfile, nowMs: Long): Placement? = remote.trySendAway(
+        profile,
+        snapshot.get(),
+        services.timesOf(profile.serviceName),
+        Double.POSITIVE_INFINITY,
+        true,
+        nowMs,
+    )
+
     /** Refuses a queued request that would miss its deadline if it began now. */
     private fun refuseIfLate(profile: RequestProfile, nowMs: Long): Placement? =
         if (rules.isTooLate(
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteRegionChoice.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteRegionChoice.kt
@@ -9,8 +9,9 @@
 public class FirstByteRegionChoice : RegionChoice {
     override fun choose(query: RegionQuery): RegionSlots? {
         val leftMs = (query.profile.deadlineMs - query.nowMs).toDouble()
-        val best = query.regions.minByOrNull { it.predictFirstByteMs(query.profile, query.times) } ?: return null
-        val firstMs = best.predictFirstByteMs(query.profile, query.times)
+        val best =
+            query.regions.minByOrNull { it.predictFirstByteMs(query.profile, query.times, query.nowMs) } ?: return null
+        val firstMs = best.predictFirstByteMs(query.profile, query.times, query.nowMs)
         return best.takeIf { firstMs < minOf(leftMs, query.localMs) }
     }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
@@ -19,6 +19,7 @@
 
     public val breaker: CircuitBreaker = CircuitBreaker(failureThreshold, openMs)
     private val own = ConcurrentHashMap<String, AtomicInteger>()
+    private val excess = ConcurrentHashMap<String, RecentExcess>()
 
     /** Takes over a newer summary. */
     public fun update(newer: RemoteRegion) {
@@ -57,8 +58,20 @@
         return linkMs + waitMs + runMs
     }
 
-    /** Predicts the time to the first byte of [profile] there, link delay both ways included, in milliseconds. */
-    public fun predictFirstByteMs(profile: RequestProfile, times: ServiceTimes): Double {
+    /** Records that a first byte of [serviceName] came [excessMs] later than the announced load let expect. */
+    internal fun recordExcess(serviceName: String, excessMs: Double, nowMs: Long): Unit =
+        excess.computeIfAbsent(serviceName) { RecentExcess() }.record(excessMs, nowMs)
+
+    /**
+     * Predicts the time to the first byte of [profile] there, link delay both ways included, in milliseconds.
+     *
+     * What recent first bytes took beyond this prediction is added, because the queues of the hosts there are unknown.
+     */
+    public fun predictFirstByteMs(profile: RequestProfile, times: ServiceTimes, nowMs: Long): Double =
+        announcedFirstByteMs(profile, times) + (excess[profile.serviceName]?.at(nowMs) ?: 0.0)
+
+    /** Predicts the time to the first byte from the announced load alone, in milliseconds. */
+    internal fun announcedFirstByteMs(profile: RequestProfile, times: ServiceTimes): Double {
         val latest = region
         val summary = latest.services[profile.serviceName] ?: return Double.MAX_VALUE
         val servers = maxOf(1L, summary.backendServers).toDouble()
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
@@ -38,8 +38,8 @@
         nowMs: Long,
     ): Placement? {
         if (profile.isForwarded || !budget.canSpend()) return null
-        val best = usableRegions(profile, snapshot, nowMs).minByOrNull { it.predictFirstByteMs(profile, times) }
-        if (best == null || best.predictFirstByteMs(profile, times) > localFirstMs * CLEARLY_SOONER) return null
+        val best = usableRegions(profile, snapshot, nowMs).minByOrNull { it.predictFirstByteMs(profile, times, nowMs) }
+        if (best == null || best.predictFirstByteMs(profile, times, nowMs) > localFirstMs * CLEARLY_SOONER) return null
         return if (budget.trySpend()) send(profile, best, times, nowMs) else null
     }
 
@@ -71,8 +71,8 @@
         times: ServiceTimes,
         nowMs: Long,
     ): Placement? {
-        val soonest = targets.minByOrNull { it.predictFirstByteMs(profile, times) } ?: return null
-        val isInTime = nowMs + soonest.predictFirstByteMs(profile, times) <= profile.deadlineMs
+        val soonest = targets.minByOrNull { it.predictFirstByteMs(profile, times, nowMs) } ?: return null
+        val isInTime = nowMs + soonest.predictFirstByteMs(profile, times, nowMs) <= profile.deadlineMs
         return if (isInTime) send(profile, soonest, times, nowMs) else null
     }
 
@@ -93,12 +93,16 @@
         region.acquire(profile.serviceName)
         val number = attempts.nextNumber()
         val predictedMs = region.predictMs(profile, times)
-        attempts.add(number, OpenAttempt(null, region, times, profile.promptTokens, 0, predictedMs))
+        val firstMs = region.announcedFirstByteMs(profile, times)
+        attempts.add(
+            number,
+            OpenAttempt(null, region, times, profile.promptTokens, 0, predictedMs, predictedFirstMs = firstMs),
+        )
         val summary = region.region.services[profile.serviceName]
         val basis = PlacementBasis(
             load = (summary?.running ?: 0) + (summary?.queued ?: 0),
             limit = summary?.capacity ?: 0,
-            predictedMs = region.predictFirstByteMs(profile, times).toLong(),
+            predictedMs = region.predictFirstByteMs(profile, times, nowMs).toLong(),
         )
         return Placement.SendAway(PlacedAttempt(profile, "", 0, "", number, nowMs, region = name, basis = basis), name)
     }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceQueue.kt
@@ -57,6 +57,34 @@
         }
     }
 
+    /**
+     * Takes out the requests that [isLate] finds late and for which [turn] returns a placement; the others of these
+     * wait on behind those that can still be in time.
+     */
+    fun postpone(
+        isLate: (RequestProfile) -> Boolean,
+        turn: (RequestProfile) -> Placement?,
+        sink: MutableList<QueuedPlacement>,
+    ): Unit = lock.withLock {
+        val late = entries.values.filter { !it.isPostponed && isLate(it.value) }
+        for (entry in late) {
+            val placement = turn(entry.value)
+            if (placement == null) {
+                queueOf(entry.value).postpone(entry)
+            } else {
+                remove(entry, isServed = false)
+                sink += QueuedPlacement(entry.value, placement)
+            }
+        }
+    }
+
+    /** Returns how long the request has waited that has waited longest without being postponed, in milliseconds. */
+    fun longestWaitMs(nowMs: Long): Long = if (size == 0) {
+        0
+    } else {
+        lock.withLock { entries.values.filter { !it.isPostponed }.maxOfOrNull { nowMs - it.value.submittedAtMs } ?: 0 }
+    }
+
     /** Takes out the requests for which [refuse] returns a refusal, wherever they are in the queue. */
     fun expire(refuse: (RequestProfile) -> Placement?, sink: MutableList<QueuedPlacement>): Unit = lock.withLock {
         val expired = entries.values.mapNotNull { entry -> refuse(entry.value)?.let { entry to it } }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/WaitRules.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/WaitRules.kt
@@ -17,6 +17,10 @@
     fun isTooLate(profile: RequestProfile, times: ServiceTimes, nowMs: Long): Boolean =
         nowMs + typicalMs(profile, times) * settings.startFactor > profile.deadlineMs
 
+    /** Returns true when the first byte of a request would come after its target if it began at [nowMs]. */
+    fun isTargetMissed(profile: RequestProfile, times: ServiceTimes, nowMs: Long): Boolean =
+        profile.targetMs > 0 && nowMs + fastestMs(profile, times) > profile.submittedAtMs + profile.targetMs
+
     /**
      * Returns true when a request with a target has waited for as long as is of use.
      *
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -86,7 +86,7 @@
             service,
             (table.plan.services[service]?.cacheTokens ?: 0) > 0,
             facts,
-            request.receivedMs,
+            request.receivedMs - if (request.isForwarded) ForwardHeaders.ageMsOf(request.headers) else 0,
             request.receivedMs + waitMs,
             request.isForwarded,
         )
@@ -171,7 +171,8 @@
             lastEventId = if (call.route.kind == RouteKind.STREAM) cursor.lastEventId else null,
             cacheSource = placed.cacheSourceAddress.ifEmpty { null },
         )
-        return SendHeaders.of(request, core.dialect, facts, call.serviceName.takeIf { backendServer == null })
+        val forwardedService = call.serviceName.takeIf { backendServer == null }
+        return SendHeaders.of(request, core.dialect, facts, forwardedService, ageMs)
     }
 
     /** Turns to another backend server when this one stays silent for longer than a response should take. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/SendHeaders.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/SendHeaders.kt
@@ -8,17 +8,21 @@
 
 /** Makes the headers of a request to a backend server or to a host of another region. */
 internal object SendHeaders {
-    /** Returns the caller's headers and those that this system sets; only a host gets the [forwardedService]. */
+    /**
+     * Returns the caller's headers and those that this system sets; only a host gets the [forwardedService] and the
+     * time since the request arrived, [ageMs], in milliseconds.
+     */
     fun of(
         request: IngressRequest,
         dialect: CallDialect,
         facts: SendFacts,
         forwardedService: String?,
+        ageMs: Long,
     ): HttpHeaders {
         val headers = HopHeaders.strip(request.headers.copy())
         ForwardHeaders.removeFrom(headers)
         dialect.writeSend(headers, facts)
-        forwardedService?.let { ForwardHeaders.putService(headers, it) }
+        forwardedService?.let { ForwardHeaders.put(headers, it, ageMs) }
         // A request without a body and without a length stays without one.
         if (request.body.isNotEmpty() || request.headers.contains("Content-Length")) {
             headers["Content-Length"] = request.body.size
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -120,8 +120,9 @@
         site.addListener(::onView)
         callerServer.start(callerAddress)
         forwardServer.start("${settings.bindAddress}:${settings.linkPort + 1}")
-        httpServers.forEach { it.start() }
+        // Links and the document take their time; the readiness check is asked only afterwards.
         site.start(scope)
+        httpServers.forEach { it.start() }
         core.schedule(SWEEP_MS, ::sweep)
         metrics.gauge("arbutus.requests.open") { core.openExchanges }
         metrics.gauge("arbutus.requests.queued") { scheduler.queuedRequests() }
