Test that the causes of three injected failures follow from the lines

Change: the reader of logs moves to daemon.explain, so that the relay's tests use it; EventSink separates the lines from Log4j; ExplainedFailuresTest injects a refusal under load, a request lost with its backend server and a request late through a silent region against stand-ins, and finds each cause by `RequestStory` alone. Conclusion: the three cases run in `mvn verify`.

--- a/ctl/src/main/kotlin/org/arbutusrelay/ctl/ExplainCommand.kt
+++ b/ctl/src/main/kotlin/org/arbutusrelay/ctl/ExplainCommand.kt
@@ -2,10 +2,10 @@
 
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
-import org.arbutusrelay.ctl.explain.LogContent
-import org.arbutusrelay.ctl.explain.LogFile
-import org.arbutusrelay.ctl.explain.LoggedLine
-import org.arbutusrelay.ctl.explain.RequestStory
+import org.arbutusrelay.daemon.explain.LogContent
+import org.arbutusrelay.daemon.explain.LogFile
+import org.arbutusrelay.daemon.explain.LoggedLine
+import org.arbutusrelay.daemon.explain.RequestStory
 import org.arbutusrelay.schema.log.EventLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.Model.CommandSpec
--- a/ctl/src/main/kotlin/org/arbutusrelay/ctl/explain/LogFile.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/explain/LogFile.kt
@@ -1,4 +1,4 @@
-package org.arbutusrelay.ctl.explain
+package org.arbutusrelay.daemon.explain
 
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -7,7 +7,7 @@
 import org.arbutusrelay.schema.log.EventLine
 
 /** A line of a host's log, with the host that wrote it. */
-internal data class LoggedLine(
+public data class LoggedLine(
     /** Time of day by the clock of the host, as it was written. */
     val time: String,
     /** Host that wrote the line. */
@@ -16,12 +16,15 @@
 )
 
 /** What was read from one or more log files. */
-internal data class LogContent(val lines: List<LoggedLine>, val unreadable: Int) {
-    operator fun plus(other: LogContent): LogContent = LogContent(lines + other.lines, unreadable + other.unreadable)
+public data class LogContent(val lines: List<LoggedLine>, val unreadable: Int) {
+    public operator fun plus(other: LogContent): LogContent = LogContent(
+        lines + other.lines,
+        unreadable + other.unreadable,
+    )
 }
 
 /** Reads the JSON lines of a host. */
-internal object LogFile {
+public object LogFile {
     private val JSON = Json { ignoreUnknownKeys = true }
 
     /**
@@ -30,7 +33,7 @@
      * What stands before the first brace of a line, such as a time that a collector has added, is left out. Lines that
      * hold no event are passed over; those that begin like JSON and cannot be read are counted.
      */
-    fun read(text: Sequence<String>): LogContent {
+    public fun read(text: Sequence<String>): LogContent {
         val lines = ArrayList<LoggedLine>()
         var unreadable = 0
         for (raw in text) {
--- a/ctl/src/main/kotlin/org/arbutusrelay/ctl/explain/RequestStory.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/explain/RequestStory.kt
@@ -1,4 +1,4 @@
-package org.arbutusrelay.ctl.explain
+package org.arbutusrelay.daemon.explain
 
 import org.arbutusrelay.schema.log.EventLine.Event
 
@@ -8,18 +8,18 @@
  * Clocks of hosts may differ, so that times order only the lines of one host: what a second host did with a request
  * follows the line by which the first one sent it there.
  */
-internal class RequestStory private constructor(
+public class RequestStory private constructor(
     /** Lines about the request. */
-    val steps: List<LoggedLine>,
+    public val steps: List<LoggedLine>,
     /** Lines about the backend servers, links and zones that the request met, by time. */
-    val surroundings: List<LoggedLine>,
+    public val surroundings: List<LoggedLine>,
 ) {
     /** The cause in one sentence, or null when the lines do not tell. */
-    val cause: String? get() = CauseFinder(steps, surroundings).find()
+    public val cause: String? get() = CauseFinder(steps, surroundings).find()
 
-    companion object {
+    public companion object {
         /** Finds the story of [request] in [lines], which hold those of each host in the order of writing. */
-        fun of(request: String, lines: List<LoggedLine>): RequestStory {
+        public fun of(request: String, lines: List<LoggedLine>): RequestStory {
             val own = lines.filter { it.line.request == request }
             return RequestStory(order(own, namesByAddress(lines)), surroundings(own, lines))
         }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/EventLog.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/EventLog.kt
@@ -20,11 +20,11 @@
     private val buffer: LogBuffer = LogBuffer.ofConfiguration(),
     private val counters: EventCounters = EventCounters.None,
     private val logger: Logger = LogManager.getLogger(EventLog::class.java),
-) {
+) : EventSink {
     private val budgets = ConcurrentHashMap<BudgetKey, LineBudget>()
 
     /** Writes [line] unless its kind has used up its limit or the buffer has no room for it. */
-    public fun write(line: EventLine) {
+    override fun write(line: EventLine) {
         counters.count(line.event)
         val group = LineGroup.of(line)
         if (buffer.remaining <= buffer.capacity * group.reserveShare) return counters.countDropped(LineDrop.BUFFER)
--- a/ctl/src/test/kotlin/org/arbutusrelay/ctl/explain/RequestStoryTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/explain/RequestStoryTest.kt
@@ -1,4 +1,4 @@
-package org.arbutusrelay.ctl.explain
+package org.arbutusrelay.daemon.explain
 
 import org.arbutusrelay.schema.log.EventLine.Event
 import kotlin.test.Test
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/LoggedEvents.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/LoggedEvents.kt
@@ -3,14 +3,14 @@
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.relay.AttemptFailure
 import org.arbutusrelay.core.routing.PlacedAttempt
-import org.arbutusrelay.daemon.observe.EventLog
+import org.arbutusrelay.daemon.observe.EventSink
 import org.arbutusrelay.relay.exchange.Exchange
 import org.arbutusrelay.relay.exchange.RelayEvents
 import org.arbutusrelay.schema.log.EventLine
 import org.arbutusrelay.schema.log.EventLine.Event
 
 /** Writes a line for each decision on a request. */
-internal class LoggedEvents(private val log: EventLog, private val nowMs: () -> Long) : RelayEvents {
+internal class LoggedEvents(private val log: EventSink, private val nowMs: () -> Long) : RelayEvents {
     override fun queued(exchange: Exchange, waiting: Int): Unit =
         log.write(line(Event.REQUEST_QUEUED, exchange).copy(waiting = waiting.toLong()))
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
@@ -2,7 +2,7 @@
 
 import org.arbutusrelay.daemon.link.FrameReceiver
 import org.arbutusrelay.daemon.link.HostIdentity
-import org.arbutusrelay.daemon.observe.EventLog
+import org.arbutusrelay.daemon.observe.EventSink
 import org.arbutusrelay.daemon.site.SiteView
 import org.arbutusrelay.schema.log.EventLine
 import org.arbutusrelay.schema.log.EventLine.Event
@@ -16,7 +16,7 @@
  *
  * Views must come in the order in which they were built.
  */
-internal class SiteChangeLog(private val log: EventLog) : FrameReceiver {
+internal class SiteChangeLog(private val log: EventSink) : FrameReceiver {
     private var stateIndex = 0L
     private var hosts = emptyMap<String, HostState>()
     private var servers = emptyMap<String, BackendServerState>()
--- /dev/null
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ExplainedFailuresTest.kt
@@ -0,0 +1,69 @@
+package org.arbutusrelay.relay
+
+import org.arbutusrelay.daemon.explain.LoggedLine
+import org.arbutusrelay.daemon.explain.RequestStory
+import org.arbutusrelay.daemon.observe.EventSink
+import org.arbutusrelay.relay.RelayFixture.Companion.send
+import org.arbutusrelay.relay.ScriptedServer.Companion.reset
+import org.arbutusrelay.schema.log.EventLine
+import org.arbutusrelay.schema.log.EventLine.Event
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+
+/** Injects the three failures of docs/OPERATIONS.md and finds their causes from the lines alone. */
+class ExplainedFailuresTest {
+    private val lines = CopyOnWriteArrayList<EventLine>()
+    private val sink = EventSink { lines += it }
+
+    private fun story(request: String): RequestStory = RequestStory.of(
+        request,
+        lines.map {
+            LoggedLine("", "host", it)
+        },
+    )
+
+    /** Guards against a refusal whose lines do not tell that places were missing. */
+    @Test
+    fun `a request that was refused under load`() {
+        val silent = ScriptedServer { _, _, _ -> }
+        RelayFixture(silent, log = sink, capacity = 1).use { relay ->
+            relay.connect().use { first ->
+                first.send("/once/first", "POST", body = "b")
+                while (silent.requests.isEmpty()) Thread.onSpinWait()
+                assertContains(relay.exchange("/once/second", "POST", body = "b"), "503 Service Unavailable")
+            }
+        }
+        val story = story("POST/once/second")
+        assertEquals(listOf(Event.REQUEST_QUEUED, Event.REQUEST_FAILED), story.steps.map { it.line.event })
+        assertContains(story.cause.orEmpty(), "refused without an attempt")
+        assertContains(story.cause.orEmpty(), "it waited with 1 requests on the host and ended with overloaded")
+    }
+
+    /** Guards against a lost request whose lines do not name the backend server that it was lost with. */
+    @Test
+    fun `a request that was lost with its backend server`() {
+        val server = ScriptedServer { socket, _, _ -> socket.reset() }
+        RelayFixture(server, log = sink).use { relay ->
+            assertContains(relay.exchange("/once/x", "POST", body = "b"), "502 Bad Gateway")
+        }
+        lines += EventLine(Event.BACKEND_SERVER_CHANGED, backendServer = "s0", incarnation = 2)
+        val cause = story("POST/once/x").cause.orEmpty()
+        assertContains(cause, "lost with backend server s0")
+        assertContains(cause, "it came back as incarnation 2")
+    }
+
+    /** Guards against a late request whose lines do not name the region that did not serve it. */
+    @Test
+    fun `a request that is late through a region that was cut off`() {
+        ServerSocket(0, 50, InetAddress.getLoopbackAddress()).use { cutOff ->
+            RelayFixture(log = sink, otherRegionPort = cutOff.localPort).use { relay ->
+                relay.exchange("/safe/x")
+            }
+        }
+        assertContains(story("GET/safe/x").cause.orEmpty(), "region north did not serve it for 1")
+    }
+}
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -10,16 +10,17 @@
 import org.arbutusrelay.core.route.RoutedService
 import org.arbutusrelay.core.routing.DefaultRequestScheduler
 import org.arbutusrelay.core.routing.FirstByteChoice
+import org.arbutusrelay.core.routing.RemoteRegion
 import org.arbutusrelay.core.routing.RoutingTable
 import org.arbutusrelay.core.routing.SchedulerSettings
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.daemon.observe.EventSink
 import org.arbutusrelay.relay.backend.BackendPool
 import org.arbutusrelay.relay.exchange.Exchange
 import org.arbutusrelay.relay.exchange.ForwardTargets
 import org.arbutusrelay.relay.exchange.ProfileBuilder
 import org.arbutusrelay.relay.exchange.RelayCore
-import org.arbutusrelay.relay.exchange.RelayEvents
 import org.arbutusrelay.relay.ingress.IngressExchange
 import org.arbutusrelay.relay.ingress.IngressHandler
 import org.arbutusrelay.relay.ingress.IngressOptions
@@ -27,15 +28,29 @@
 import org.arbutusrelay.relay.ingress.IngressServer
 import org.arbutusrelay.relay.ingress.IngressService
 import org.arbutusrelay.relay.ingress.ResponseWriter
+import org.arbutusrelay.relay.node.LoggedEvents
+import org.arbutusrelay.schema.manifest.RegionLink
 import org.arbutusrelay.schema.message.BackendServerState
+import org.arbutusrelay.schema.message.HostState
+import org.arbutusrelay.schema.message.ServiceSummary
 import java.io.BufferedInputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
 import kotlin.random.Random
 
-/** The request path of an entry host on loopback, with [servers] behind it. */
-internal class RelayFixture(private vararg val servers: ScriptedServer) : AutoCloseable {
+/**
+ * The request path of an entry host on loopback, with [servers] behind it.
+ *
+ * [log] gets the lines about requests. With [otherRegionPort] the host knows another region, whose one entry host
+ * listens there.
+ */
+internal class RelayFixture(
+    private vararg val servers: ScriptedServer,
+    private val log: EventSink = EventSink { },
+    private val otherRegionPort: Int? = null,
+    private val capacity: Long = 8,
+) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
     private val clock = RelayClock()
@@ -46,9 +61,9 @@
     )
     private val core = RelayCore(
         HostIdentity("host", "hue", "hue-a", 1), clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
-        ForwardTargets(1), RelayEvents.None, Random(1),
+        ForwardTargets(otherRegionPort ?: 1), LoggedEvents(log, clock::nowMs), Random(1),
     ) { _, _ -> }
-    private val profiles = ProfileBuilder("hue") { emptyList() }
+    private val profiles = ProfileBuilder("hue") { listOf("north") }
     private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     private val options = IngressOptions(clock::nowMs) { MAX_BODY_BYTES }
     private val server = IngressServer(group, options, Service(), isForwarded = false)
@@ -68,8 +83,11 @@
                 servers.mapIndexed { index, server ->
                     state("s$index", server.address)
                 },
+                otherRegions = otherRegions(),
+                sentAwayPermille = 1_000,
             ),
         )
+        core.forwardTargets.update(listOf(host("127.0.0.1", "north")))
         server.start("127.0.0.1:$port")
     }
 
@@ -92,8 +110,17 @@
         name, "a.example", "/$name/", kind, 2_000, 300, 0, listOf(RouteTarget("svc", 1)), 2, isResumable, emptyList(),
     )
 
+    private fun otherRegions(): Map<String, RemoteRegion> {
+        if (otherRegionPort == null) return emptyMap()
+        val summary = ServiceSummary("svc", 1, 8, 0, 0, 0)
+        return mapOf("north" to RemoteRegion("north", RegionLink("hue", "north", 1, 1), mapOf("svc" to summary), 0))
+    }
+
+    private fun host(address: String, region: String) =
+        HostState(address, region, "$region-a", 1, 1, "$address:1", "$address:2", 0, 0, false, false)
+
     private fun state(name: String, address: String) = BackendServerState(
-        name, "svc", "hue", "hue-a", address, 1, 1, 8, emptyList(), emptyList(), "", 0, 0, false, 3_000,
+        name, "svc", "hue", "hue-a", address, 1, 1, capacity, emptyList(), emptyList(), "", 0, 0, false, 3_000,
     )
 
     private inner class Service : IngressService {
