Open an entry host's document before its readiness check, and narrow what explain prints

Cause: after a loss of power entry hosts had routes 1.6 to 2.0 s after power-on; the HTTP library of the readiness check and the XML configuration of the log took a good part of the processor time of that start. `explain` printed the beliefs of hosts that never saw the request.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/explain/RequestStory.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/explain/RequestStory.kt
@@ -1,6 +1,9 @@
 package org.arbutusrelay.daemon.explain
 
 import org.arbutusrelay.schema.log.EventLine.Event
+import java.time.Duration
+import java.time.Instant
+import java.time.format.DateTimeParseException
 
 /**
  * What happened to one request, in the order of cause and effect.
@@ -11,7 +14,7 @@
 public class RequestStory private constructor(
     /** Lines about the request. */
     public val steps: List<LoggedLine>,
-    /** Lines about the backend servers, links and zones that the request met, by time. */
+    /** What the hosts of the request believed of its backend servers, regions and zones around that time. */
     public val surroundings: List<LoggedLine>,
 ) {
     /** The cause in one sentence, or null when the lines do not tell. */
@@ -50,7 +53,9 @@
         private fun surroundings(own: List<LoggedLine>, lines: List<LoggedLine>): List<LoggedLine> {
             val servers = own.mapNotNull { it.line.backendServer }.filter { it.isNotEmpty() }.toSet()
             val regions = own.mapNotNull { it.line.region }.toSet()
-            return lines.filter {
+            val writers = own.map { it.writer }.toSet()
+            val span = TimeSpan.around(own)
+            return lines.filter { it.writer in writers && span.contains(it) }.filter {
                 when (it.line.event) {
                     Event.BACKEND_SERVER_CHANGED, Event.BACKEND_SERVER_LOST -> it.line.backendServer in servers
                     Event.LINK_DOWN, Event.HOST_LOST -> it.line.region == null || it.line.region in regions
@@ -61,3 +66,29 @@
         }
     }
 }
+
+/** The time around some lines; lines whose time cannot be read belong to each span. */
+private class TimeSpan(private val from: Instant?, private val until: Instant?) {
+    fun contains(line: LoggedLine): Boolean {
+        val time = timeOf(line)
+        return time == null || from == null || until == null || time in from..until
+    }
+
+    companion object {
+        /** A backend server announces itself every second or two, and is back after some seconds. */
+        private val BEFORE = Duration.ofSeconds(10)
+        private val AFTER = Duration.ofSeconds(15)
+
+        fun around(lines: List<LoggedLine>): TimeSpan {
+            val times = lines.mapNotNull(::timeOf)
+            return TimeSpan(times.minOrNull()?.minus(BEFORE), times.maxOrNull()?.plus(AFTER))
+        }
+
+        private fun timeOf(line: LoggedLine): Instant? = try {
+            Instant.parse(line.time)
+        } catch (_: DateTimeParseException) {
+            // The line still tells what happened, if not when.
+            null
+        }
+    }
+}
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.arbutusrelay.core.invariant.Guarantee
 import org.arbutusrelay.core.invariant.Invariants
 import org.arbutusrelay.core.route.RoutePlan
@@ -120,8 +121,9 @@
         site.addListener(::onView)
         callerServer.start(callerAddress)
         forwardServer.start("${settings.bindAddress}:${settings.linkPort + 1}")
-        // Links and the document take their time; the readiness check is asked only afterwards.
         site.start(scope)
+        // The HTTP library takes half of the processor time of a start, and the first requests must not wait for it.
+        withTimeoutOrNull(FIRST_DOCUMENT_MS) { while (!isReady()) delay(START_POLL_MS) }
         httpServers.forEach { it.start() }
         core.schedule(SWEEP_MS, ::sweep)
         metrics.gauge("arbutus.requests.open") { core.openExchanges }
@@ -258,6 +260,10 @@
         const val IDLE_MARGIN_MS = 1_000L
         const val LIST_LIFETIME_MS = 3_000L
         const val STOP_POLL_MS = 20L
+        const val START_POLL_MS = 10L
+
+        /** A host that gets no document must be seen as not ready, instead of as not there. */
+        const val FIRST_DOCUMENT_MS = 1_500L
 
         /** The process must be gone before the kill. */
         const val EXIT_RESERVE_MS = 700L
