Answer readiness and metrics of an entry host without a second HTTP library

Ruled out: digests (three a second of about 15 KB, some milliseconds), requests (13 a second on each host). Change: StatusServer answers /ready and /metrics of entry hosts on Netty, which they need anyway; state hosts keep Javalin. The readiness check starts at once again, because nothing heavy is loaded for it.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -8,7 +8,6 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.arbutusrelay.core.invariant.Guarantee
 import org.arbutusrelay.core.invariant.Invariants
 import org.arbutusrelay.core.route.RoutePlan
@@ -20,8 +19,6 @@
 import org.arbutusrelay.core.routing.PlacedAttempt
 import org.arbutusrelay.core.routing.SchedulerSettings
 import org.arbutusrelay.daemon.RelayClock
-import org.arbutusrelay.daemon.http.HttpServer
-import org.arbutusrelay.daemon.http.RouteGroup
 import org.arbutusrelay.daemon.observe.EventLog
 import org.arbutusrelay.daemon.observe.RelayMetrics
 import org.arbutusrelay.daemon.site.SiteService
@@ -40,6 +37,8 @@
 import org.arbutusrelay.relay.ingress.IngressServer
 import org.arbutusrelay.relay.ingress.IngressService
 import org.arbutusrelay.relay.ingress.ResponseWriter
+import org.arbutusrelay.relay.ingress.StatusReply
+import org.arbutusrelay.relay.ingress.StatusServer
 import org.arbutusrelay.schema.log.EventLine
 import org.arbutusrelay.schema.log.EventLine.Event
 import org.arbutusrelay.schema.message.BackendLoad
@@ -51,13 +50,13 @@
 /**
  * An entry host of a site: takes requests of callers and forwards them by the routes in force.
  *
- * [readyRoutes] answers the readiness check of the deployment.
+ * The readiness check of the deployment asks for [readyPath].
  */
 public class EntryNode(
     private val settings: SiteSettings,
     private val dialect: CallDialect,
     private val parser: RoutePlanParser,
-    private val readyRoutes: (() -> Boolean) -> List<RouteGroup>,
+    private val readyPath: String,
 ) : SiteNode {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val clock = RelayClock()
@@ -103,10 +102,10 @@
     private val connections = HashMap<IngressHandler, Channel>()
     private val parsed = AtomicReference<RoutePlan?>(null)
     private var otherRegions = emptyList<String>()
-    private val readyServer = settings.readyAddress?.let {
-        server(it.substringAfterLast(':').toInt(), readyRoutes(::isReady))
-    }
-    private val httpServers = listOfNotNull(readyServer, server(settings.metricsPort, listOf(MetricsRoutes(metrics))))
+    private val statusServers = listOfNotNull(
+        settings.readyAddress?.let { StatusServer(group, it, mapOf(readyPath to ::ready)) },
+        StatusServer(group, "${settings.bindAddress}:${settings.metricsPort}", mapOf("/metrics" to ::metricsText)),
+    )
 
     @Volatile
     private var isLeaving = false
@@ -121,10 +120,8 @@
         site.addListener(::onView)
         callerServer.start(callerAddress)
         forwardServer.start("${settings.bindAddress}:${settings.linkPort + 1}")
+        statusServers.forEach { it.start() }
         site.start(scope)
-        // The HTTP library takes half of the processor time of a start, and the first requests must not wait for it.
-        withTimeoutOrNull(FIRST_DOCUMENT_MS) { while (!isReady()) delay(START_POLL_MS) }
-        httpServers.forEach { it.start() }
         core.schedule(SWEEP_MS, ::sweep)
         metrics.gauge("arbutus.requests.open") { core.openExchanges }
         metrics.gauge("arbutus.requests.queued") { scheduler.queuedRequests() }
@@ -155,14 +152,15 @@
     internal fun close() {
         callerServer.stop()
         forwardServer.stop()
-        httpServers.forEach { it.stop() }
+        statusServers.forEach { it.stop() }
         scope.cancel()
         links.network.close()
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
     }
 
-    private fun server(port: Int, groups: List<RouteGroup>) =
-        HttpServer(settings.bindAddress, port, HTTP_IDLE_MS, groups, HTTP_THREADS)
+    private fun ready() = StatusReply(if (isReady()) OK else UNAVAILABLE)
+
+    private fun metricsText() = StatusReply(OK, metrics.scrape(), "text/plain; version=0.0.4; charset=utf-8")
 
     private fun onViolation(guarantee: Guarantee, detail: String) {
         metrics.countViolation(guarantee)
@@ -255,15 +253,12 @@
         const val REGION_OPEN_MS = 500L
         const val MAX_BODY_BYTES = 4 * 1024 * 1024
         const val HTTP_IDLE_MS = 30_000L
-        const val HTTP_THREADS = 8
+        const val OK = 200
+        const val UNAVAILABLE = 503
         const val SWEEP_MS = 1_000L
         const val IDLE_MARGIN_MS = 1_000L
         const val LIST_LIFETIME_MS = 3_000L
         const val STOP_POLL_MS = 20L
-        const val START_POLL_MS = 10L
-
-        /** A host that gets no document must be seen as not ready, instead of as not there. */
-        const val FIRST_DOCUMENT_MS = 1_500L
 
         /** The process must be gone before the kill. */
         const val EXIT_RESERVE_MS = 700L
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SelfCheck.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SelfCheck.kt
@@ -53,7 +53,7 @@
     suspend fun run(): Boolean {
         thread(isDaemon = true) { runCatching { while (true) answer(backend.accept()) } }
         val state = StateNode(settings(STATE_ADDRESS, isState = true), Parser, { routes() }, { emptyList() })
-        val entry = EntryNode(settings(ENTRY_ADDRESS, isState = false), Dialect, Parser) { emptyList() }
+        val entry = EntryNode(settings(ENTRY_ADDRESS, isState = false), Dialect, Parser, "/ready")
         state.start()
         entry.start()
         while (state.control.publish(ByteArray(1)) !is OrderResult.Done) delay(POLL_MS)
