Count the wait of others only where requests have targets

The longest wait in the queue was taken as the wait of every new request. Without targets no request is postponed, so that one with a late deadline waits while urgent ones pass it, and its age would have refused these. Waits of less urgent priorities counted as well. Change: only requests with a target use it, and only waits of the same or a more urgent priority count.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -207,8 +207,9 @@
         nowMs: Long,
     ): Placement {
         val leftMs = profile.deadlineMs - nowMs
-        // Other hosts take places of the same servers, so that the wait of others here tells more than a rate.
-        val seenWaitMs = queue.longestWaitMs(nowMs).toDouble()
+        // Other hosts take places of the same servers, so that the wait of others here tells more than a rate. Without
+        // targets a request with a late deadline may wait long while others pass it, which says nothing of these.
+        val seenWaitMs = if (profile.targetMs > 0) queue.longestWaitMs(profile, nowMs).toDouble() else 0.0
         val waitMs = maxOf(rules.predictWaitMs(queue.countAhead(profile), servers), seenWaitMs)
         val localMs = waitMs + rules.typicalMs(profile, servers.times)
         val isLate = localMs > leftMs * settings.refuseFactor
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceQueue.kt
@@ -78,11 +78,14 @@
         }
     }
 
-    /** Returns how long the request has waited that has waited longest without being postponed, in milliseconds. */
-    fun longestWaitMs(nowMs: Long): Long = if (size == 0) {
+    /** Returns the longest wait of those that are served no later than [profile] and are not postponed, in ms. */
+    fun longestWaitMs(profile: RequestProfile, nowMs: Long): Long = if (size == 0) {
         0
     } else {
-        lock.withLock { entries.values.filter { !it.isPostponed }.maxOfOrNull { nowMs - it.value.submittedAtMs } ?: 0 }
+        lock.withLock {
+            entries.values.filter { !it.isPostponed && it.value.priority <= profile.priority }
+                .maxOfOrNull { nowMs - it.value.submittedAtMs } ?: 0
+        }
     }
 
     /** Takes out the requests for which [refuse] returns a refusal, wherever they are in the queue. */
