Remove an unused event sink and give the constants of the region's lateness their reasons

Change: RelayEvents.None is gone, because tests log now; RecentExcess is one expression; no change of behaviour.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RecentExcess.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RecentExcess.kt
@@ -23,19 +23,17 @@
     }
 
     private fun decayed(state: State, nowMs: Long): Double =
-        if (state.excessMs ==
-            0.0
-        ) {
-            0.0
-        } else {
-            state.excessMs * HALF.pow((nowMs - state.atMs).coerceAtLeast(0) / halfLifeMs)
-        }
+        state.excessMs * HALF.pow((nowMs - state.atMs).coerceAtLeast(0) / halfLifeMs)
 
     private class State(val excessMs: Double, val atMs: Long)
 
     private companion object {
         const val HALF = 0.5
+
+        /** One late first byte says little; five in a row nearly all. */
         const val WEIGHT = 0.2
+
+        /** A longer wait than this is no different for callers, whose requests have about this long. */
         const val MAX_EXCESS_MS = 5_000.0
     }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayEvents.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayEvents.kt
@@ -29,25 +29,4 @@
 
     /** The caller left before its response was complete. */
     fun callerLeft(exchange: Exchange)
-
-    /** Ignores everything. */
-    object None : RelayEvents {
-        override fun queued(exchange: Exchange, waiting: Int) = Unit
-
-        override fun placed(exchange: Exchange, attempt: PlacedAttempt, address: String, lastEventId: Long?) = Unit
-
-        override fun failed(exchange: Exchange, error: RelayError) = Unit
-
-        override fun attemptFailed(
-            exchange: Exchange,
-            attempt: PlacedAttempt,
-            failure: AttemptFailure,
-            detail: String,
-            isRetried: Boolean,
-        ) = Unit
-
-        override fun answered(exchange: Exchange, statusCode: Int) = Unit
-
-        override fun callerLeft(exchange: Exchange) = Unit
-    }
 }
