--- a/core/src/main/kotlin/org/arbutusrelay/core/admission/DeadlineQueue.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/admission/DeadlineQueue.kt
@@ -8,6 +8,7 @@
  *
  * An entry that was postponed comes after all others of its priority: when more arrives than can be served, requests
  * that can still be in time must not wait behind those that are late whatever happens.
+ *
  * A caller that was served more than [fairnessLag] requests ahead of the least served waiting caller of the same
  * priority waits until the others have caught up. The queue holds at most [maxSize] entries. It is not thread-safe.
  */
--- a/core/src/main/kotlin/org/arbutusrelay/core/manifest/ManifestText.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/manifest/ManifestText.kt
@@ -1,16 +1,14 @@
 package org.arbutusrelay.core.manifest
 
+import org.arbutusrelay.core.digest.sha256Hex
 import org.arbutusrelay.schema.message.LineEdit
 import org.arbutusrelay.schema.message.ManifestDelta
 import org.arbutusrelay.schema.message.ManifestRecord
-import java.security.MessageDigest
-import java.util.HexFormat
 
 /** Digests and line differences of manifest texts. */
 public object ManifestText {
     /** Returns the SHA-256 of [text] in lower-case hexadecimal. */
-    public fun digest(text: String): String =
-        HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(text.toByteArray()))
+    public fun digest(text: String): String = sha256Hex(text.toByteArray())
 
     /** Returns the difference that turns [base] into [target]. */
     public fun difference(base: ManifestRecord, target: ManifestRecord): ManifestDelta {
--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/RetryRules.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/RetryRules.kt
@@ -19,6 +19,10 @@
 
     /** The backend server has been silent for longer than a response or an event should take. */
     SILENT,
+    ;
+
+    /** Name in logs, such as `not_sent`. */
+    public val id: String = name.lowercase()
 }
 
 /** What to do after a failed attempt. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/route/RoutePlan.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/route/RoutePlan.kt
@@ -34,10 +34,7 @@
             if (!seen.add(route.authority to route.pathPrefix)) {
                 add("route ${route.name}: another route has ${route.authority}${route.pathPrefix}")
             }
-            if (!isPrefix(
-                    route.pathPrefix,
-                )
-            ) {
+            if (!isPrefix(route.pathPrefix)) {
                 add("route ${route.name}: prefix ${route.pathPrefix} needs slashes around it")
             }
             if (route.timeoutMs <= 0) add("route ${route.name}: the timeout is 0")
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
@@ -45,9 +45,7 @@
                 // The length of a stream is a guess, so that only its first byte tells how fast the server is.
                 val isStream = attempt.profile.isStream
                 slots.slowdown.record(if (isStream) firstByteRatio(open, attempt) ?: 1.0 else ratio, nowMs)
-                if (ratio > OVERLOAD_RATIO &&
-                    !isStream
-                ) {
+                if (ratio > OVERLOAD_RATIO && !isStream) {
                     slots.limit.recordOverload(nowMs)
                 } else {
                     slots.limit.recordSuccess(inFlight)
@@ -74,18 +72,10 @@
     }
 
     private fun firstByteRatio(open: OpenAttempt, attempt: PlacedAttempt): Double? =
-        if (open.firstByteMs ==
-            OpenAttempt.NONE
-        ) {
-            null
-        } else {
-            (open.firstByteMs - attempt.placedAtMs) / open.predictedFirstMs
-        }
+        open.firstByteAfterMs(attempt.placedAtMs)?.let { it / open.predictedFirstMs }
 
     private fun recordTimes(slots: BackendSlots, open: OpenAttempt, attempt: PlacedAttempt, elapsedMs: Double) {
-        val firstByteMs = open.firstByteMs.takeIf {
-            it != OpenAttempt.NONE
-        }?.let { (it - attempt.placedAtMs).toDouble() }
+        val firstByteMs = open.firstByteAfterMs(attempt.placedAtMs)
         firstByteMs?.let { open.times.firstByte.record(open.aheadTokens + open.uncachedTokens, it) }
         open.times.record(
             ServiceTimes.Sample(
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -271,17 +271,10 @@
     )
 
     /** Refuses a queued request that would miss its deadline if it began now. */
-    private fun refuseIfLate(profile: RequestProfile, nowMs: Long): Placement? =
-        if (rules.isTooLate(
-                profile,
-                services.timesOf(profile.serviceName),
-                nowMs,
-            )
-        ) {
-            refused(ErrorKind.DEADLINE_UNREACHABLE)
-        } else {
-            null
-        }
+    private fun refuseIfLate(profile: RequestProfile, nowMs: Long): Placement? {
+        val isTooLate = rules.isTooLate(profile, services.timesOf(profile.serviceName), nowMs)
+        return if (isTooLate) refused(ErrorKind.DEADLINE_UNREACHABLE) else null
+    }
 
     /** Frees what a queued request held that was refused or withdrawn. */
     private fun endQueued(profile: RequestProfile) {
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteChoice.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteChoice.kt
@@ -19,11 +19,11 @@
         return predictMs(profile, slots, servers, prompt.expectedTokens(profile, slots), nowMs)
     }
 
-    override fun tokensToRead(profile: RequestProfile, slots: BackendSlots, servers: ServiceServers): Int =
-        HeldPrompt.of(profile, servers).expectedTokens(profile, slots).toInt()
-
-    override fun cacheSource(profile: RequestProfile, slots: BackendSlots, servers: ServiceServers): BackendSlots? =
-        if (profile.canImportCache) HeldPrompt.of(profile, servers).sourceFor(profile, slots) else null
+    override fun reading(profile: RequestProfile, slots: BackendSlots, servers: ServiceServers): PromptReading {
+        val prompt = HeldPrompt.of(profile, servers)
+        val source = if (profile.canImportCache) prompt.sourceFor(profile, slots) else null
+        return PromptReading(prompt.expectedTokens(profile, slots).toInt(), source)
+    }
 
     private fun best(
         profile: RequestProfile,
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteRegionChoice.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteRegionChoice.kt
@@ -9,9 +9,7 @@
 public class FirstByteRegionChoice : RegionChoice {
     override fun choose(query: RegionQuery): RegionSlots? {
         val leftMs = (query.profile.deadlineMs - query.nowMs).toDouble()
-        val best =
-            query.regions.minByOrNull { it.predictFirstByteMs(query.profile, query.times, query.nowMs) } ?: return null
-        val firstMs = best.predictFirstByteMs(query.profile, query.times, query.nowMs)
-        return best.takeIf { firstMs < minOf(leftMs, query.localMs) }
+        val best = query.regions.soonest(query.profile, query.times, query.nowMs) ?: return null
+        return best.region.takeIf { best.firstByteMs < minOf(leftMs, query.localMs) }
     }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/LocalPlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/LocalPlacement.kt
@@ -83,8 +83,8 @@
             return null
         }
         val servers = snapshotOf().services[profile.serviceName]
-        val uncached = servers?.let { choice.tokensToRead(profile, slots, it) } ?: profile.promptTokens
-        val source = servers?.let { choice.cacheSource(profile, slots, it) }
+        val reading = servers?.let { choice.reading(profile, slots, it) } ?: PromptReading(profile.promptTokens)
+        val uncached = reading.tokens
         val load = slots.load()
         val idleMs = times.predictMs(uncached, profile.responseTokens)
         val predictedMs = idleMs * ServiceTimes.loadFactor(load, slots.capacity)
@@ -98,7 +98,7 @@
         val state = slots.state
         return PlacedAttempt(
             profile, slots.name, state.incarnation, state.address, number, nowMs, isHedge, region,
-            source?.state?.address.orEmpty(), basisOf(slots, load, firstMs, nowMs),
+            reading.source?.state?.address.orEmpty(), basisOf(slots, load, firstMs, nowMs),
         )
     }
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/OpenAttempts.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/OpenAttempts.kt
@@ -40,6 +40,11 @@
     @Volatile
     var firstByteMs: Long = NONE
 
+    /** Returns the time from [placedAtMs] to the first byte, in milliseconds; null before it came. */
+    fun firstByteAfterMs(
+        placedAtMs: Long,
+    ): Double? = firstByteMs.takeIf { it != NONE }?.let { (it - placedAtMs).toDouble() }
+
     private val isPending = AtomicBoolean(true)
 
     /** Takes the attempt's tokens off those that wait on its backend server, once. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/PrefixHashes.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/PrefixHashes.kt
@@ -33,7 +33,7 @@
         return parts.asSequence()
             .flatMap { (id, tokens) ->
                 val hash = Hashing.xxh3_64().hashCharsToLong(id)
-                List(maxOf(1, tokens / blockTokens)) { hash }.asSequence()
+                List(blocksOf(tokens, blockTokens)) { hash }.asSequence()
             }
             .take(maxBlocks)
             .map { hash ->
@@ -42,5 +42,11 @@
             }.toList()
     }
 
+    /** Returns how many of the hashes of [ofParts] belong to [parts] at the head of a prompt. */
+    public fun countOfParts(parts: List<Pair<String, Int>>, blockTokens: Int = 256, maxBlocks: Int = 256): Int =
+        minOf(maxBlocks, parts.sumOf { (_, tokens) -> blocksOf(tokens, blockTokens) })
+
+    private fun blocksOf(tokens: Int, blockTokens: Int) = maxOf(1, tokens / blockTokens)
+
     private const val CHAIN_FACTOR = -0x61c8864680b583ebL
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RecentExcess.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RecentExcess.kt
@@ -1,7 +1,7 @@
 package org.arbutusrelay.core.routing
 
+import org.arbutusrelay.core.admission.HalfLife
 import java.util.concurrent.atomic.AtomicReference
-import kotlin.math.pow
 
 /**
  * Tracks by how much first bytes came later than predicted, in milliseconds.
@@ -9,7 +9,8 @@
  * What waits on the hosts of another region is not announced, so that only the responses tell. The excess halves every
  * [halfLifeMs] without samples, so that a region that got no requests because it was late is tried again.
  */
-public class RecentExcess(private val halfLifeMs: Double = 1_000.0) {
+public class RecentExcess(halfLifeMs: Double = 1_000.0) {
+    private val halfLife = HalfLife(halfLifeMs)
     private val state = AtomicReference(State(0.0, 0))
 
     /** Returns the excess at [nowMs], at least 0. */
@@ -23,13 +24,11 @@
     }
 
     private fun decayed(state: State, nowMs: Long): Double =
-        state.excessMs * HALF.pow((nowMs - state.atMs).coerceAtLeast(0) / halfLifeMs)
+        state.excessMs * halfLife.weight(state.atMs, nowMs)
 
     private class State(val excessMs: Double, val atMs: Long)
 
     private companion object {
-        const val HALF = 0.5
-
         /** One late first byte says little; five in a row nearly all. */
         const val WEIGHT = 0.2
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
@@ -68,7 +68,10 @@
      * What recent first bytes took beyond this prediction is added, because the queues of the hosts there are unknown.
      */
     public fun predictFirstByteMs(profile: RequestProfile, times: ServiceTimes, nowMs: Long): Double =
-        announcedFirstByteMs(profile, times) + (excess[profile.serviceName]?.at(nowMs) ?: 0.0)
+        announcedFirstByteMs(profile, times) + excessMs(profile.serviceName, nowMs)
+
+    /** Returns by how much recent first bytes of [serviceName] came later than announced load let expect, in ms. */
+    internal fun excessMs(serviceName: String, nowMs: Long): Double = excess[serviceName]?.at(nowMs) ?: 0.0
 
     /** Predicts the time to the first byte from the announced load alone, in milliseconds. */
     internal fun announcedFirstByteMs(profile: RequestProfile, times: ServiceTimes): Double {
@@ -108,3 +111,10 @@
         private const val MAX_AGE_MS = 5_000L
     }
 }
+
+/** A region with the predicted time to the first byte there, in milliseconds. */
+internal class RegionForecast(val region: RegionSlots, val firstByteMs: Double)
+
+/** Returns the region from which the first byte of [profile] is predicted soonest, or null when there is none. */
+internal fun List<RegionSlots>.soonest(profile: RequestProfile, times: ServiceTimes, nowMs: Long): RegionForecast? =
+    map { RegionForecast(it, it.predictFirstByteMs(profile, times, nowMs)) }.minByOrNull { it.firstByteMs }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
@@ -38,9 +38,9 @@
         nowMs: Long,
     ): Placement? {
         if (profile.isForwarded || !budget.canSpend()) return null
-        val best = usableRegions(profile, snapshot, nowMs).minByOrNull { it.predictFirstByteMs(profile, times, nowMs) }
-        if (best == null || best.predictFirstByteMs(profile, times, nowMs) > localFirstMs * CLEARLY_SOONER) return null
-        return if (budget.trySpend()) send(profile, best, times, nowMs) else null
+        val best = usableRegions(profile, snapshot, nowMs).soonest(profile, times, nowMs)
+        if (best == null || best.firstByteMs > localFirstMs * CLEARLY_SOONER) return null
+        return if (budget.trySpend()) send(profile, best.region, times, nowMs) else null
     }
 
     /**
@@ -71,9 +71,9 @@
         times: ServiceTimes,
         nowMs: Long,
     ): Placement? {
-        val soonest = targets.minByOrNull { it.predictFirstByteMs(profile, times, nowMs) } ?: return null
-        val isInTime = nowMs + soonest.predictFirstByteMs(profile, times, nowMs) <= profile.deadlineMs
-        return if (isInTime) send(profile, soonest, times, nowMs) else null
+        val soonest = targets.soonest(profile, times, nowMs) ?: return null
+        val isInTime = nowMs + soonest.firstByteMs <= profile.deadlineMs
+        return if (isInTime) send(profile, soonest.region, times, nowMs) else null
     }
 
     private fun usableRegions(profile: RequestProfile, snapshot: SchedulerSnapshot, nowMs: Long): List<RegionSlots> =
@@ -102,7 +102,7 @@
         val basis = PlacementBasis(
             load = (summary?.running ?: 0) + (summary?.queued ?: 0),
             limit = summary?.capacity ?: 0,
-            predictedMs = region.predictFirstByteMs(profile, times, nowMs).toLong(),
+            predictedMs = (firstMs + region.excessMs(profile.serviceName, nowMs)).toLong(),
         )
         return Placement.SendAway(PlacedAttempt(profile, "", 0, "", number, nowMs, region = name, basis = basis), name)
     }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerChoice.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerChoice.kt
@@ -8,12 +8,9 @@
     /** Predicts the time to the first byte on the best backend server with room; null when this choice cannot. */
     public fun predictFirstByteMs(profile: RequestProfile, servers: ServiceServers, nowMs: Long): Double? = null
 
-    /** Returns the prompt tokens that [slots] has to read for [profile]. */
-    public fun tokensToRead(profile: RequestProfile, slots: BackendSlots, servers: ServiceServers): Int =
-        FinishChoice.uncachedTokens(profile, slots)
-
-    /** Returns the backend server from which [slots] should copy cached tokens first; null when none has more. */
-    public fun cacheSource(profile: RequestProfile, slots: BackendSlots, servers: ServiceServers): BackendSlots? = null
+    /** Returns what [slots] has to read for [profile]. */
+    public fun reading(profile: RequestProfile, slots: BackendSlots, servers: ServiceServers): PromptReading =
+        PromptReading(FinishChoice.uncachedTokens(profile, slots))
 
     /** How many waiting requests [prefer] chooses from. */
     public val window: Int get() = 1
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceQueue.kt
@@ -51,8 +51,7 @@
                 if (head.isEmpty()) break
                 val entry = if (head.size == 1) head[0] else head[prefer(head.map { it.value })]
                 val placement = decide(entry.value) ?: break
-                remove(entry, isServed = placement !is Placement.Refused)
-                sink += QueuedPlacement(entry.value, placement)
+                takeOut(entry, placement, sink, isServed = placement !is Placement.Refused)
             }
         }
     }
@@ -69,12 +68,7 @@
         val late = entries.values.filter { !it.isPostponed && isLate(it.value) }
         for (entry in late) {
             val placement = turn(entry.value)
-            if (placement == null) {
-                queueOf(entry.value).postpone(entry)
-            } else {
-                remove(entry, isServed = false)
-                sink += QueuedPlacement(entry.value, placement)
-            }
+            if (placement == null) queueOf(entry.value).postpone(entry) else takeOut(entry, placement, sink)
         }
     }
 
@@ -91,10 +85,17 @@
     /** Takes out the requests for which [refuse] returns a refusal, wherever they are in the queue. */
     fun expire(refuse: (RequestProfile) -> Placement?, sink: MutableList<QueuedPlacement>): Unit = lock.withLock {
         val expired = entries.values.mapNotNull { entry -> refuse(entry.value)?.let { entry to it } }
-        expired.forEach { (entry, placement) ->
-            remove(entry, isServed = false)
-            sink += QueuedPlacement(entry.value, placement)
-        }
+        expired.forEach { (entry, placement) -> takeOut(entry, placement, sink) }
+    }
+
+    private fun takeOut(
+        entry: DeadlineQueue.Entry<RequestProfile>,
+        placement: Placement,
+        sink: MutableList<QueuedPlacement>,
+        isServed: Boolean = false,
+    ) {
+        remove(entry, isServed)
+        sink += QueuedPlacement(entry.value, placement)
     }
 
     private fun remove(entry: DeadlineQueue.Entry<RequestProfile>, isServed: Boolean) {
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/Slowdown.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/Slowdown.kt
@@ -1,5 +1,6 @@
 package org.arbutusrelay.core.routing
 
+import org.arbutusrelay.core.admission.HalfLife
 import java.util.concurrent.atomic.AtomicReference
 
 /**
@@ -8,14 +9,15 @@
  * The excess halves every [halfLifeMs] without samples, so that a backend server that got no work because it was slow
  * is tried again.
  */
-public class Slowdown(private val halfLifeMs: Double = 10_000.0) {
+public class Slowdown(halfLifeMs: Double = 10_000.0) {
+    private val halfLife = HalfLife(halfLifeMs)
     private val state = AtomicReference(State(1.0, 0))
 
     /** Returns the factor at [nowMs]. */
     public fun factor(nowMs: Long): Double {
         val latest = state.get()
         if (latest.factor <= 1.0) return 1.0
-        return 1.0 + (latest.factor - 1.0) * Math.pow(HALF, maxOf(0L, nowMs - latest.atMs) / halfLifeMs)
+        return 1.0 + (latest.factor - 1.0) * halfLife.weight(latest.atMs, nowMs)
     }
 
     /** Records the ratio of the measured time to the predicted time. */
@@ -27,7 +29,6 @@
     private class State(val factor: Double, val atMs: Long)
 
     private companion object {
-        private const val HALF = 0.5
         private const val WEIGHT = 0.2
         private const val SMALLEST = 0.5
         private const val LARGEST = 20.0
--- a/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
@@ -48,19 +48,13 @@
     }
 
     /** Drops servers that were silent for longer than the lease and departures that nobody can contradict any more. */
-    public fun tick(nowMs: Long): Boolean {
-        val isChanged = entries.values.removeIf { nowMs - it.heardMs >= leaseMs }
+    public fun tick(nowMs: Long) {
+        entries.values.removeIf { nowMs - it.heardMs >= leaseMs }
         departures.values.removeIf { nowMs - it.atMs > DEPARTURE_MEMORY_MS }
-        return isChanged
     }
 
     /** Returns all servers for a digest or a routing table, with the lease and the cold time that remain. */
-    public fun states(nowMs: Long): List<BackendServerState> = entries.values.map { entry ->
-        entry.state.copy(
-            leaseMs = (leaseMs - (nowMs - entry.heardMs)).coerceIn(0, leaseMs),
-            coldMs = (entry.coldUntilMs - nowMs).coerceAtLeast(0),
-        )
-    }
+    public fun states(nowMs: Long): List<BackendServerState> = entries.values.map { stateOf(it, nowMs) }
 
     /** Returns the loads that were seen within [maxAgeMs]. */
     public fun loads(nowMs: Long, maxAgeMs: Long): List<BackendLoad> = entries.values
@@ -68,7 +62,7 @@
         .map { BackendLoad(it.state.name, it.state.incarnation, it.state.running, it.state.queued, nowMs - it.loadMs) }
 
     /** Returns one server as [states] does, or null. */
-    public fun state(name: String, nowMs: Long): BackendServerState? = states(nowMs).firstOrNull { it.name == name }
+    public fun state(name: String, nowMs: Long): BackendServerState? = entries[name]?.let { stateOf(it, nowMs) }
 
     /** Returns recent departures for a digest. */
     public fun departures(nowMs: Long): List<BackendDeparture> =
@@ -80,6 +74,11 @@
             .forEach { it.coldUntilMs = maxOf(it.coldUntilMs, nowMs + coldMs) }
     }
 
+    private fun stateOf(entry: Entry, nowMs: Long): BackendServerState = entry.state.copy(
+        leaseMs = (leaseMs - (nowMs - entry.heardMs)).coerceIn(0, leaseMs),
+        coldMs = (entry.coldUntilMs - nowMs).coerceAtLeast(0),
+    )
+
     private fun learn(state: BackendServerState, heardMs: Long, nowMs: Long): Boolean {
         if (nowMs - heardMs >= leaseMs || isSuperseded(state)) return false
         val old = entries[state.name]?.takeIf { it.state.incarnation == state.incarnation }
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/FirstByteChoiceTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/FirstByteChoiceTest.kt
@@ -74,13 +74,14 @@
         val profile = request(1).copy(canImportCache = true)
         val preferred = checkNotNull(choice.choose(profile, servers, 0))
         val other = servers.slots.first { it !== preferred }
-        assertEquals(preferred, choice.cacheSource(profile, other, servers), "the preferred engine is taken to hold it")
-        assertEquals(null, choice.cacheSource(profile, preferred, servers), "nobody is known to hold it")
+        val assumed = choice.reading(profile, other, servers).source
+        assertEquals(preferred, assumed, "the preferred engine is taken to hold it")
+        assertEquals(null, choice.reading(profile, preferred, servers).source, "nobody is known to hold it")
         other.history.add(profile.prefixHashes)
-        assertEquals(other, choice.cacheSource(profile, preferred, servers))
-        assertEquals(null, choice.cacheSource(profile.copy(canImportCache = false), preferred, servers))
+        assertEquals(other, choice.reading(profile, preferred, servers).source)
+        assertEquals(null, choice.reading(profile.copy(canImportCache = false), preferred, servers).source)
         val idle = servers.slots.first { it !== preferred && it !== other }
-        val read = choice.tokensToRead(profile, idle, servers)
+        val read = choice.reading(profile, idle, servers).tokens
         assertTrue(read < profile.promptTokens - profile.sharedTokens + profile.sharedTokens / 4, "$read")
     }
 
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/RoutingPartsTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/RoutingPartsTest.kt
@@ -12,6 +12,26 @@
 import kotlin.test.assertTrue
 
 class RoutingPartsTest {
+    /** Guards against an affinity that differs between prompts with the same shared parts. */
+    @Test
+    fun `the hashes of the first parts of a prompt are the head of the hashes of all`() {
+        data class Case(val tokens: List<Int>, val hashes: Int)
+        val cases = listOf(
+            Case(emptyList(), 0),
+            Case(listOf(10), 1),
+            Case(listOf(512, 300), 3),
+            Case(listOf(0, 4 * 256), 5),
+            Case(listOf(300 * 256), 256),
+            Case(listOf(200 * 256, 200 * 256), 256),
+        )
+        cases.forEach { case ->
+            val head = case.tokens.mapIndexed { index, tokens -> "part-$index" to tokens }
+            val all = PrefixHashes.ofParts(head + ("own" to 900))
+            assertEquals(case.hashes, PrefixHashes.countOfParts(head), "$case")
+            assertEquals(PrefixHashes.ofParts(head), all.take(case.hashes), "$case")
+        }
+    }
+
     private fun slots(name: String, running: Long = 0) =
         BackendSlots(server(name, capacity = 10, running = running), SlowRamp.ended(), historyBlocks = 64)
 
--- a/ctl/src/main/kotlin/org/arbutusrelay/ctl/ExplainCommand.kt
+++ b/ctl/src/main/kotlin/org/arbutusrelay/ctl/ExplainCommand.kt
@@ -1,21 +1,19 @@
 package org.arbutusrelay.ctl
 
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import org.arbutusrelay.daemon.explain.LogContent
 import org.arbutusrelay.daemon.explain.LogFile
 import org.arbutusrelay.daemon.explain.LoggedLine
 import org.arbutusrelay.daemon.explain.RequestStory
+import org.arbutusrelay.daemon.observe.EVENT_JSON
 import org.arbutusrelay.schema.log.EventLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.Model.CommandSpec
 import picocli.CommandLine.Parameters
 import picocli.CommandLine.Spec
 import java.io.IOException
-import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.Callable
-import kotlin.streams.asSequence
 
 /** Tells from the logs of hosts what happened to a request. */
 @Command(
@@ -53,7 +51,7 @@
         return ExitCode.DONE
     }
 
-    private fun read(file: Path): LogContent = Files.lines(file).use { LogFile.read(it.asSequence()) }
+    private fun read(file: Path): LogContent = file.toFile().useLines { LogFile.read(it) }
 
     private fun leftOut(content: LogContent): String =
         "${content.lines.sumOf { it.line.leftOut }} lines of the files were left out under load"
@@ -64,16 +62,9 @@
     )
 
     private fun fields(line: EventLine): String {
-        val encoded = JSON.encodeToJsonElement(EventLine.serializer(), line) as JsonObject
+        val encoded = EVENT_JSON.encodeToJsonElement(EventLine.serializer(), line) as JsonObject
         return encoded.filterKeys { it != "event" && it != "request" }.entries.joinToString(" ") { (key, value) ->
             "$key=$value"
         }
     }
-
-    private companion object {
-        val JSON = Json {
-            encodeDefaults = false
-            explicitNulls = false
-        }
-    }
 }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/explain/CauseFinder.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/explain/CauseFinder.kt
@@ -1,5 +1,7 @@
 package org.arbutusrelay.daemon.explain
 
+import org.arbutusrelay.core.error.Outcome
+import org.arbutusrelay.core.relay.AttemptFailure
 import org.arbutusrelay.schema.log.EventLine.Event
 
 /** Tells from the lines about a request why it ended as it did. */
@@ -11,7 +13,7 @@
     fun find(): String? = refusal() ?: lostRun() ?: lateRegion() ?: left() ?: failure?.let(::plainFailure)
 
     private fun refusal(): String? {
-        val line = failure?.line?.takeIf { it.outcome == "not_run" && failedAttempts.isEmpty() } ?: return null
+        val line = failure?.line?.takeIf { it.outcome == Outcome.NOT_RUN.id && failedAttempts.isEmpty() } ?: return null
         val waited = steps.firstOrNull { it.line.event == Event.REQUEST_QUEUED }?.line
         val queue = waited?.let { "it waited with ${it.waiting} requests on the host and " }.orEmpty()
         return "refused without an attempt after ${line.ageMs} ms: ${queue}ended with ${line.kind}" +
@@ -20,8 +22,12 @@
 
     private fun lostRun(): String? {
         if (failure == null) return null
-        val lost = failedAttempts.lastOrNull { it.line.failure == "unknown" && !it.line.backendServer.isNullOrEmpty() }
-            ?: return null
+        val lost =
+            failedAttempts.lastOrNull {
+                it.line.failure == AttemptFailure.UNKNOWN.id &&
+                    !it.line.backendServer.isNullOrEmpty()
+            }
+                ?: return null
         val server = lost.line.backendServer
         val restart = surroundings.lastOrNull {
             it.line.backendServer == server && it.line.event == Event.BACKEND_SERVER_CHANGED &&
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/explain/LogFile.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/explain/LogFile.kt
@@ -1,9 +1,9 @@
 package org.arbutusrelay.daemon.explain
 
 import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import org.arbutusrelay.daemon.observe.EVENT_JSON
 import org.arbutusrelay.schema.log.EventLine
 
 /** A line of a host's log, with the host that wrote it. */
@@ -25,8 +25,6 @@
 
 /** Reads the JSON lines of a host. */
 public object LogFile {
-    private val JSON = Json { ignoreUnknownKeys = true }
-
     /**
      * Reads [text], the lines of a file.
      *
@@ -50,7 +48,7 @@
     }
 
     private fun parse(text: String): JsonObject? = try {
-        JSON.parseToJsonElement(text) as? JsonObject
+        EVENT_JSON.parseToJsonElement(text) as? JsonObject
     } catch (_: SerializationException) {
         // Counted by the caller: a file may be cut off within a line.
         null
@@ -60,7 +58,7 @@
         LoggedLine(
             fields.text("time"),
             fields.text("host"),
-            JSON.decodeFromJsonElement(EventLine.serializer(), message),
+            EVENT_JSON.decodeFromJsonElement(EventLine.serializer(), message),
         )
     } catch (_: IllegalArgumentException) {
         // Counted by the caller: a newer version may write events that this one does not know.
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HealthRoutes.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HealthRoutes.kt
@@ -18,7 +18,7 @@
         }
         routes.get("/metrics") { ctx ->
             ctx.requireToken(operatorToken).fold({ ctx.problem(it) }) {
-                ctx.contentType("text/plain; version=0.0.4; charset=utf-8").result(metrics.scrape())
+                ctx.contentType(RelayMetrics.CONTENT_TYPE).result(metrics.scrape())
             }
         }
     }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/LinkNetwork.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/LinkNetwork.kt
@@ -1,5 +1,6 @@
 package org.arbutusrelay.daemon.link
 
+import org.arbutusrelay.schema.message.HostState
 import org.arbutusrelay.schema.message.LinkFrame
 
 /** The links of this daemon to other daemons. */
@@ -44,4 +45,19 @@
     val availabilityZone: String,
     /** Process epoch, drawn at random at start. */
     val epoch: Long,
-)
+) {
+    /** Returns what the process says of itself at its start; others reach its links at [address]. */
+    public fun firstState(address: String, isStateHost: Boolean): HostState = HostState(
+        hostName = hostName,
+        region = region,
+        availabilityZone = availabilityZone,
+        epoch = epoch,
+        version = 1,
+        address = address,
+        callerAddress = "",
+        manifestNumber = 0,
+        loadPermille = 0,
+        isLeaving = false,
+        isStateHost = isStateHost,
+    )
+}
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
@@ -29,7 +29,6 @@
 import org.arbutusrelay.daemon.membership.MembershipListener
 import org.arbutusrelay.daemon.observe.RelayMetrics
 import org.arbutusrelay.daemon.orders.OrderLoop
-import org.arbutusrelay.schema.message.HostState
 import org.arbutusrelay.schema.settings.DaemonSettings
 import java.io.IOException
 import java.nio.channels.UnresolvedAddressException
@@ -169,20 +168,8 @@
         }
     }
 
-    private fun selfState(linkPort: Int) = HostState(
-        hostName = identity.hostName,
-        region = identity.region,
-        availabilityZone = identity.availabilityZone,
-        epoch = identity.epoch,
-        version = 1,
-        address = "${settings.bindAddress}:$linkPort",
-        callerAddress = "",
-        manifestNumber = 0,
-        loadPermille = 0,
-        isLeaving = false,
-        isStateHost = stateHosts.isSelf,
-        startedAtMs = System.currentTimeMillis(),
-    )
+    private fun selfState(linkPort: Int) = identity.firstState("${settings.bindAddress}:$linkPort", stateHosts.isSelf)
+        .copy(startedAtMs = System.currentTimeMillis())
 
     private fun manifestService(membership: LinkMembershipService): LinkManifestService {
         val regionHosts = stateHosts.of(settings.region).ifEmpty { settings.manifestVoters.toSet() }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/EventMessage.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/EventMessage.kt
@@ -1,6 +1,5 @@
 package org.arbutusrelay.daemon.observe
 
-import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.message.AsynchronouslyFormattable
 import org.apache.logging.log4j.message.MultiformatMessage
 import org.arbutusrelay.schema.log.EventLine
@@ -12,7 +11,7 @@
  */
 @AsynchronouslyFormattable
 internal class EventMessage(private val line: EventLine) : MultiformatMessage {
-    override fun getFormattedMessage(): String = JSON.encodeToString(EventLine.serializer(), line)
+    override fun getFormattedMessage(): String = EVENT_JSON.encodeToString(EventLine.serializer(), line)
 
     override fun getFormattedMessage(formats: Array<out String>): String = formattedMessage
 
@@ -24,10 +23,5 @@
 
     private companion object {
         private const val serialVersionUID = 1L
-
-        private val JSON = Json {
-            encodeDefaults = false
-            explicitNulls = false
-        }
     }
 }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/RelayMetrics.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/RelayMetrics.kt
@@ -91,9 +91,12 @@
     private fun timer(stage: Stage): Timer =
         Timer.builder("arbutus.stage").tag("stage", stage.id).publishPercentileHistogram().register(registry)
 
-    private companion object {
+    public companion object {
+        /** Content type of [scrape]. */
+        public const val CONTENT_TYPE: String = "text/plain; version=0.0.4; charset=utf-8"
+
         /** Objectives of the routes in use lie between 200 ms and 10 s. */
-        val RESPONSE_BOUNDS_MS = listOf<Long>(50, 100, 200, 400, 800, 1_200, 2_000, 4_000, 8_000, 15_000)
+        private val RESPONSE_BOUNDS_MS = listOf<Long>(50, 100, 200, 400, 800, 1_200, 2_000, 4_000, 8_000, 15_000)
     }
 }
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/Authenticator.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/Authenticator.kt
@@ -3,11 +3,11 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import org.arbutusrelay.core.digest.sha256Hex
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.daemon.manifest.ManifestService
 import org.arbutusrelay.schema.manifest.Caller
-import java.security.MessageDigest
 
 /** Finds the caller that a bearer token belongs to. */
 public class Authenticator(private val manifests: ManifestService) {
@@ -28,10 +28,3 @@
             ?.substring(SCHEME.length)?.trim()?.takeIf(String::isNotEmpty)
     }
 }
-
-/** Returns the SHA-256 of [parts] in lower-case hexadecimal. */
-internal fun sha256Hex(vararg parts: ByteArray): String {
-    val digest = MessageDigest.getInstance("SHA-256")
-    parts.forEach(digest::update)
-    return digest.digest().joinToString("") { "%02x".format(it) }
-}
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestResolver.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/RequestResolver.kt
@@ -4,6 +4,7 @@
 import arrow.core.raise.either
 import arrow.core.raise.ensure
 import arrow.core.raise.ensureNotNull
+import org.arbutusrelay.core.digest.sha256Hex
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.manifest.ManifestView
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteControl.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteControl.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
+import org.arbutusrelay.core.digest.sha256Hex
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.route.RoutePlanParser
@@ -13,7 +14,6 @@
 import org.arbutusrelay.schema.message.EvacuationChange
 import org.arbutusrelay.schema.message.ReplicatedCommand
 import org.arbutusrelay.schema.message.SiteState
-import java.security.MessageDigest
 
 /** How an operator's order ended at a state host. */
 public sealed interface OrderResult {
@@ -42,7 +42,7 @@
     /** Accepts the operator's document with [content]; one that is not newer than the present one changes nothing. */
     public suspend fun publish(content: ByteArray): OrderResult = parser.parse(content).fold(
         { OrderResult.Failed(it) },
-        { plan -> order(ReplicatedCommand(document = DocumentRecord(plan.number, sha256(content), content))) },
+        { plan -> order(ReplicatedCommand(document = DocumentRecord(plan.number, sha256Hex(content), content))) },
     )
 
     /** Evacuates an availability zone or takes it back. */
@@ -73,9 +73,6 @@
         return decided ?: RelayError(ErrorKind.MANIFEST_OUTCOME_UNKNOWN).left()
     }
 
-    private fun sha256(content: ByteArray): String =
-        MessageDigest.getInstance("SHA-256").digest(content).joinToString("") { "%02x".format(it) }
-
     private companion object {
         /** Callers turn to another state host after a second without a response. */
         const val PATIENCE_MS = 850L
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -105,9 +105,10 @@
 
     /** Takes an announcement of a backend server. */
     public fun announce(server: BackendServerState) {
-        val isNews = synchronized(this) { servers.announce(server, clock.nowMs()) }
-        if (!isNews) return
-        val merged = synchronized(this) { servers.state(server.name, clock.nowMs()) } ?: return
+        val nowMs = clock.nowMs()
+        val merged = synchronized(this) {
+            if (servers.announce(server, nowMs)) servers.state(server.name, nowMs) else null
+        } ?: return
         tellChange(digest(servers = listOf(merged)), connectedHosts())
         publish()
     }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteView.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteView.kt
@@ -16,5 +16,5 @@
     val builtAtMs: Long,
 ) {
     /** Hosts that take requests of callers and are not leaving. */
-    val entryHosts: List<HostState> get() = hosts.filter { it.callerAddress.isNotEmpty() && !it.isLeaving }
+    val entryHosts: List<HostState> = hosts.filter { it.callerAddress.isNotEmpty() && !it.isLeaving }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -22,6 +22,7 @@
 ) : BackendListener {
     private var call: BackendCall? = null
     private var head: BackendHead? = null
+    private var facts: AnswerFacts? = null
     private var isStream = false
     private val body = ByteArrayOutputStream()
 
@@ -51,12 +52,13 @@
     }
 
     override fun isOwn(head: BackendHead): Boolean {
-        val facts = core.dialect.readAnswer(head.statusCode, head.headers)
-        return facts.attemptId == null || facts.attemptId == exchange.attemptId
+        val read = core.dialect.readAnswer(head.statusCode, head.headers)
+        facts = read
+        return read.attemptId == null || read.attemptId == exchange.attemptId
     }
 
     override fun onHead(head: BackendHead): Boolean {
-        val facts = core.dialect.readAnswer(head.statusCode, head.headers)
+        val facts = checkNotNull(facts) { "the head was not asked for its owner" }
         noteProgress()
         facts.load?.takeIf { placed.backendServer.isNotEmpty() }?.let { core.observe(placed, it) }
         val outcome = ForwardHeaders.outcomeOf(head.headers)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ProfileBuilder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ProfileBuilder.kt
@@ -18,26 +18,32 @@
         submittedAtMs: Long,
         deadlineMs: Long,
         isForwarded: Boolean,
-    ): RequestProfile = RequestProfile(
-        id = id,
-        callerName = ANY_CALLER,
-        serviceName = serviceName,
-        kindName = route.name,
-        priority = route.priority,
-        isIdempotent = route.isRepeatable,
-        deadlineMs = deadlineMs,
-        allowedRegions = if (isForwarded) listOf(selfRegion) else allowedRegions(route),
-        prefixHashes = PrefixHashes.ofParts(facts.promptParts.map { it.id to it.tokens }),
-        promptTokens = facts.promptTokens,
-        responseTokens = facts.responseTokens,
-        sharedTokens = facts.promptParts.dropLast(1).sumOf { it.tokens },
-        affinityHash = PrefixHashes.ofParts(facts.promptParts.dropLast(1).map { it.id to it.tokens }).lastOrNull() ?: 0,
-        canImportCache = isEngine,
-        isStream = route.kind == RouteKind.STREAM,
-        targetMs = route.targetLatencyMs,
-        submittedAtMs = submittedAtMs,
-        isForwarded = isForwarded,
-    )
+    ): RequestProfile {
+        val parts = facts.promptParts.map { it.id to it.tokens }
+        // The last part is the request's own.
+        val shared = parts.dropLast(1)
+        val hashes = PrefixHashes.ofParts(parts)
+        return RequestProfile(
+            id = id,
+            callerName = ANY_CALLER,
+            serviceName = serviceName,
+            kindName = route.name,
+            priority = route.priority,
+            isIdempotent = route.isRepeatable,
+            deadlineMs = deadlineMs,
+            allowedRegions = if (isForwarded) listOf(selfRegion) else allowedRegions(route),
+            prefixHashes = hashes,
+            promptTokens = facts.promptTokens,
+            responseTokens = facts.responseTokens,
+            sharedTokens = shared.sumOf { (_, tokens) -> tokens },
+            affinityHash = hashes.getOrNull(PrefixHashes.countOfParts(shared) - 1) ?: 0,
+            canImportCache = isEngine,
+            isStream = route.kind == RouteKind.STREAM,
+            targetMs = route.targetLatencyMs,
+            submittedAtMs = submittedAtMs,
+            isForwarded = isForwarded,
+        )
+    }
 
     /** The own region comes first where it is allowed, and then those with the most room. */
     private fun allowedRegions(route: Route): List<String> {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressServer.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressServer.kt
@@ -1,13 +1,8 @@
 package org.arbutusrelay.relay.ingress
 
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
-import io.netty.channel.ChannelInitializer
-import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpServerCodec
-import java.net.InetSocketAddress
 
 /**
  * Accepts HTTP/1.1 connections of callers or of other hosts.
@@ -25,20 +20,10 @@
 
     /** Opens [address]; throws when it cannot be opened. */
     fun start(address: String) {
-        val port = address.substringAfterLast(':').toInt()
-        channel = ServerBootstrap()
-            .group(group)
-            .channel(NioServerSocketChannel::class.java)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(object : ChannelInitializer<Channel>() {
-                override fun initChannel(child: Channel) {
-                    val codec = HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES)
-                    child.pipeline().addLast(codec, IngressHandler(isForwarded, options, service))
-                }
-            })
-            .bind(InetSocketAddress(address.substringBeforeLast(':'), port)).sync().channel()
+        channel = group.listen(address) { pipeline ->
+            val codec = HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES)
+            pipeline.addLast(codec, IngressHandler(isForwarded, options, service))
+        }
     }
 
     /** Accepts no more connections. */
@@ -47,8 +32,6 @@
     }
 
     private companion object {
-        /** Opening packets beyond the queue are dropped and come again only after seconds. */
-        const val BACKLOG = 2_048
         const val MAX_LINE_BYTES = 16_384
         const val MAX_HEADER_BYTES = 32_768
         const val MAX_CHUNK_BYTES = 16_384
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ResponseWriter.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ResponseWriter.kt
@@ -15,7 +15,8 @@
 /**
  * Writes the response to one request; used on the event loop.
  *
- * [onEnd] is called once, when the response is complete or aborted, and tells whether the connection is kept.
+ * Headers that it is given are its own from then on; what concerns one connection only is taken out of them. [onEnd] is
+ * called once, when the response is complete or aborted, and tells whether the connection is kept.
  */
 internal class ResponseWriter(
     private val channel: Channel,
@@ -39,7 +40,7 @@
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.valueOf(statusCode),
             Unpooled.wrappedBuffer(body),
-            endToEnd(headers),
+            HopHeaders.strip(headers),
             DefaultHttpHeaders(),
         )
         if (statusCode != NO_CONTENT) response.headers()[HttpHeaderNames.CONTENT_LENGTH] = body.size
@@ -53,7 +54,7 @@
         val response = DefaultHttpResponse(
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.valueOf(statusCode),
-            endToEnd(headers),
+            HopHeaders.strip(headers),
         )
         response.headers()[HttpHeaderNames.TRANSFER_ENCODING] = "chunked"
         if (!isKeepAlive()) response.headers()[HttpHeaderNames.CONNECTION] = "close"
@@ -75,8 +76,6 @@
         onEnd(false)
     }
 
-    private fun endToEnd(headers: HttpHeaders): HttpHeaders = HopHeaders.strip(headers.copy())
-
     private companion object {
         const val NO_CONTENT = 204
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/StatusServer.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/StatusServer.kt
@@ -1,14 +1,11 @@
 package org.arbutusrelay.relay.ingress
 
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInitializer
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -18,7 +15,6 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.timeout.ReadTimeoutHandler
-import java.net.InetSocketAddress
 
 /** A response of a [StatusServer]. */
 internal class StatusReply(val statusCode: Int, val body: String = "", val contentType: String = "text/plain")
@@ -38,21 +34,14 @@
 
     /** Opens the address; throws when it cannot be opened. */
     fun start() {
-        val port = address.substringAfterLast(':').toInt()
-        channel = ServerBootstrap()
-            .group(group)
-            .channel(NioServerSocketChannel::class.java)
-            .childHandler(object : ChannelInitializer<Channel>() {
-                override fun initChannel(child: Channel) {
-                    child.pipeline().addLast(
-                        ReadTimeoutHandler(IDLE_SECONDS),
-                        HttpServerCodec(),
-                        HttpObjectAggregator(MAX_BODY_BYTES),
-                        Handler(replies),
-                    )
-                }
-            })
-            .bind(InetSocketAddress(address.substringBeforeLast(':'), port)).sync().channel()
+        channel = group.listen(address) { pipeline ->
+            pipeline.addLast(
+                ReadTimeoutHandler(IDLE_SECONDS),
+                HttpServerCodec(),
+                HttpObjectAggregator(MAX_BODY_BYTES),
+                Handler(replies),
+            )
+        }
     }
 
     /** Accepts no more connections. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -21,7 +21,6 @@
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.observe.EventLog
 import org.arbutusrelay.daemon.observe.RelayMetrics
-import org.arbutusrelay.daemon.site.SiteService
 import org.arbutusrelay.daemon.site.SiteView
 import org.arbutusrelay.relay.backend.BackendPool
 import org.arbutusrelay.relay.dialect.AnswerLoad
@@ -67,13 +66,7 @@
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
     private val callerAddress = requireNotNull(settings.callerAddress) { "an entry host needs callerAddress" }
-    private val site = SiteService(
-        links.network,
-        links.selfState,
-        SiteLinks.seedNames(settings),
-        settings.linkPort,
-        clock,
-    )
+    private val site = links.siteService(clock)
     private val routing = SiteRouting(links.identity, settings.bounds)
     private val pool = BackendPool(loop, clock::nowMs)
     private val scheduler = DefaultRequestScheduler(
@@ -115,8 +108,7 @@
 
     override suspend fun start() {
         links.listen()
-        links.network.addReceiver(changes)
-        site.addListener(changes::onView)
+        changes.follow(site, links.network)
         site.addListener(::onView)
         callerServer.start(callerAddress)
         forwardServer.start("${settings.bindAddress}:${settings.linkPort + 1}")
@@ -160,7 +152,7 @@
 
     private fun ready() = StatusReply(if (isReady()) OK else UNAVAILABLE)
 
-    private fun metricsText() = StatusReply(OK, metrics.scrape(), "text/plain; version=0.0.4; charset=utf-8")
+    private fun metricsText() = StatusReply(OK, metrics.scrape(), RelayMetrics.CONTENT_TYPE)
 
     private fun onViolation(guarantee: Guarantee, detail: String) {
         metrics.countViolation(guarantee)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/LoggedEvents.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/LoggedEvents.kt
@@ -54,7 +54,7 @@
             backendServer = attempt.backendServer,
             incarnation = attempt.incarnation,
             region = attempt.region,
-            failure = failure.name.lowercase(),
+            failure = failure.id,
             detail = detail,
             attemptAgeMs = nowMs() - attempt.placedAtMs,
             isRetried = isRetried,
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
@@ -2,7 +2,9 @@
 
 import org.arbutusrelay.daemon.link.FrameReceiver
 import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.daemon.link.LinkNetwork
 import org.arbutusrelay.daemon.observe.EventSink
+import org.arbutusrelay.daemon.site.SiteService
 import org.arbutusrelay.daemon.site.SiteView
 import org.arbutusrelay.schema.log.EventLine
 import org.arbutusrelay.schema.log.EventLine.Event
@@ -21,6 +23,12 @@
     private var hosts = emptyMap<String, HostState>()
     private var servers = emptyMap<String, BackendServerState>()
 
+    /** Writes what changes in [site] and on the links of [network] from now on. */
+    fun follow(site: SiteService, network: LinkNetwork) {
+        network.addReceiver(this)
+        site.addListener(::onView)
+    }
+
     /** Takes the newest view. */
     fun onView(view: SiteView) {
         if (view.state.index > stateIndex) logState(view.state)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteLinks.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteLinks.kt
@@ -1,12 +1,13 @@
 package org.arbutusrelay.relay.node
 
 import kotlinx.coroutines.CoroutineScope
+import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.HostIdentity
 import org.arbutusrelay.daemon.link.LinkOptions
 import org.arbutusrelay.daemon.link.SocketLinkNetwork
+import org.arbutusrelay.daemon.site.SiteService
 import org.arbutusrelay.schema.log.EventLine
 import org.arbutusrelay.schema.log.EventLine.Event
-import org.arbutusrelay.schema.message.HostState
 import org.arbutusrelay.schema.settings.SiteSettings
 import java.security.SecureRandom
 
@@ -22,18 +23,14 @@
     val network: SocketLinkNetwork =
         SocketLinkNetwork(identity, settings.sharedSecret.toByteArray(), scope, LinkOptions(maxReconnectDelayMs = 500))
 
-    val selfState: HostState = HostState(
-        hostName = identity.hostName,
-        region = identity.region,
-        availabilityZone = identity.availabilityZone,
-        epoch = identity.epoch,
-        version = 1,
-        address = "${settings.bindAddress}:${settings.linkPort}",
-        callerAddress = "",
-        manifestNumber = 0,
-        loadPermille = 0,
-        isLeaving = false,
-        isStateHost = settings.dataFolder != null,
+    /** Makes the exchange with other hosts; [otherStateHosts] names state hosts that the settings do not. */
+    fun siteService(clock: RelayClock, otherStateHosts: () -> Set<String> = { emptySet() }): SiteService = SiteService(
+        network,
+        identity.firstState("${settings.bindAddress}:${settings.linkPort}", settings.dataFolder != null),
+        seedNames(settings),
+        settings.linkPort,
+        clock,
+        otherStateHosts = otherStateHosts,
     )
 
     /** Returns a line about this host's own process. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -66,14 +66,7 @@
     )
 
     /** Hosts and backend servers of the site. */
-    public val site: SiteService = SiteService(
-        links.network,
-        links.selfState,
-        SiteLinks.seedNames(settings),
-        settings.linkPort,
-        clock,
-        otherStateHosts = { group.voterHosts },
-    )
+    public val site: SiteService = links.siteService(clock) { group.voterHosts }
 
     /** Orders of operators. */
     public val control: SiteControl = SiteControl(group, settings.bindAddress, parser, clock)
@@ -86,8 +79,7 @@
 
     override suspend fun start() {
         links.listen()
-        links.network.addReceiver(changes)
-        site.addListener(changes::onView)
+        changes.follow(site, links.network)
         site.addListener { logLeader() }
         group.start().onLeft { throw IOException("${settings.dataFolder}: $it") }
         site.start(scope)
