Send renewals of a site in columns and batch its changes

Cause: each of 100 entry hosts got three full digests of 15 to 20 KB a second, encoded once for each receiver, and one digest, one view and one routing table for each host or server that changed, so that a fleet's start cost grew with its square. Change: a pulse renews by key what the receiver knows, which asks for a digest when a key is unknown; changes within 20 ms are sent and published together; a frame is encoded once for all receivers; views without a change come every 450 ms in place of 250 ms; a link that carried another frame sends no ping; more than four changed hosts of one view share a log line. Earlier order kept: SiteServiceTest unchanged.

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
@@ -4,6 +4,9 @@
 import org.arbutusrelay.schema.message.BackendLoad
 import org.arbutusrelay.schema.message.BackendServerState
 
+/** The last announcement of an incarnation, as a pulse passes it on; [key] is a hash of its name and incarnation. */
+public data class ServerRenewal(val key: Long, val version: Long, val ageMs: Long, val coldMs: Long)
+
 /**
  * One host's view of the backend servers of a site, built from announcements and from digests of other hosts.
  *
@@ -13,6 +16,7 @@
  */
 public class BackendServerRegistry(private val leaseMs: Long) {
     private val entries = LinkedHashMap<String, Entry>()
+    private val byKey = HashMap<Long, Entry>()
     private val departures = LinkedHashMap<String, Departure>()
 
     /** Applies an announcement received by this host; returns true if it must be sent to other hosts at once. */
@@ -41,15 +45,43 @@
     /** Records a load observed by an entry host, unless a newer one is known. */
     public fun recordLoad(load: BackendLoad, nowMs: Long) {
         val entry = entries[load.name]?.takeIf { it.state.incarnation == load.incarnation } ?: return
-        val observedMs = nowMs - load.ageMs
-        if (observedMs < entry.loadAtMs) return
-        entry.loadAtMs = observedMs
-        entry.state = entry.state.copy(running = load.running, queued = load.queued)
+        entry.recordLoad(load.running, load.queued, nowMs - load.ageMs)
+    }
+
+    /**
+     * Renews the incarnation that [renewal] of a pulse stands for; returns false if this host does not know it.
+     *
+     * A renewal without a newer announcement changes nothing but the lease.
+     */
+    public fun renew(renewal: ServerRenewal, nowMs: Long): Boolean {
+        val entry = byKey[renewal.key] ?: return false
+        val lastSeenMs = nowMs - renewal.ageMs
+        if (renewal.ageMs >= leaseMs || renewal.version < entry.state.version) return true
+        if (renewal.version > entry.state.version) {
+            entry.coldUntilMs = nowMs + renewal.coldMs
+            entry.state = entry.state.copy(version = renewal.version)
+        }
+        entry.lastSeenMs = maxOf(entry.lastSeenMs, lastSeenMs)
+        return true
     }
 
+    /** Records the load in column form of the incarnation that [key] stands for, unless a newer one is known. */
+    public fun recordLoad(key: Long, running: Long, queued: Long, observedMs: Long) {
+        byKey[key]?.recordLoad(running, queued, observedMs)
+    }
+
+    /** Returns the renewals of all servers for a pulse. */
+    public fun renewals(nowMs: Long): List<ServerRenewal> = entries.values.map {
+        val ageMs = (nowMs - it.lastSeenMs).coerceAtLeast(0)
+        ServerRenewal(it.key, it.state.version, ageMs, (it.coldUntilMs - nowMs).coerceAtLeast(0))
+    }
+
+    /** Returns the key that stands for the current incarnation of [name] in a pulse, or null if it is unknown. */
+    public fun keyOf(name: String): Long? = entries[name]?.key
+
     /** Removes servers whose lease expired, and departures too old for a delayed announcement to contradict. */
     public fun tick(nowMs: Long) {
-        entries.values.removeIf { nowMs - it.lastSeenMs >= leaseMs }
+        removeIf { nowMs - it.lastSeenMs >= leaseMs }
         departures.values.removeIf { nowMs - it.atMs > DEPARTURE_RETENTION_MS }
     }
 
@@ -85,17 +117,25 @@
         if (nowMs - lastSeenMs >= leaseMs || isSuperseded(state)) return false
         val old = entries[state.name]?.takeIf { it.state.incarnation == state.incarnation }
         if (old != null && (state.version < old.state.version || !isSameServer(old.state, state))) return false
-        entries.values.removeIf { it.state.address == state.address && it.state.name != state.name }
+        removeIf { it.state.address == state.address && it.state.name != state.name }
         return if (old == null) insert(state, lastSeenMs, nowMs) else renew(old, state, lastSeenMs, nowMs)
     }
 
     private fun insert(state: BackendServerState, lastSeenMs: Long, nowMs: Long): Boolean {
         val entry = Entry(state.copy(isLeaving = state.isLeaving || hasDeparted(state)), lastSeenMs)
         entry.coldUntilMs = nowMs + state.coldMs
-        entries[state.name] = entry
+        entries.put(state.name, entry)?.let { byKey.remove(it.key) }
+        byKey[entry.key] = entry
         return true
     }
 
+    private fun removeIf(isRemoved: (Entry) -> Boolean) {
+        entries.values.filter(isRemoved).forEach {
+            entries.remove(it.state.name)
+            byKey.remove(it.key)
+        }
+    }
+
     private fun renew(entry: Entry, state: BackendServerState, lastSeenMs: Long, nowMs: Long): Boolean {
         val old = entry.state
         val isLeaving = old.isLeaving || state.isLeaving || hasDeparted(state)
@@ -131,8 +171,17 @@
     }
 
     private class Entry(var state: BackendServerState, var lastSeenMs: Long) {
+        val key = PulseKeys.of(state)
         var loadAtMs = Long.MIN_VALUE / 2
         var coldUntilMs = 0L
+
+        fun recordLoad(running: Long, queued: Long, observedMs: Long) {
+            if (observedMs < loadAtMs) return
+            loadAtMs = observedMs
+            if (state.running != running || state.queued != queued) {
+                state = state.copy(running = running, queued = queued)
+            }
+        }
     }
 
     private class Departure(val incarnation: Long, val atMs: Long)
--- a/core/src/main/kotlin/org/arbutusrelay/core/site/HostRegistry.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/HostRegistry.kt
@@ -11,27 +11,43 @@
  */
 public class HostRegistry {
     private val entries = LinkedHashMap<String, Entry>()
+    private val byKey = HashMap<Long, Entry>()
 
-    /** Records a host's own report; returns true if it is new or its epoch or leaving state changed. */
+    /** Records a host's own report; returns true if its state is new to this host. */
     public fun recordReport(host: HostState, nowMs: Long): Boolean = merge(host, 0, nowMs)
 
-    /** Merges an entry of a digest; returns true if it is new or its epoch or leaving state changed. */
+    /** Merges an entry of a digest; returns true if its state is new to this host. */
     public fun merge(host: HostState, ageMs: Long, nowMs: Long): Boolean {
         val lastSeenMs = nowMs - ageMs
         val old = entries[host.hostName]
         val isOutdated = old != null &&
             if (old.host.epoch == host.epoch) host.version < old.host.version else lastSeenMs <= old.lastSeenMs
         if (isOutdated || ageMs > retentionMs(host)) return false
-        val isChanged = old == null || old.host.isLeaving != host.isLeaving || old.host.epoch != host.epoch
+        val isChanged = old == null || old.host.version != host.version || old.host.epoch != host.epoch
         val latestMs =
             if (old != null && old.host.epoch == host.epoch) maxOf(old.lastSeenMs, lastSeenMs) else lastSeenMs
-        entries[host.hostName] = Entry(host, latestMs)
+        if (old == null || isChanged) put(Entry(host, latestMs)) else old.lastSeenMs = latestMs
         return isChanged
     }
 
+    /** Renews the host that [key] of a pulse stands for; returns false if this host does not know its state. */
+    public fun renew(key: Long, ageMs: Long, nowMs: Long): Boolean {
+        val entry = byKey[key] ?: return false
+        if (ageMs <= retentionMs(entry.host)) entry.lastSeenMs = maxOf(entry.lastSeenMs, nowMs - ageMs)
+        return true
+    }
+
+    /** Calls [action] with the key and the age of the last report of each host, for a pulse. */
+    public fun forEachKey(nowMs: Long, action: (key: Long, ageMs: Long) -> Unit): Unit =
+        entries.values.forEach { action(it.key, (nowMs - it.lastSeenMs).coerceAtLeast(0)) }
+
     /** Removes hosts whose last report exceeds the retention time. */
     public fun tick(nowMs: Long) {
-        entries.values.removeIf { nowMs - it.lastSeenMs > retentionMs(it.host) }
+        val expired = entries.values.filter { nowMs - it.lastSeenMs > retentionMs(it.host) }
+        expired.forEach {
+            entries.remove(it.host.hostName)
+            byKey.remove(it.key)
+        }
     }
 
     /** Returns all hosts for a digest. */
@@ -42,9 +58,16 @@
     public fun live(nowMs: Long): List<HostState> =
         entries.values.filter { nowMs - it.lastSeenMs <= REPORT_TIMEOUT_MS }.map { it.host }
 
+    private fun put(entry: Entry) {
+        entries.put(entry.host.hostName, entry)?.let { byKey.remove(it.key) }
+        byKey[entry.key] = entry
+    }
+
     private fun retentionMs(host: HostState) = if (host.isStateHost) STATE_HOST_RETENTION_MS else REPORT_TIMEOUT_MS
 
-    private class Entry(val host: HostState, val lastSeenMs: Long)
+    private class Entry(val host: HostState, var lastSeenMs: Long) {
+        val key = PulseKeys.of(host)
+    }
 
     public companion object {
         /** Three report intervals, short enough that callers are not directed to a dead host for long. */
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/PendingChanges.kt
@@ -0,0 +1,49 @@
+package org.arbutusrelay.core.site
+
+import org.arbutusrelay.schema.message.BackendDeparture
+import org.arbutusrelay.schema.message.BackendServerState
+import org.arbutusrelay.schema.message.SiteDigest
+import org.arbutusrelay.schema.message.SiteHost
+
+/**
+ * Collects changes of a site until they are sent together as one digest.
+ *
+ * When a fleet starts, each host learns of all the others within a fraction of a second; one digest for each change
+ * would take a number of messages that grows with the square of the number of hosts. Not thread-safe.
+ */
+public class PendingChanges {
+    private val hosts = LinkedHashMap<String, SiteHost>()
+    private val servers = LinkedHashMap<String, BackendServerState>()
+    private val departures = LinkedHashMap<String, BackendDeparture>()
+
+    /** Adds [host]; it replaces an earlier change of the same host. */
+    public fun add(host: SiteHost) {
+        hosts[host.host.hostName] = host
+    }
+
+    /** Adds [server]; it replaces an earlier change of the same backend server. */
+    public fun add(server: BackendServerState) {
+        servers[server.name] = server
+    }
+
+    /** Adds [departure]; it replaces an earlier one of the same backend server. */
+    public fun add(departure: BackendDeparture) {
+        departures[departure.name] = departure
+    }
+
+    /** Removes and returns the collected changes, or null if there are none. */
+    public fun take(stateIndex: Long): SiteDigest? {
+        if (hosts.isEmpty() && servers.isEmpty() && departures.isEmpty()) return null
+        val digest = SiteDigest(
+            stateIndex = stateIndex,
+            isFull = false,
+            hosts = hosts.values.toList(),
+            backendServers = servers.values.toList(),
+            departures = departures.values.toList(),
+        )
+        hosts.clear()
+        servers.clear()
+        departures.clear()
+        return digest
+    }
+}
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/Link.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/Link.kt
@@ -25,8 +25,14 @@
     @Volatile
     private var lastReceivedAt: TimeMark = timeSource.markNow()
 
+    @Volatile
+    private var lastOfferedAt: TimeMark = timeSource.markNow()
+
     /** Queues [body], the encoding of [frame], without blocking; returns false if the queue is full or closed. */
-    fun offer(frame: LinkFrame, body: ByteArray): Boolean = queue.offer(frame, body)
+    fun offer(frame: LinkFrame, body: ByteArray): Boolean {
+        lastOfferedAt = timeSource.markNow()
+        return queue.offer(frame, body)
+    }
 
     /** Sends and receives frames until the link fails; never returns normally. */
     suspend fun run(onFrame: (LinkFrame) -> Unit): Unit = coroutineScope {
@@ -56,11 +62,14 @@
         }
     }
 
+    /** Sends a ping whenever no other frame was sent for an interval, and closes the link when the peer is silent. */
     private suspend fun sendPings() {
         var sequence = 0L
         while (true) {
-            val frame = LinkFrame(ping = Ping(sequence++))
-            queue.offer(frame, FrameCodec.encode(frame))
+            if (lastOfferedAt.elapsedNow() >= options.pingIntervalMs.milliseconds) {
+                val frame = LinkFrame(ping = Ping(sequence++))
+                offer(frame, FrameCodec.encode(frame))
+            }
             delay(options.pingIntervalMs)
             if (lastReceivedAt.elapsedNow() > options.silenceTimeoutMs.milliseconds) {
                 val detail = "nothing received for ${options.silenceTimeoutMs} ms"
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/LinkNetwork.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/LinkNetwork.kt
@@ -16,6 +16,9 @@
      */
     public fun send(hostName: String, frame: LinkFrame): Boolean
 
+    /** Queues [frame] for each host in [hostNames], as [send] does. */
+    public fun sendAll(hostNames: Collection<String>, frame: LinkFrame): Unit = hostNames.forEach { send(it, frame) }
+
     /** Returns the identity of each connected host, with its announced process epoch, by host name. */
     public fun connected(): Map<String, HostIdentity>
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetwork.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetwork.kt
@@ -78,6 +78,14 @@
         return body.size <= FrameCodec.MAX_BODY_BYTES && link.offer(frame, body)
     }
 
+    /** Encodes [frame] once for all receivers. */
+    override fun sendAll(hostNames: Collection<String>, frame: LinkFrame) {
+        val links = hostNames.mapNotNull { table[it] }
+        if (links.isEmpty()) return
+        val body = FrameCodec.encode(frame)
+        if (body.size <= FrameCodec.MAX_BODY_BYTES) links.forEach { it.offer(frame, body) }
+    }
+
     override fun connected(): Map<String, HostIdentity> = table.all().associate { it.peer.hostName to it.peer }
 
     override fun connect(hostName: String, address: String) {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -5,29 +5,33 @@
 import kotlinx.coroutines.launch
 import org.arbutusrelay.core.site.BackendServerRegistry
 import org.arbutusrelay.core.site.HostRegistry
+import org.arbutusrelay.core.site.PendingChanges
+import org.arbutusrelay.core.site.SitePulses
 import org.arbutusrelay.core.site.SiteStateMachine
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.FrameReceiver
 import org.arbutusrelay.daemon.link.HostIdentity
 import org.arbutusrelay.daemon.link.LinkNetwork
-import org.arbutusrelay.schema.message.BackendDeparture
 import org.arbutusrelay.schema.message.BackendLoad
 import org.arbutusrelay.schema.message.BackendServerState
 import org.arbutusrelay.schema.message.HostState
 import org.arbutusrelay.schema.message.LinkFrame
 import org.arbutusrelay.schema.message.SiteDigest
 import org.arbutusrelay.schema.message.SiteHost
+import org.arbutusrelay.schema.message.SitePulse
 import org.arbutusrelay.schema.message.SiteReport
 import org.arbutusrelay.schema.message.SiteState
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicReference
 
 /**
  * Replicates site membership and state between hosts: hosts, backend servers, current document and evacuations.
  *
  * State hosts form a full mesh and exchange all data. An entry host reports to a majority of the state hosts, those of
- * its region first, and receives digests from them: a full one every second and changes immediately. The name of a host
- * is its IP address because a seed is configured only by address; [linkPort] is the same on all hosts.
+ * its region first, and receives from them a digest of everything at first, changes at once, and every second a pulse
+ * that renews what it knows. Changes that arrive within [SiteTimes.batchDelayMs] are sent and published together. The
+ * name of a host is its IP address because a seed is configured only by address; [linkPort] is the same on all hosts.
  */
 public class SiteService(
     private val network: LinkNetwork,
@@ -50,12 +54,23 @@
     private var self = self
     private var state = SiteStateMachine.EMPTY
     private var nextReportAtMs = 0L
+    private var nextMeshDigestAtMs = 0L
+    private val digestRequestedAtMs = HashMap<String, Long>()
+    private val changesForAll = PendingChanges()
+    private val changesForSubscribers = PendingChanges()
+    private val isBatchScheduled = AtomicBoolean()
+
+    @Volatile
+    private var batchScope: CoroutineScope? = null
+
+    @Volatile
+    private var publishedAtMs = Long.MIN_VALUE / 2
     private val currentView = AtomicReference(SiteView(SiteStateMachine.EMPTY, listOf(self), emptyList(), 0))
 
     /** The current view of this host. */
     public val view: SiteView get() = currentView.get()
 
-    /** Calls [listener] after each change and on each tick, in the order of the views; it must not block. */
+    /** Calls [listener] after changes and at intervals, in the order of the views; it must not block. */
     public fun addListener(listener: (SiteView) -> Unit) {
         listeners += listener
     }
@@ -63,6 +78,7 @@
     /** Starts receiving frames and sending reports or digests. */
     public fun start(scope: CoroutineScope) {
         network.addReceiver(this)
+        batchScope = scope
         scope.launch {
             while (true) {
                 tick()
@@ -106,17 +122,18 @@
     /** Processes an announcement of a backend server. */
     public fun announce(server: BackendServerState) {
         val nowMs = clock.nowMs()
-        val merged = synchronized(this) {
-            if (servers.announce(server, nowMs)) servers.state(server.name, nowMs) else null
-        } ?: return
-        sendDigest(digest(servers = listOf(merged)), digestTargets())
+        synchronized(this) {
+            if (!servers.announce(server, nowMs)) return
+            servers.state(server.name, nowMs)?.let { changesForAll.add(it) }
+        }
+        scheduleBatch()
         publish()
     }
 
     /** Processes the notice that a backend server is shutting down. */
     public fun deregister(name: String, incarnation: Long?) {
-        val departure = synchronized(this) { servers.recordDeparture(name, incarnation, clock.nowMs()) }
-        sendDigest(digest(departures = listOf(departure)), digestTargets())
+        synchronized(this) { changesForAll.add(servers.recordDeparture(name, incarnation, clock.nowMs())) }
+        scheduleBatch()
         publish()
     }
 
@@ -128,7 +145,8 @@
 
     override fun onFrame(from: HostIdentity, frame: LinkFrame) {
         frame.siteReport?.let { onReport(from, it) }
-        frame.siteDigest?.let { onDigest(from, it) }
+        frame.siteDigest?.let(::onDigest)
+        frame.sitePulse?.let { onPulse(from, it) }
         frame.siteState?.let { if (!self.isStateHost) install(it) }
     }
 
@@ -139,19 +157,25 @@
             isNewSubscriber = subscriptions.put(from.hostName, Subscription(from.epoch, nowMs))?.epoch != from.epoch
             if (isNewSubscriber) statePushedAtMs.remove(from.hostName)
             report.loads.forEach { servers.recordLoad(it, nowMs) }
-            hosts.recordReport(report.host, nowMs)
-        }
-        if (isHostChanged) {
-            sendDigest(digest(hosts = listOf(SiteHost(report.host, 0))), digestTargets() - from.hostName)
-            publish()
+            val isChanged = hosts.recordReport(report.host, nowMs)
+            if (isChanged) changesForAll.add(SiteHost(report.host, 0))
+            isChanged
         }
-        if (isNewSubscriber) sendDigest(fullDigest(nowMs), setOf(from.hostName))
+        if (isHostChanged) scheduleBatch()
+        if (isNewSubscriber || report.needsDigest) sendDigest(fullDigest(nowMs), setOf(from.hostName))
         pushIfBehind(from.hostName, report.stateIndex, nowMs)
     }
 
     override fun onLinkUp(host: HostIdentity) {
-        // A newly started entry host needs the site state before its next periodic report is due.
-        if (!self.isStateHost) sendReports(clock.nowMs())
+        // A newly started host needs the state of the site before the next periodic message is due.
+        val nowMs = clock.nowMs()
+        if (!self.isStateHost) {
+            sendReports(nowMs)
+        } else if (host.hostName in
+            stateHosts()
+        ) {
+            sendDigest(fullDigest(nowMs), setOf(host.hostName))
+        }
     }
 
     private fun pushIfBehind(hostName: String, index: Long, nowMs: Long) {
@@ -168,25 +192,58 @@
         }
     }
 
-    private fun onDigest(from: HostIdentity, digest: SiteDigest) {
+    private fun onDigest(digest: SiteDigest) {
         val nowMs = clock.nowMs()
-        val changedServers = ArrayList<BackendServerState>()
-        val newDepartures = ArrayList<BackendDeparture>()
-        val changedHosts = ArrayList<SiteHost>()
-        synchronized(this) {
-            digest.departures.forEach { if (servers.merge(it, nowMs)) newDepartures += it }
-            digest.backendServers.forEach { if (servers.merge(it, nowMs)) changedServers += it }
+        val isChanged = synchronized(this) {
+            val newDepartures = digest.departures.filter { servers.merge(it, nowMs) }
+            val changedServers = digest.backendServers.filter { servers.merge(it, nowMs) }
             digest.loads.forEach { servers.recordLoad(it, nowMs) }
-            digest.hosts.filter { it.host.hostName != self.hostName }.forEach {
-                if (hosts.merge(it.host, it.ageMs, nowMs)) changedHosts += it
+            val changedHosts = digest.hosts.filter {
+                it.host.hostName != self.hostName && hosts.merge(it.host, it.ageMs, nowMs)
             }
+            if (self.isStateHost) {
+                newDepartures.forEach(changesForSubscribers::add)
+                changedServers.forEach(changesForSubscribers::add)
+                changedHosts.forEach(changesForSubscribers::add)
+            }
+            newDepartures.isNotEmpty() || changedServers.isNotEmpty() || changedHosts.isNotEmpty()
+        }
+        if (isChanged) scheduleBatch()
+    }
+
+    /**
+     * Applies renewals and loads, which are published with the next view, and requests what a pulse names and this host
+     * does not know.
+     */
+    private fun onPulse(from: HostIdentity, pulse: SitePulse) {
+        val nowMs = clock.nowMs()
+        val request = synchronized(this) {
+            val isComplete = SitePulses.apply(pulse, hosts, servers, nowMs)
+            val requestedAtMs = digestRequestedAtMs[from.hostName] ?: (Long.MIN_VALUE / 2)
+            if (isComplete || nowMs - requestedAtMs < times.reportIntervalMs) return
+            digestRequestedAtMs[from.hostName] = nowMs
+            SiteReport(self, state.index, emptyList(), needsDigest = true)
         }
-        val isChanged = changedServers.isNotEmpty() || newDepartures.isNotEmpty() || changedHosts.isNotEmpty()
-        if (!isChanged) return
-        if (self.isStateHost) {
-            sendDigest(digest(changedHosts, changedServers, newDepartures), subscribers() - from.hostName)
+        network.send(from.hostName, LinkFrame(siteReport = request))
+    }
+
+    /** Sends and publishes the collected changes after a short delay, together with those that follow. */
+    private fun scheduleBatch() {
+        val scope = batchScope ?: return sendBatch()
+        if (!isBatchScheduled.compareAndSet(false, true)) return
+        scope.launch {
+            delay(times.batchDelayMs)
+            isBatchScheduled.set(false)
+            sendBatch()
+            publish()
         }
-        publish()
+    }
+
+    private fun sendBatch() {
+        val (forAll, forSubscribers) =
+            synchronized(this) { changesForAll.take(state.index) to changesForSubscribers.take(state.index) }
+        forAll?.let { sendDigest(it, digestTargets()) }
+        forSubscribers?.let { sendDigest(it, subscribers()) }
     }
 
     private fun tick() {
@@ -199,9 +256,9 @@
         maintainLinks()
         if (nowMs >= nextReportAtMs) {
             nextReportAtMs = nowMs + times.reportIntervalMs
-            if (self.isStateHost) sendFullDigests(nowMs) else sendReports(nowMs)
+            if (self.isStateHost) sendPulses(nowMs) else sendReports(nowMs)
         }
-        publish()
+        if (nowMs - publishedAtMs >= times.publishIntervalMs) publish()
     }
 
     private fun maintainLinks() {
@@ -227,11 +284,17 @@
             SiteReport(self, state.index, loads)
         }
         val ranked = selector.rank(stateHostRegions() - self.hostName)
-        selector.reportTargets(ranked, network.connected().keys)
-            .forEach { network.send(it, LinkFrame(siteReport = report)) }
+        network.sendAll(selector.reportTargets(ranked, network.connected().keys), LinkFrame(siteReport = report))
     }
 
-    private fun sendFullDigests(nowMs: Long) = sendDigest(fullDigest(nowMs), digestTargets())
+    /** Sends a pulse to all hosts; state hosts also exchange full digests, which repair a missed change. */
+    private fun sendPulses(nowMs: Long) {
+        val pulse = synchronized(this) { SitePulses.of(state.index, hosts, servers, nowMs, times.loadMaxAgeMs) }
+        network.sendAll(digestTargets() - self.hostName, LinkFrame(sitePulse = pulse))
+        if (nowMs < nextMeshDigestAtMs) return
+        nextMeshDigestAtMs = nowMs + times.meshDigestIntervalMs
+        sendDigest(fullDigest(nowMs), connectedStateHosts())
+    }
 
     private fun fullDigest(nowMs: Long): SiteDigest = synchronized(this) {
         SiteDigest(
@@ -245,7 +308,9 @@
     }
 
     /** Returns the subscribed entry hosts and all connected state hosts. */
-    private fun digestTargets(): Set<String> = subscribers() + (stateHosts() intersect network.connected().keys)
+    private fun digestTargets(): Set<String> = subscribers() + connectedStateHosts()
+
+    private fun connectedStateHosts(): Set<String> = stateHosts() intersect network.connected().keys
 
     private fun subscribers(): Set<String> = synchronized(this) {
         val nowMs = clock.nowMs()
@@ -253,15 +318,8 @@
         subscriptions.keys.toSet()
     }
 
-    private fun digest(
-        hosts: List<SiteHost> = emptyList(),
-        servers: List<BackendServerState> = emptyList(),
-        departures: List<BackendDeparture> = emptyList(),
-    ) = SiteDigest(synchronized(this) { state.index }, false, hosts, servers, departures)
-
     private fun sendDigest(digest: SiteDigest, targets: Set<String>) {
-        val frame = LinkFrame(siteDigest = digest)
-        (targets - self.hostName).forEach { network.send(it, frame) }
+        network.sendAll(targets - self.hostName, LinkFrame(siteDigest = digest))
     }
 
     /** Builds a view and passes it to the listeners; the lock ensures that no listener receives an older view last. */
@@ -269,6 +327,7 @@
         val nowMs = clock.nowMs()
         val next = synchronized(this) { SiteView(state, hosts.live(nowMs), servers.states(nowMs), nowMs) }
         currentView.set(next)
+        publishedAtMs = nowMs
         listeners.forEach { it(next) }
     }
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteTimes.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteTimes.kt
@@ -3,8 +3,14 @@
 /** Intervals and timeouts of site membership, in milliseconds. */
 public data class SiteTimes(
     val tickIntervalMs: Long = 250,
-    /** Interval between reports and between full digests. */
+    /** Interval between reports and between pulses. */
     val reportIntervalMs: Long = 1_000,
+    /** Interval between full digests of two state hosts; shorter than the timeouts of hosts and leases. */
+    val meshDigestIntervalMs: Long = 3_000,
+    /** Time for which changes are collected before they are sent and published together. */
+    val batchDelayMs: Long = 20,
+    /** Interval between views without a change, which carry new loads and expire hosts. */
+    val publishIntervalMs: Long = 450,
     /** Backend servers announce themselves about every 1,200 ms; the lease expires after five lost announcements. */
     val backendLeaseMs: Long = 6_000,
     /** A host stops sending digests to an entry host that has not reported to it for this long. */
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/observe/EventLogLayoutTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/observe/EventLogLayoutTest.kt
@@ -29,13 +29,13 @@
         listOf(
             Triple<Message, Long, String>(
                 SimpleMessage("plain"),
-                0L,
-                expected("1970-01-01T00:00:00.000Z", "\"plain\""),
+                1_000L,
+                expected("1970-01-01T00:00:01.000Z", "\"plain\""),
             ),
             Triple(
                 SimpleMessage("two\nlines \"quoted\""),
                 1_500L,
-                expected("1970-01-01T00:00:01.500Z", """"two\nlines \"quoted\""""),
+                expected("1970-01-01T00:00:01.500Z", "\"two\\nlines \\\"quoted\\\"\""),
             ),
             Triple(
                 EventMessage(line),
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
@@ -55,23 +55,33 @@
     )
 
     private fun logHosts(latest: Map<String, HostState>) {
-        latest.values.filter { hasChanged(hosts[it.hostName], it) }.forEach {
+        val changed = latest.values.filter { hasChanged(hosts[it.hostName], it) }
+        if (changed.size > MAX_HOST_LINES) {
             log.write(
                 EventLine(
                     Event.HOST_CHANGED,
-                    host = it.hostName,
-                    address = it.callerAddress.ifEmpty { it.address },
-                    region = it.region,
-                    availabilityZone = it.availabilityZone,
-                    version = it.version,
-                    isLeaving = it.isLeaving,
+                    detail = changed.joinToString(" ") {
+                        "${it.hostName}/${it.version}"
+                    },
                 ),
             )
+        } else {
+            changed.forEach { log.write(eventLine(it)) }
         }
         (hosts.keys - latest.keys).forEach { log.write(EventLine(Event.HOST_LOST, host = it)) }
         hosts = latest
     }
 
+    private fun eventLine(host: HostState) = EventLine(
+        Event.HOST_CHANGED,
+        host = host.hostName,
+        address = host.callerAddress.ifEmpty { host.address },
+        region = host.region,
+        availabilityZone = host.availabilityZone,
+        version = host.version,
+        isLeaving = host.isLeaving,
+    )
+
     private fun hasChanged(old: HostState?, new: HostState): Boolean = old == null || old.epoch != new.epoch ||
         old.isLeaving != new.isLeaving || old.callerAddress != new.callerAddress
 
@@ -100,4 +110,9 @@
         isLeaving = server.isLeaving,
         coldMs = server.coldMs,
     )
+
+    private companion object {
+        /** When a fleet starts, each host learns of all others at once; a line for each would take a tenth of its start. */
+        const val MAX_HOST_LINES = 4
+    }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteLinks.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteLinks.kt
@@ -21,7 +21,7 @@
     )
 
     val network: SocketLinkNetwork =
-        SocketLinkNetwork(identity, settings.sharedSecret.toByteArray(), scope, LinkOptions(maxReconnectDelayMs = 500))
+        SocketLinkNetwork(identity, settings.sharedSecret.toByteArray(), scope, LINK_OPTIONS)
 
     /** Creates the service that exchanges state with other hosts; [otherStateHosts] are those not in the settings. */
     fun siteService(clock: RelayClock, otherStateHosts: () -> Set<String> = { emptySet() }): SiteService = SiteService(
@@ -44,6 +44,10 @@
     suspend fun listen(): Int = network.listen(settings.bindAddress, settings.linkPort)
 
     companion object {
+        /** Reports and pulses cross each link once a second, so that a ping is needed only when they are late. */
+        private val LINK_OPTIONS =
+            LinkOptions(pingIntervalMs = 1_000, silenceTimeoutMs = 2_500, maxReconnectDelayMs = 500)
+
         /** Returns the host names of the seeds in [settings]. */
         fun seedNames(settings: SiteSettings): List<String> = settings.seeds.map { it.substringBefore(':') }
     }
