Bound what a faulty server may send, and answer what was accepted before a stop

Cause, found by tests that try to bring about what operators reported: - a response without end was buffered without limit, the discarded body of a refusal and interim responses were read without end, and an event without end was kept and searched from its start at each read; - a stream that sent a byte now and then counted as making progress, and a sound one was given up after 1.5 s whatever pause its route allows; - a refusal without an identifier on a reused connection was taken for the refusal of the request in progress, which has run; - a stop closed a connection that had just been accepted, and ended while a body was still being read (PlannedStopTest failed); - after a restart of all state hosts, a delayed announcement put a server that had left back in use; - the wait of a caller counted from the end of its body, and not at all while the loop of a starved host was late. Change: ResponseBuffers, bounds in BackendConnection and EventStreamCursor; progress is an event; the idle timeout follows the route's pause; ConnectionDrain; reports repeat recent departures; LoopLag and the arrival of the head set the deadline. Already held and checked by reading: orders need the leader lease and carry its term; a restarted host needs a majority before a manifest is in force; nothing ends a run because its server fell silent in the table.

--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/EventStreamCursor.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/EventStreamCursor.kt
@@ -26,14 +26,19 @@
     /** True while an incomplete event is buffered. */
     public val isInsideEvent: Boolean get() = partial.size() > 0
 
+    /** True if the incomplete event exceeds [MAX_EVENT_BYTES], so that the stream must be given up. */
+    public val isEventTooLong: Boolean get() = partial.size() > MAX_EVENT_BYTES
+
     /** Appends the next bytes and returns the events that they complete; empty if there are none. */
     public fun push(bytes: ByteArray): ByteArray {
+        // The empty line that ends an event may have begun with the last bytes before.
+        val scanFrom = maxOf(0, partial.size() - MAX_EMPTY_LINE_BYTES)
         partial.write(bytes)
         val buffered = partial.toByteArray()
         val output = ByteArrayOutputStream(buffered.size)
         var start = 0
         while (true) {
-            val end = findEventEnd(buffered, start)
+            val end = findEventEnd(buffered, start, maxOf(start, scanFrom))
             if (end < 0) break
             emit(buffered, start, end, output)
             start = end
@@ -57,14 +62,12 @@
         output.write(buffered, start, end - start)
     }
 
-    /** Returns the index after the empty line that terminates the event at [start], or -1. */
-    private fun findEventEnd(buffered: ByteArray, start: Int): Int {
-        var lineStart = start
-        for (index in start until buffered.size) {
+    /** Returns the index after the empty line that terminates the event at [start], or -1; it ends after [scanFrom]. */
+    private fun findEventEnd(buffered: ByteArray, start: Int, scanFrom: Int): Int {
+        for (index in maxOf(start + 1, scanFrom) until buffered.size) {
             if (buffered[index] != LINE_FEED) continue
-            val isEmpty = index == lineStart || (index == lineStart + 1 && buffered[lineStart] == CARRIAGE_RETURN)
-            if (isEmpty && index > start) return index + 1
-            lineStart = index + 1
+            val previous = if (buffered[index - 1] == CARRIAGE_RETURN) index - 2 else index - 1
+            if (previous < start || buffered[previous] == LINE_FEED) return index + 1
         }
         return -1
     }
@@ -73,9 +76,14 @@
         String(buffered, start, end - start, Charsets.ISO_8859_1).lineSequence()
             .firstOrNull { it.startsWith(ID_FIELD) }?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
 
-    private companion object {
-        const val LINE_FEED = '\n'.code.toByte()
-        const val CARRIAGE_RETURN = '\r'.code.toByte()
-        const val ID_FIELD = "id:"
+    public companion object {
+        /** Longest event, in bytes; a backend server that sends more without an end of the event is faulty. */
+        public const val MAX_EVENT_BYTES: Int = 256 * 1024
+
+        /** Bytes of a line feed, a carriage return and a line feed, less the last one. */
+        private const val MAX_EMPTY_LINE_BYTES = 2
+        private const val LINE_FEED = '\n'.code.toByte()
+        private const val CARRIAGE_RETURN = '\r'.code.toByte()
+        private const val ID_FIELD = "id:"
     }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/route/Route.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/route/Route.kt
@@ -40,6 +40,8 @@
     val isResumable: Boolean,
     /** Regions that may execute and store the requests; empty if every region may. */
     val homeRegions: List<String>,
+    /** Longest pause between two events of a stream that is still on time, in milliseconds; 0 if not specified. */
+    val targetPauseMs: Long = 0,
 ) {
     /** True if the request may be sent to a second backend server after the first may have executed it. */
     val isRepeatable: Boolean get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAM && isResumable)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -47,8 +47,7 @@
     private val servers = BackendServerRegistry(times.backendLeaseMs)
     private val selector = StateHostSelector(self.hostName, self.region)
     private val dialledHosts = HashSet<String>()
-    private val subscriptions = HashMap<String, Subscription>()
-    private val statePushedAtMs = HashMap<String, Long>()
+    private val subscriptions = Subscriptions(times)
     private val unreportedLoads = LinkedHashMap<String, BackendLoad>()
     private val listeners = CopyOnWriteArrayList<(SiteView) -> Unit>()
     private var self = self
@@ -115,7 +114,7 @@
             true
         }
         if (!isNewer) return
-        if (self.isStateHost) subscribers().forEach { push(it, newer) }
+        if (self.isStateHost) subscriptions.active(clock.nowMs()).forEach { push(it, newer) }
         publish()
     }
 
@@ -152,16 +151,16 @@
 
     private fun onReport(from: HostIdentity, report: SiteReport) {
         val nowMs = clock.nowMs()
-        var isNewSubscriber = false
-        val isHostChanged = synchronized(this) {
-            isNewSubscriber = subscriptions.put(from.hostName, Subscription(from.epoch, nowMs))?.epoch != from.epoch
-            if (isNewSubscriber) statePushedAtMs.remove(from.hostName)
+        val isNewSubscriber = subscriptions.record(from.hostName, from.epoch, nowMs)
+        val isChanged = synchronized(this) {
             report.loads.forEach { servers.recordLoad(it, nowMs) }
-            val isChanged = hosts.recordReport(report.host, nowMs)
-            if (isChanged) changesForAll.add(SiteHost(report.host, 0))
-            isChanged
+            val newDepartures = report.departures.filter { servers.merge(it, nowMs) }
+            newDepartures.forEach(changesForAll::add)
+            val isNew = hosts.recordReport(report.host, nowMs)
+            if (isNew) changesForAll.add(SiteHost(report.host, 0))
+            isNew || newDepartures.isNotEmpty()
         }
-        if (isHostChanged) scheduleBatch()
+        if (isChanged) scheduleBatch()
         if (isNewSubscriber || report.needsDigest) sendDigest(fullDigest(nowMs), setOf(from.hostName))
         pushIfBehind(from.hostName, report.stateIndex, nowMs)
     }
@@ -169,27 +168,19 @@
     override fun onLinkUp(host: HostIdentity) {
         // A newly started host needs the state of the site before the next periodic message is due.
         val nowMs = clock.nowMs()
-        if (!self.isStateHost) {
-            sendReports(nowMs)
-        } else if (host.hostName in
-            stateHosts()
-        ) {
-            sendDigest(fullDigest(nowMs), setOf(host.hostName))
+        when {
+            !self.isStateHost -> sendReports(nowMs)
+            host.hostName in stateHosts() -> sendDigest(fullDigest(nowMs), setOf(host.hostName))
         }
     }
 
     private fun pushIfBehind(hostName: String, index: Long, nowMs: Long) {
-        val newer = synchronized(this) {
-            val isDue = nowMs - (statePushedAtMs[hostName] ?: Long.MIN_VALUE / 2) >= times.statePushIntervalMs
-            state.takeIf { index < it.index && isDue }
-        } ?: return
-        push(hostName, newer)
+        val newer = synchronized(this) { state.takeIf { index < it.index } } ?: return
+        if (subscriptions.isPushDue(hostName, nowMs)) push(hostName, newer)
     }
 
     private fun push(hostName: String, newer: SiteState) {
-        if (network.send(hostName, LinkFrame(siteState = newer))) {
-            synchronized(this) { statePushedAtMs[hostName] = clock.nowMs() }
-        }
+        if (network.send(hostName, LinkFrame(siteState = newer))) subscriptions.recordPush(hostName, clock.nowMs())
     }
 
     private fun onDigest(digest: SiteDigest) {
@@ -243,7 +234,7 @@
         val (forAll, forSubscribers) =
             synchronized(this) { changesForAll.take(state.index) to changesForSubscribers.take(state.index) }
         forAll?.let { sendDigest(it, digestTargets()) }
-        forSubscribers?.let { sendDigest(it, subscribers()) }
+        forSubscribers?.let { sendDigest(it, subscriptions.active(clock.nowMs())) }
     }
 
     private fun tick() {
@@ -281,7 +272,8 @@
         val report = synchronized(this) {
             val loads = unreportedLoads.values.map { it.copy(ageMs = nowMs - it.ageMs) }
             unreportedLoads.clear()
-            SiteReport(self, state.index, loads)
+            val recent = servers.departures(nowMs).filter { it.ageMs <= times.departureReportMs }
+            SiteReport(self, state.index, loads, departures = recent)
         }
         val ranked = selector.rank(stateHostRegions() - self.hostName)
         network.sendAll(selector.reportTargets(ranked, network.connected().keys), LinkFrame(siteReport = report))
@@ -308,16 +300,10 @@
     }
 
     /** Returns the subscribed entry hosts and all connected state hosts. */
-    private fun digestTargets(): Set<String> = subscribers() + connectedStateHosts()
+    private fun digestTargets(): Set<String> = subscriptions.active(clock.nowMs()) + connectedStateHosts()
 
     private fun connectedStateHosts(): Set<String> = stateHosts() intersect network.connected().keys
 
-    private fun subscribers(): Set<String> = synchronized(this) {
-        val nowMs = clock.nowMs()
-        subscriptions.values.removeIf { nowMs - it.atMs > times.subscriptionTimeoutMs }
-        subscriptions.keys.toSet()
-    }
-
     private fun sendDigest(digest: SiteDigest, targets: Set<String>) {
         network.sendAll(targets - self.hostName, LinkFrame(siteDigest = digest))
     }
@@ -331,9 +317,6 @@
         listeners.forEach { it(next) }
     }
 
-    /** The last report of an entry host; a new epoch is a restarted process that needs a full digest. */
-    private class Subscription(val epoch: Long, val atMs: Long)
-
     private companion object {
         /** Covers the time until the next announcement reports the actual state; one comes about every 1,200 ms. */
         const val COLD_AFTER_EVACUATION_MS = 3_000L
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteTimes.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteTimes.kt
@@ -9,6 +9,8 @@
     val meshDigestIntervalMs: Long = 3_000,
     /** Time for which changes are collected before they are sent and published together. */
     val batchDelayMs: Long = 20,
+    /** Reports repeat departures for this long, in case all state hosts restart and lose them. */
+    val departureReportMs: Long = 15_000,
     /** Interval between views without a change, which carry new loads and expire hosts. */
     val publishIntervalMs: Long = 450,
     /** Backend servers announce themselves about every 1,200 ms; the lease expires after five lost announcements. */
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
@@ -117,6 +117,22 @@
         assertEquals(1, view(name).backendServers.size)
     }
 
+    /** Guards against state hosts that restart together and put a server that left back in use. */
+    @Test
+    fun `a departure outlives a restart of all state hosts`() = site {
+        services.getValue(stateHosts[0]).announce(server(5))
+        delay(500)
+        services.getValue(stateHosts[1]).deregister("b", 1)
+        delay(500)
+        stateHosts.forEach { start(it, stateHosts, epoch = 2) }
+        delay(2_500)
+        // An announcement from before the departure that was delayed on its way.
+        services.getValue(stateHosts[2]).announce(server(4))
+        delay(500)
+        val left = (stateHosts + entryHosts).filter { name -> view(name).backendServers.all { it.isLeaving } }
+        assertEquals(stateHosts + entryHosts, left)
+    }
+
     /** Guards against an entry host that installs an older state sent by a lagging state host. */
     @Test
     fun `the state index of an entry host never decreases`() = site {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
@@ -22,8 +22,12 @@
 
 /** Receives the response to a call. Called on the event loop; at most one of [onComplete] and [onFailure] is called. */
 internal interface BackendListener {
-    /** Returns true when the response with this head belongs to the request; called before [onHead]. */
-    fun matchesRequest(head: BackendHead): Boolean
+    /**
+     * Returns true when the response with this head belongs to the request; called before [onHead].
+     *
+     * On a connection that [isReused], a late copy of an earlier response may arrive in place of the response.
+     */
+    fun matchesRequest(head: BackendHead, isReused: Boolean): Boolean
 
     /** The head of the response arrived; returns false when the body is to be discarded. */
     fun onHead(head: BackendHead): Boolean
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import java.util.concurrent.TimeUnit
 
 /**
  * One connection to a backend server, with at most one request at a time.
@@ -31,7 +32,13 @@
     private var listener: BackendListener? = null
     private var phase = Phase.IDLE
     private var isReusable = true
-    private var hasSkippedResponse = false
+    private var isReused = false
+    private var skippedResponses = 0
+    private var discardedBytes = 0
+    private var discardNumber = 0
+
+    /** True once a response to another request has arrived, after which the connection is not reused. */
+    private var isDesynchronized = false
 
     /** Time for which the backend server keeps an idle connection open, in milliseconds. */
     private var keepAliveMs = DEFAULT_KEEP_ALIVE_MS
@@ -97,18 +104,31 @@
     private fun onHead(response: HttpResponse) {
         val activeListener = listener ?: return close()
         val head = BackendHead(response.status().code(), response.headers())
-        if (head.statusCode < MIN_FINAL_STATUS) {
-            phase = Phase.INTERIM
-            return
-        }
-        if (!activeListener.matchesRequest(head)) {
-            hasSkippedResponse = true
-            phase = Phase.SKIPPED
+        val isInterim = head.statusCode < MIN_FINAL_STATUS
+        if (isInterim || !activeListener.matchesRequest(head, isReused)) {
+            if (++skippedResponses > MAX_SKIPPED_RESPONSES) return fail(CallFailure.MALFORMED)
+            if (!isInterim) isDesynchronized = true
+            phase = if (isInterim) Phase.INTERIM else Phase.SKIPPED
             return
         }
-        isReusable = HttpUtil.isKeepAlive(response) && isSelfDelimited(response) && !hasSkippedResponse
+        isReusable = HttpUtil.isKeepAlive(response) && isSelfDelimited(response) && !isDesynchronized
         keepAliveMs = parseKeepAliveMs(response) ?: keepAliveMs
-        phase = if (activeListener.onHead(head)) Phase.BODY else Phase.DISCARD
+        val isWanted = activeListener.onHead(head)
+        when {
+            phase == Phase.CLOSED -> Unit
+            isWanted -> phase = Phase.BODY
+            else -> startDiscarding()
+        }
+    }
+
+    /** Reads the rest of a short body so that the connection can be reused; closes it when there is no end. */
+    private fun startDiscarding() {
+        listener = null
+        phase = Phase.DISCARD
+        discardedBytes = 0
+        val number = ++discardNumber
+        val closeUnlessEnded = { if (phase == Phase.DISCARD && discardNumber == number) close() }
+        channel.eventLoop().schedule(closeUnlessEnded, MAX_DISCARD_MS, TimeUnit.MILLISECONDS)
     }
 
     private fun onContent(content: HttpContent) {
@@ -123,7 +143,14 @@
                 if (isLast && phase == Phase.BODY) complete()
             }
 
-            Phase.DISCARD -> if (isLast) markIdle()
+            Phase.DISCARD -> {
+                discardedBytes += content.content().readableBytes()
+                if (isLast) {
+                    markIdle()
+                } else if (discardedBytes > MAX_DISCARDED_BYTES) {
+                    close()
+                }
+            }
 
             Phase.SKIPPED, Phase.INTERIM -> if (isLast) phase = Phase.HEAD
 
@@ -142,7 +169,9 @@
         listener = null
         if (!isReusable || !channel.isActive) return close()
         phase = Phase.IDLE
+        isReused = true
         idleSinceMs = nowMs()
+        skippedResponses = 0
         channel.config().isAutoRead = true
         onIdle(this)
     }
@@ -168,6 +197,11 @@
 
     private companion object {
         const val MIN_FINAL_STATUS = 200
+
+        /** Interim responses, and late copies of earlier responses, before the response to a request. */
+        const val MAX_SKIPPED_RESPONSES = 8
+        const val MAX_DISCARDED_BYTES = 64 * 1024
+        const val MAX_DISCARD_MS = 1_000L
         const val MS_PER_SECOND = 1_000L
 
         /** Servers that send no `Keep-Alive` header commonly close idle connections after five seconds or more. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -24,16 +24,20 @@
     private var head: BackendHead? = null
     private var metadata: ResponseMetadata? = null
     private var isStream = false
+    private var isOwnResponse = false
     private val body = ByteArrayOutputStream()
+    private var reservedBytes = 0
 
-    /** Time of the start or of the last received data, on the monotonic clock, in milliseconds. */
+    /** Time of the start or of the last progress, on the monotonic clock, in milliseconds. */
     var lastProgressMs: Long = context.clock.nowMs()
         private set
 
-    /** True once a part of the response body has arrived. */
-    var hasReceivedBody: Boolean = false
+    /** True once a part of a complete response, or an event of a stream, has arrived. */
+    var hasProgressed: Boolean = false
         private set
 
+    private var hasReceivedBody = false
+
     /** True when the address now belongs to another backend server. */
     var isMisdirected: Boolean = false
         private set
@@ -43,26 +47,46 @@
     }
 
     fun cancel(result: AttemptResult) {
-        call?.cancel()
+        abandon()
         context.complete(placed, result)
     }
 
+    /** Records that a part of a complete response, or an event of a stream, has arrived. */
+    fun recordProgress() {
+        lastProgressMs = context.clock.nowMs()
+        hasProgressed = true
+    }
+
+    /** Closes the connection without a result; the exchange reports one. */
+    fun abandon() {
+        releaseBody()
+        call?.cancel()
+    }
+
     fun setAutoRead(isEnabled: Boolean) {
         call?.setAutoRead(isEnabled)
     }
 
-    override fun matchesRequest(head: BackendHead): Boolean {
+    override fun matchesRequest(head: BackendHead, isReused: Boolean): Boolean {
         val decoded = context.dialect.decodeResponse(head.statusCode, head.headers)
         metadata = decoded
+        isOwnResponse = decoded.attemptId != null || !isReused
         return decoded.attemptId == null || decoded.attemptId == exchange.attemptId
     }
 
     override fun onHead(head: BackendHead): Boolean {
         val metadata = checkNotNull(metadata) { "onHead was called before matchesRequest" }
-        recordProgress()
+        lastProgressMs = context.clock.nowMs()
         metadata.load?.takeIf { placed.backendServer.isNotEmpty() }?.let { context.reportLoad(placed, it) }
         val outcome = ForwardHeaders.outcomeOf(head.headers)
         when {
+            // Without an identifier it may be the late copy of a response to an earlier request on the connection.
+            metadata.isNotExecuted && !isOwnResponse && exchange.route?.isRepeatable != true -> {
+                abandon()
+                fail(AttemptFailure.UNKNOWN, "status ${head.statusCode} without an identifier")
+                return false
+            }
+
             metadata.isNotExecuted || outcome == Outcome.NOT_RUN -> {
                 isMisdirected = head.statusCode == MISDIRECTED_STATUS
                 fail(AttemptFailure.NOT_EXECUTED, "status ${head.statusCode}", parseRetryAfterMs(head))
@@ -87,35 +111,40 @@
 
     override fun onBody(bytes: ByteArray) {
         if (!hasReceivedBody) context.scheduler.recordFirstByte(placed, context.clock.nowMs())
-        recordProgress()
         hasReceivedBody = true
         val current = head ?: return
-        if (isStream) {
-            exchange.onStreamBytes(this, current, bytes)
-        } else {
-            body.write(bytes)
+        if (isStream) return exchange.onStreamBytes(this, current, bytes)
+        recordProgress()
+        if (!context.responseBuffers.tryReserve(reservedBytes, bytes.size)) {
+            abandon()
+            return fail(AttemptFailure.UNKNOWN, "response exceeds the buffer limit")
         }
+        reservedBytes += bytes.size
+        body.write(bytes)
     }
 
     override fun onComplete() {
         val current = head ?: return
         if (isStream) return exchange.onStreamEnd(this, current)
+        releaseBody()
         exchange.onResponse(this, current, body.toByteArray(), current.statusCode >= MIN_SERVER_ERROR_STATUS)
     }
 
     override fun onFailure(failure: CallFailure) {
+        releaseBody()
         val isSent = failure != CallFailure.NOT_CONNECTED
         fail(if (isSent) AttemptFailure.UNKNOWN else AttemptFailure.NOT_SENT, failure.name.lowercase())
     }
 
+    private fun releaseBody() {
+        context.responseBuffers.release(reservedBytes)
+        reservedBytes = 0
+    }
+
     private fun isUsable(head: BackendHead, metadata: ResponseMetadata): Boolean =
         metadata.attemptId != null && !head.headers.contains("Content-Encoding") &&
             (metadata.isSigned || head.statusCode !in SUCCESS_STATUSES)
 
-    private fun recordProgress() {
-        lastProgressMs = context.clock.nowMs()
-    }
-
     private fun fail(failure: AttemptFailure, detail: String, retryAfterMs: Long? = null) {
         exchange.onAttemptFailed(this, failure, detail, retryAfterMs)
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -183,8 +183,8 @@
     /** Retries on another backend server when the response makes no progress within its timeout. */
     private fun checkResponseTimeout(checked: Attempt) {
         val call = resolved ?: return
-        val timeoutMs = if (checked.hasReceivedBody) {
-            BODY_IDLE_TIMEOUT_MS
+        val timeoutMs = if (checked.hasProgressed) {
+            maxOf(MIN_IDLE_TIMEOUT_MS, call.route.targetPauseMs * IDLE_TIMEOUT_FACTOR)
         } else {
             maxOf(MIN_FIRST_BYTE_TIMEOUT_MS, call.route.targetLatencyMs * FIRST_BYTE_TIMEOUT_FACTOR)
         }
@@ -217,7 +217,17 @@
     /** Forwards the complete events in [bytes], the next part of a stream, to the caller. */
     fun onStreamBytes(source: Attempt, head: BackendHead, bytes: ByteArray) {
         val events = cursor.push(bytes)
+        if (cursor.isEventTooLong) {
+            source.abandon()
+            return onAttemptFailed(
+                source,
+                AttemptFailure.UNKNOWN,
+                "event of over ${EventStreamCursor.MAX_EVENT_BYTES} bytes",
+            )
+        }
         if (events.isEmpty()) return
+        // Bytes that complete no event are no progress: a stalled server may still send one now and then.
+        source.recordProgress()
         response.writeEvents(head, events)
         if (!response.isWritable) {
             source.setAutoRead(false)
@@ -360,7 +370,10 @@
         /** Prompt block that distinguishes sessions; many sessions share the blocks before it. */
         const val AFFINITY_BLOCK_INDEX = 12
         const val MIN_FIRST_BYTE_TIMEOUT_MS = 1_000L
-        const val BODY_IDLE_TIMEOUT_MS = 1_500L
+        const val MIN_IDLE_TIMEOUT_MS = 1_500L
+
+        /** Multiple of the pause that the route allows; slow but sound streams stay below it. */
+        const val IDLE_TIMEOUT_FACTOR = 4L
 
         /** Multiple of the route's target latency within which the first bytes of the body must arrive. */
         const val FIRST_BYTE_TIMEOUT_FACTOR = 3L
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
@@ -1,6 +1,7 @@
 package org.arbutusrelay.relay.exchange
 
 import io.netty.channel.EventLoop
+import org.arbutusrelay.core.relay.ResponseBuffers
 import org.arbutusrelay.core.request.RequestId
 import org.arbutusrelay.core.route.RouteTable
 import org.arbutusrelay.core.routing.AttemptResult
@@ -32,6 +33,9 @@
     /** Active routes; null until this host has received a route document. */
     val routes = AtomicReference<RouteTable?>(null)
 
+    /** Memory of the responses that are buffered until they are complete. */
+    val responseBuffers = ResponseBuffers()
+
     private val queuedExchanges = HashMap<RequestId, Exchange>()
     private var requestNumber = 0L
     private var isPolling = false
--- /dev/null
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
@@ -0,0 +1,33 @@
+package org.arbutusrelay.relay.ingress
+
+import io.netty.channel.EventLoop
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withContext
+
+/**
+ * Waits at a stop until every request that was accepted has its response.
+ *
+ * A request may still be on its way when the last response ends: its connection was accepted, or a part of it has been
+ * read. A connection is therefore closed only after [quietMs] without a request.
+ */
+internal class ConnectionDrain(
+    private val loop: EventLoop,
+    private val connections: OpenConnections,
+    private val nowMs: () -> Long,
+    private val quietMs: Long = 250,
+) {
+    /** Closes quiet connections and waits for the others until [endMs]; returns true if no request was left. */
+    suspend fun await(endMs: Long, openExchanges: () -> Int): Boolean = withContext(loop.asCoroutineDispatcher()) {
+        delay(quietMs)
+        while (nowMs() < endMs && !(connections.isEmpty() && openExchanges() == 0)) {
+            connections.closeQuiet(quietMs)
+            delay(POLL_MS)
+        }
+        !connections.hasRequests() && openExchanges() == 0
+    }
+
+    private companion object {
+        const val POLL_MS = 20L
+    }
+}
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
@@ -37,6 +37,7 @@
     private var isClosing = false
     private val pipelined = ArrayDeque<HttpObject>()
     private var lastActiveMs = options.nowMs()
+    private var headReadMs = 0L
 
     override fun channelActive(context: ChannelHandlerContext) {
         service.onConnectionOpened(this, context.channel())
@@ -44,7 +45,8 @@
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
-        lastActiveMs = options.nowMs()
+        // A body that arrives piece by piece does not extend the time that the request has.
+        if (message is HttpRequest) lastActiveMs = options.nowMs()
         if (exchange != null) return bufferPipelined(context, message)
         try {
             handle(context, message)
@@ -75,8 +77,11 @@
     /** Returns true when no request is being read or processed. */
     fun isIdle(): Boolean = exchange == null && head == null
 
-    /** Returns true when the connection has been idle for more than [idleMs]. */
-    fun isIdleLongerThan(idleMs: Long): Boolean = isIdle() && options.nowMs() - lastActiveMs > idleMs
+    /** Returns true when no request is being read or processed and none has been for at least [quietMs]. */
+    fun isQuietFor(quietMs: Long): Boolean = isIdle() && options.nowMs() - lastActiveMs >= quietMs
+
+    /** Returns true when no request is processed and none has begun or ended for more than [idleMs]. */
+    fun isIdleLongerThan(idleMs: Long): Boolean = exchange == null && options.nowMs() - lastActiveMs > idleMs
 
     private fun bufferPipelined(context: ChannelHandlerContext, message: HttpObject) {
         pipelined.addLast(message)
@@ -102,6 +107,7 @@
             return reject(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         }
         head = request
+        headReadMs = options.nowMs() - options.lagMs()
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
@@ -120,7 +126,7 @@
             request.uri(),
             request.headers(),
             body.toByteArray(),
-            options.nowMs(),
+            headReadMs,
             isForwarded,
         )
         val isPersistent = HttpUtil.isKeepAlive(request)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressRequest.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressRequest.kt
@@ -9,7 +9,7 @@
     val uri: String,
     val headers: HttpHeaders,
     val body: ByteArray,
-    /** Time at which the request was completely read, on the monotonic clock, in milliseconds. */
+    /** Estimated arrival of the head on the monotonic clock, in milliseconds; the caller's wait counts from it. */
     val receivedMs: Long,
     /** True when a host of another region sent the request. */
     val isForwarded: Boolean,
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressService.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressService.kt
@@ -25,5 +25,9 @@
     fun onCallerDisconnected()
 }
 
-/** Clock and limits for reading requests; the body limit may change with the operator's document. */
-internal class IngressOptions(val nowMs: () -> Long, val maxBodyBytes: () -> Int)
+/**
+ * Clock and limits for reading requests; the body limit may change with the operator's document.
+ *
+ * [lagMs] returns how long input may have waited because the event loop was late, in milliseconds.
+ */
+internal class IngressOptions(val nowMs: () -> Long, val lagMs: () -> Long = { 0 }, val maxBodyBytes: () -> Int)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.launch
 import org.arbutusrelay.core.invariant.Guarantee
 import org.arbutusrelay.core.invariant.Invariants
+import org.arbutusrelay.core.relay.LoopLag
 import org.arbutusrelay.core.route.RoutePlan
 import org.arbutusrelay.core.route.RoutePlanParser
 import org.arbutusrelay.core.route.RouteTable
@@ -29,12 +30,14 @@
 import org.arbutusrelay.relay.exchange.ForwardTargets
 import org.arbutusrelay.relay.exchange.ProfileBuilder
 import org.arbutusrelay.relay.exchange.RelayContext
+import org.arbutusrelay.relay.ingress.ConnectionDrain
 import org.arbutusrelay.relay.ingress.IngressExchange
 import org.arbutusrelay.relay.ingress.IngressHandler
 import org.arbutusrelay.relay.ingress.IngressOptions
 import org.arbutusrelay.relay.ingress.IngressRequest
 import org.arbutusrelay.relay.ingress.IngressServer
 import org.arbutusrelay.relay.ingress.IngressService
+import org.arbutusrelay.relay.ingress.OpenConnections
 import org.arbutusrelay.relay.ingress.ResponseWriter
 import org.arbutusrelay.relay.ingress.StatusResponse
 import org.arbutusrelay.relay.ingress.StatusServer
@@ -89,11 +92,13 @@
         ::reportLoad,
     )
     private val profiles = ProfileBuilder(settings.region) { otherRegions }
-    private val options =
-        IngressOptions(clock::nowMs) { context.routes.get()?.plan?.limits?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES }
+    private val loopLag = LoopLag()
+    private val options = IngressOptions(clock::nowMs, { loopLag.lagMs(clock.nowMs()) }) {
+        context.routes.get()?.plan?.limits?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES
+    }
     private val callerServer = IngressServer(group, options, Ingress(), isForwarded = false)
     private val forwardServer = IngressServer(group, options, Ingress(), isForwarded = true)
-    private val connections = HashMap<IngressHandler, Channel>()
+    private val connections = OpenConnections()
     private val latestPlan = AtomicReference<RoutePlan?>(null)
     private var otherRegions = emptyList<String>()
     private val statusServers = listOfNotNull(
@@ -116,6 +121,7 @@
         statusServers.forEach { it.start() }
         site.start(scope)
         context.schedule(IDLE_SWEEP_INTERVAL_MS, ::closeIdleConnections)
+        context.schedule(0, ::recordLoopRun)
         metrics.gauge("arbutus.requests.open") { context.openExchanges }
         metrics.gauge("arbutus.requests.queued") { scheduler.queuedRequests() }
         metrics.gauge("arbutus.document.number") { context.routes.get()?.plan?.number ?: -1 }
@@ -132,8 +138,10 @@
         val graceMs = (settings.bounds.graceSeconds * MS_PER_SECOND).toLong()
         // Callers may still use a cached host list and would otherwise connect to a closed port.
         delay(minOf(graceMs / 2, HOST_LIST_LIFETIME_MS))
-        loop.execute { connections.forEach { (handler, channel) -> if (handler.isIdle()) channel.close() } }
-        while (context.openExchanges > 0 && clock.nowMs() - startMs < graceMs - EXIT_MARGIN_MS) delay(STOP_POLL_MS)
+        callerServer.stop()
+        ConnectionDrain(loop, connections, clock::nowMs).await(startMs + graceMs - EXIT_MARGIN_MS) {
+            context.openExchanges
+        }
         val durationMs = clock.nowMs() - startMs
         log.write(
             siteLinks.eventLine(Event.STOPPED).copy(
@@ -214,10 +222,15 @@
     /** Closes connections that have been idle for longer than the idle timeout plus a margin. */
     private fun closeIdleConnections() {
         val idleMs = (context.routes.get()?.plan?.limits?.idleTimeoutMs ?: DEFAULT_IDLE_TIMEOUT_MS) + IDLE_MARGIN_MS
-        connections.filter { (handler, _) -> handler.isIdleLongerThan(idleMs) }.values.forEach { it.close() }
+        connections.closeIdleLongerThan(idleMs)
         context.schedule(IDLE_SWEEP_INTERVAL_MS, ::closeIdleConnections)
     }
 
+    private fun recordLoopRun() {
+        loopLag.recordRun(clock.nowMs())
+        context.schedule(loopLag.intervalMs, ::recordLoopRun)
+    }
+
     private inner class Ingress : IngressService {
         override val isShuttingDown: Boolean get() = this@EntryNode.isShuttingDown
 
@@ -225,7 +238,7 @@
             Exchange(context, profiles, request, writer)
 
         override fun onConnectionOpened(handler: IngressHandler, channel: Channel) {
-            connections[handler] = channel
+            connections.add(handler, channel)
         }
 
         override fun onConnectionClosed(handler: IngressHandler) {
@@ -254,7 +267,6 @@
         const val IDLE_SWEEP_INTERVAL_MS = 1_000L
         const val IDLE_MARGIN_MS = 1_000L
         const val HOST_LIST_LIFETIME_MS = 3_000L
-        const val STOP_POLL_MS = 20L
 
         /** Margin to exit before the process is killed at the end of the grace period. */
         const val EXIT_MARGIN_MS = 700L
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
@@ -112,7 +112,7 @@
     )
 
     private companion object {
-        /** When a fleet starts, each host learns of all others at once; a line for each would take a tenth of its start. */
+        /** When a fleet starts, each host learns of all others at once, and a line for each would delay its start. */
         const val MAX_HOST_LINES = 4
     }
 }
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel
 import io.netty.channel.nio.NioEventLoopGroup
+import kotlinx.coroutines.runBlocking
 import org.arbutusrelay.core.route.Route
 import org.arbutusrelay.core.route.RouteKind
 import org.arbutusrelay.core.route.RoutePlan
@@ -21,12 +22,14 @@
 import org.arbutusrelay.relay.exchange.ForwardTargets
 import org.arbutusrelay.relay.exchange.ProfileBuilder
 import org.arbutusrelay.relay.exchange.RelayContext
+import org.arbutusrelay.relay.ingress.ConnectionDrain
 import org.arbutusrelay.relay.ingress.IngressExchange
 import org.arbutusrelay.relay.ingress.IngressHandler
 import org.arbutusrelay.relay.ingress.IngressOptions
 import org.arbutusrelay.relay.ingress.IngressRequest
 import org.arbutusrelay.relay.ingress.IngressServer
 import org.arbutusrelay.relay.ingress.IngressService
+import org.arbutusrelay.relay.ingress.OpenConnections
 import org.arbutusrelay.relay.ingress.ResponseWriter
 import org.arbutusrelay.relay.node.RequestLogListener
 import org.arbutusrelay.schema.manifest.RegionLink
@@ -50,6 +53,8 @@
     private val log: EventSink = EventSink { },
     private val otherRegionPort: Int? = null,
     private val capacity: Long = 8,
+    private val timeoutMs: Long = 2_000,
+    private val targetPauseMs: Long = 0,
 ) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -65,7 +70,19 @@
     ) { _, _ -> }
     private val profiles = ProfileBuilder("hue") { listOf("north") }
     private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
-    private val options = IngressOptions(clock::nowMs) { MAX_BODY_BYTES }
+    private val options = IngressOptions(clock::nowMs, { lagMs }) { MAX_BODY_BYTES }
+    private val connections = OpenConnections()
+
+    @Volatile
+    private var isShuttingDown = false
+
+    /** Simulated delay of the event loop, in milliseconds. */
+    @Volatile
+    var lagMs: Long = 0
+
+    /** Memory that buffered responses take, in bytes. */
+    val bufferedBytes: Int get() = context.responseBuffers.totalBytes
+
     private val server = IngressServer(group, options, Service(), isForwarded = false)
 
     init {
@@ -101,6 +118,14 @@
             String(it.getInputStream().readAllBytes())
         }
 
+    /** Stops as an entry host does, waiting at most [graceMs]; returns true if no request was left. */
+    fun stopGracefully(graceMs: Long): Boolean {
+        isShuttingDown = true
+        server.stop()
+        val drain = ConnectionDrain(loop, connections, clock::nowMs)
+        return runBlocking { drain.await(clock.nowMs() + graceMs) { context.openExchanges } }
+    }
+
     override fun close() {
         server.stop()
         group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS)
@@ -108,7 +133,8 @@
     }
 
     private fun route(name: String, kind: RouteKind, isResumable: Boolean = false) = Route(
-        name, "a.example", "/$name/", kind, 2_000, 300, 0, listOf(RouteTarget("svc", 1)), 2, isResumable, emptyList(),
+        name, "a.example", "/$name/", kind, timeoutMs, 300, 0, listOf(RouteTarget("svc", 1)), 2, isResumable,
+        emptyList(), targetPauseMs,
     )
 
     private fun otherRegions(): Map<String, RemoteRegion> {
@@ -125,14 +151,14 @@
     )
 
     private inner class Service : IngressService {
-        override val isShuttingDown: Boolean get() = false
+        override val isShuttingDown: Boolean get() = this@RelayFixture.isShuttingDown
 
         override fun createExchange(request: IngressRequest, writer: ResponseWriter): IngressExchange =
             Exchange(context, profiles, request, writer)
 
-        override fun onConnectionOpened(handler: IngressHandler, channel: Channel) = Unit
+        override fun onConnectionOpened(handler: IngressHandler, channel: Channel) = connections.add(handler, channel)
 
-        override fun onConnectionClosed(handler: IngressHandler) = Unit
+        override fun onConnectionClosed(handler: IngressHandler) = connections.remove(handler)
     }
 
     companion object {
