Refuse late requests at once while none of them is served

Change: once a postponed request has waited in vain, those that become late are refused (or forwarded) at that moment, until one is placed or the queue is empty.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -235,7 +235,9 @@
             val isLate = { profile: RequestProfile ->
                 deadlinePolicy.willMissTarget(profile, services.timesOf(profile.serviceName), nowMs)
             }
-            queue.postpone(isLate, { forwardLate(it, nowMs) }, sink)
+            // A request that has become late is refused at once while no late request is served.
+            val vainRefusal = refused(ErrorKind.OVERLOADED).takeIf { queue.isLateServiceVain }
+            queue.postpone(isLate, { forwardLate(it, nowMs) ?: vainRefusal }, sink)
         }
         queue.drain(serverSelector.lookahead, { selectNext(it, nowMs) }, { placeQueued(it, nowMs) }, sink)
         for (index in firstIndex until sink.size) {
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceQueue.kt
@@ -17,6 +17,14 @@
     var size: Int = 0
         private set
 
+    /**
+     * True while postponed requests are known to wait in vain: one was refused after its maximum wait, and since then
+     * none has been placed and the queue has not been empty.
+     */
+    @Volatile
+    var isLateServiceVain: Boolean = false
+        private set
+
     fun offer(profile: RequestProfile): Boolean = lock.withLock {
         val entry = queueOf(profile).offer(profile, profile.priority, profile.callerName, profile.deadlineMs)
         if (entry != null) entries[profile.id] = entry
@@ -87,7 +95,10 @@
     /** Removes the requests for which [refuse] returns a placement, at any position in the queue. */
     fun expire(refuse: (RequestProfile) -> Placement?, sink: MutableList<QueuedPlacement>): Unit = lock.withLock {
         val expired = entries.values.mapNotNull { entry -> refuse(entry.value)?.let { entry to it } }
-        expired.forEach { (entry, placement) -> dequeue(entry, placement, sink) }
+        for ((entry, placement) in expired) {
+            if (entry.isPostponed && placement is Placement.Refused) isLateServiceVain = true
+            dequeue(entry, placement, sink)
+        }
     }
 
     private fun dequeue(
@@ -96,6 +107,7 @@
         sink: MutableList<QueuedPlacement>,
         isServed: Boolean = false,
     ) {
+        if (entry.isPostponed && placement is Placement.Run) isLateServiceVain = false
         remove(entry, isServed)
         sink += QueuedPlacement(entry.value, placement)
     }
@@ -108,6 +120,7 @@
 
     private fun updateSize() {
         size = waiting.size + isolated.size
+        if (size == 0) isLateServiceVain = false
     }
 
     private fun queueOf(profile: RequestProfile) = if (profile.isIsolated) isolated else waiting
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/OverloadOrderTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/OverloadOrderTest.kt
@@ -27,17 +27,18 @@
         promptTokens = 800, isStream = true, targetMs = TARGET_MS, submittedAtMs = nowMs,
     )
 
-    /**
-     * Simulates the seconds after a restart, when a region gets one and a half times the requests that its servers can
-     * handle. Guards against a queue in which every request is served after its target.
-     */
-    @Test
-    fun `under overload most of the servable requests meet their target`() {
+    private class Outcome(val inTime: Int, val served: Int, val refusedAfterMs: List<Long>)
+
+    /** Sends a request every [GAP_MS] for [DURATION_MS]. */
+    private fun simulate(): Outcome {
         scheduler.updateTable(RoutingTable("hue", "hue-a", List(2) { server("engine-$it") }))
         val running = ArrayList<Running>()
         val submittedMs = HashMap<RequestId, Long>()
+        val refusedAfterMs = ArrayList<Long>()
         var inTime = 0
+        var served = 0
         fun start(attempt: PlacedAttempt, nowMs: Long) {
+            served++
             if (nowMs - submittedMs.getValue(attempt.profile.id) <= TARGET_MS) inTime++
             scheduler.recordFirstByte(attempt, nowMs + 30)
             running += Running(attempt, nowMs + RUN_MS)
@@ -45,18 +46,47 @@
         for (nowMs in 0L until DURATION_MS step GAP_MS) {
             val ended = running.filter { it.endMs <= nowMs }
             running -= ended.toSet()
+            val queued = ended.flatMap { scheduler.complete(it.attempt, AttemptResult.COMPLETE, nowMs) } +
+                if (nowMs % POLL_MS == 0L) scheduler.poll(nowMs) else emptyList()
+            for (each in queued) {
+                when (val placement = each.placement) {
+                    is Placement.Run -> start(placement.attempt, nowMs)
+                    is Placement.Refused -> refusedAfterMs += nowMs - submittedMs.getValue(each.profile.id)
+                    else -> Unit
+                }
+            }
             val profile = request(nowMs, nowMs)
             submittedMs[profile.id] = nowMs
-            val freed = ended.flatMap { scheduler.complete(it.attempt, AttemptResult.COMPLETE, nowMs) }
-            val submitted = scheduler.submit(profile, nowMs)
-            val polled = if (nowMs % POLL_MS == 0L) scheduler.poll(nowMs) else emptyList()
-            val placements = (freed + polled).map { it.placement } + submitted
-            placements.filterIsInstance<Placement.Run>().forEach { start(it.attempt, nowMs) }
+            (scheduler.submit(profile, nowMs) as? Placement.Run)?.let { start(it.attempt, nowMs) }
         }
+        return Outcome(inTime, served, refusedAfterMs)
+    }
+
+    /**
+     * Simulates the seconds after a restart, when a region gets one and a half times the requests that its servers can
+     * handle. Guards against a queue in which every request is served after its target.
+     */
+    @Test
+    fun `under overload most of the servable requests meet their target`() {
+        val inTime = simulate().inTime
         val servable = (DURATION_MS / RUN_MS * SLOTS * 2).toInt()
         assertTrue(inTime >= servable * 8 / 10, "$inTime in time of $servable servable requests")
     }
 
+    /**
+     * Simulates a load of one and a half times the capacity that lasts. Guards against requests that wait in vain until
+     * their maximum wait has passed, and against refusals that leave servers idle.
+     */
+    @Test
+    fun `requests that cannot be served any more are refused when they become late`() {
+        val servable = (DURATION_MS / RUN_MS * SLOTS * 2).toInt()
+        val lasting = simulate()
+        val heldInVain = lasting.refusedAfterMs.count { it > TARGET_MS * 2 }
+        assertTrue(lasting.refusedAfterMs.size > servable / 4, "${lasting.refusedAfterMs.size} refused")
+        assertTrue(heldInVain * 4 < lasting.refusedAfterMs.size, "$heldInVain of ${lasting.refusedAfterMs.size}")
+        assertTrue(lasting.served >= servable * 9 / 10, "${lasting.served} served of $servable servable requests")
+    }
+
     /**
      * Simulates a region whose hosts have a queue that no announcement reports. Guards against forwarding more requests
      * there.
