Send only the newest state after a restart, and only once it is confirmed

A host that starts at the same time is ready with an old document. Change: a state host forwards its state from the first entry that the group applies, and only the newest of those that it installs within a batch; a subscriber is not sent the same state twice within a second. SiteServiceTest (forwards only what is confirmed) and SiteGrowthTest (40 states of 5 state hosts: at most 5 frames) cover it.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -58,6 +58,10 @@
     private val changesForAll = PendingChanges()
     private val changesForSubscribers = PendingChanges()
     private val isBatchScheduled = AtomicBoolean()
+    private val isStatePushDue = AtomicBoolean()
+
+    @Volatile
+    private var isStateConfirmed = !self.isStateHost
 
     @Volatile
     private var batchScope: CoroutineScope? = null
@@ -103,7 +107,11 @@
         tick()
     }
 
-    /** Applies [newer] and, on a state host, forwards it to subscribers; ignores a state that is not newer. */
+    /**
+     * Applies [newer] and, on a state host, forwards it to subscribers; ignores a state that is not newer.
+     *
+     * A restarted state host installs every state since its snapshot in a moment; only the last of them is forwarded.
+     */
     public fun install(newer: SiteState) {
         val isNewer = synchronized(this) {
             if (newer.index <= state.index) return@synchronized false
@@ -114,10 +122,25 @@
             true
         }
         if (!isNewer) return
-        if (self.isStateHost) subscriptions.active(clock.nowMs()).forEach { push(it, newer) }
+        if (self.isStateHost) {
+            isStatePushDue.set(true)
+            scheduleBatch()
+        }
         publish()
     }
 
+    /**
+     * Allows this state host to forward its state, which the replica group has confirmed.
+     *
+     * Until then the state may be an old one from its disk, and a host that starts at the same time would use it.
+     */
+    public fun confirmState() {
+        if (isStateConfirmed) return
+        isStateConfirmed = true
+        isStatePushDue.set(true)
+        scheduleBatch()
+    }
+
     /** Processes an announcement of a backend server. */
     public fun announce(server: BackendServerState) {
         val nowMs = clock.nowMs()
@@ -162,7 +185,9 @@
         }
         if (isChanged) scheduleBatch()
         if (isNewSubscriber || report.needsDigest) sendDigest(fullDigest(nowMs), setOf(from.hostName))
-        pushIfBehind(from.hostName, report.stateIndex, nowMs)
+        val latest = synchronized(this) { state }
+        val isBehind = report.stateIndex < latest.index && subscriptions.isPushDue(from.hostName, latest.index, nowMs)
+        if (isBehind && isStateConfirmed) pushState(latest, setOf(from.hostName))
     }
 
     override fun onLinkUp(host: HostIdentity) {
@@ -174,13 +199,10 @@
         }
     }
 
-    private fun pushIfBehind(hostName: String, index: Long, nowMs: Long) {
-        val newer = synchronized(this) { state.takeIf { index < it.index } } ?: return
-        if (subscriptions.isPushDue(hostName, nowMs)) push(hostName, newer)
-    }
-
-    private fun push(hostName: String, newer: SiteState) {
-        if (network.send(hostName, LinkFrame(siteState = newer))) subscriptions.recordPush(hostName, clock.nowMs())
+    private fun pushState(newer: SiteState, hostNames: Set<String>) {
+        val receivers = hostNames intersect network.connected().keys
+        network.sendAll(receivers, LinkFrame(siteState = newer))
+        receivers.forEach { subscriptions.recordPush(it, newer.index, clock.nowMs()) }
     }
 
     private fun onDigest(digest: SiteDigest) {
@@ -231,6 +253,10 @@
     }
 
     private fun sendBatch() {
+        if (isStateConfirmed && isStatePushDue.getAndSet(false)) {
+            val latest = synchronized(this) { state }
+            pushState(latest, subscriptions.behind(latest.index, clock.nowMs()))
+        }
         val (forAll, forSubscribers) =
             synchronized(this) { changesForAll.take(state.index) to changesForSubscribers.take(state.index) }
         forAll?.let { sendDigest(it, digestTargets()) }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/Subscriptions.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/Subscriptions.kt
@@ -19,22 +19,29 @@
         return entries.keys.toSet()
     }
 
-    /** Returns true if a host that lags behind may be sent the site state again. */
+    /** Returns true if the site state of [index] was not sent to a host yet, or long enough ago to be sent again. */
     @Synchronized
-    fun isPushDue(hostName: String, nowMs: Long): Boolean =
-        nowMs - (entries[hostName]?.statePushedAtMs ?: NEVER_MS) >= times.statePushIntervalMs
+    fun isPushDue(hostName: String, index: Long, nowMs: Long): Boolean {
+        val entry = entries[hostName] ?: return true
+        return entry.pushedIndex < index || nowMs - entry.pushedAtMs >= times.statePushIntervalMs
+    }
 
-    /** Records that the site state was sent to a host. */
+    /** Returns the subscribed hosts to which the site state of [index] was not sent yet. */
     @Synchronized
-    fun recordPush(hostName: String, nowMs: Long) {
-        entries[hostName]?.statePushedAtMs = nowMs
-    }
+    fun behind(index: Long, nowMs: Long): Set<String> =
+        active(nowMs).filterTo(HashSet()) { entries.getValue(it).pushedIndex < index }
 
-    private class Entry(val epoch: Long, var reportedAtMs: Long) {
-        var statePushedAtMs = NEVER_MS
+    /** Records that the site state of [index] was sent to a host. */
+    @Synchronized
+    fun recordPush(hostName: String, index: Long, nowMs: Long) {
+        entries[hostName]?.apply {
+            pushedIndex = index
+            pushedAtMs = nowMs
+        }
     }
 
-    private companion object {
-        const val NEVER_MS = Long.MIN_VALUE / 2
+    private class Entry(val epoch: Long, var reportedAtMs: Long) {
+        var pushedIndex = 0L
+        var pushedAtMs = 0L
     }
 }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteGrowthTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteGrowthTest.kt
@@ -10,7 +10,9 @@
 import org.arbutusrelay.daemon.link.HostIdentity
 import org.arbutusrelay.daemon.link.InMemoryLinks
 import org.arbutusrelay.schema.message.BackendServerState
+import org.arbutusrelay.schema.message.DocumentRecord
 import org.arbutusrelay.schema.message.LinkFrame
+import org.arbutusrelay.schema.message.SiteState
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
@@ -22,10 +24,12 @@
 
     private class Received : FrameReceiver {
         var digests = 0
+        var states = 0
         var bytes = 0
 
         override fun onFrame(from: HostIdentity, frame: LinkFrame) {
             if (frame.siteDigest != null) digests++
+            if (frame.siteState != null) states++
             bytes += FrameCodec.encode(frame).size
         }
     }
@@ -55,6 +59,7 @@
             SiteService(network, self, stateHosts.take(3), 1, RelayClock(testScheduler.timeSource)).also {
                 if (name == OBSERVED) it.addListener { views++ }
                 it.start(backgroundScope)
+                it.confirmState()
             }
         }
         return Site(links, services, received) { views }
@@ -102,6 +107,20 @@
         assertTrue(bytesPerSecond <= 7_000_000 / 8 / 50, "$bytesPerSecond bytes a second")
     }
 
+    /** Guards against a restart in which each entry host receives every document since the snapshot. */
+    @Test
+    fun `states that a state host installs in a moment are sent once`() = runTest {
+        val site = site(entryHosts = 3)
+        delay(3_000)
+        for (index in 1L..40L) {
+            val state = SiteState(index, DocumentRecord(index, "", byteArrayOf(1)), emptyList())
+            stateHosts.forEach { site.services.getValue(it).install(state) }
+        }
+        delay(500)
+        assertEquals(40, site.services.getValue(OBSERVED).view.state.index)
+        assertTrue(site.received.states <= stateHosts.size, "${site.received.states} states")
+    }
+
     /** Guards against a change that is lost with a connection and that no later message repairs. */
     @Test
     fun `a host that missed a change asks for it`() = runTest {
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
@@ -26,7 +26,7 @@
 
     private class Site(val scope: TestScope, val links: InMemoryLinks, val services: MutableMap<String, SiteService>)
 
-    private fun Site.start(name: String, seeds: List<String>, epoch: Long = 1) {
+    private fun Site.start(name: String, seeds: List<String>, epoch: Long = 1, isConfirmed: Boolean = true) {
         val isState = name.endsWith(".1")
         val region = name.split('.')[1]
         val self =
@@ -34,6 +34,7 @@
         val network = links.start(HostIdentity(name, region, "$region-a", epoch))
         val clock = RelayClock(scope.testScheduler.timeSource)
         services[name] = SiteService(network, self, seeds, linkPort = 1, clock).apply { start(scope.backgroundScope) }
+        if (isState && isConfirmed) services.getValue(name).confirmState()
     }
 
     private fun site(seeds: List<String> = stateHosts, test: suspend Site.() -> Unit) = runTest {
@@ -117,6 +118,22 @@
         assertEquals(1, view(name).backendServers.size)
     }
 
+    /** Guards against a host that takes an old document from the disk of a state host that has just started. */
+    @Test
+    fun `a state host forwards its state only after its group has confirmed it`() = site {
+        val (restarted, entry) = stateHosts[0] to entryHosts[0]
+        (stateHosts - restarted).forEach { links.stop(it) }
+        start(restarted, stateHosts, epoch = 2, isConfirmed = false)
+        start(entry, stateHosts, epoch = 2)
+        services.getValue(restarted).install(document(3))
+        delay(3_000)
+        assertEquals(0, view(entry).state.index)
+        services.getValue(restarted).install(document(7))
+        services.getValue(restarted).confirmState()
+        delay(500)
+        assertEquals(7, view(entry).state.index)
+    }
+
     /** Guards against state hosts that restart together and put a server that left back in use. */
     @Test
     fun `a departure outlives a restart of all state hosts`() = site {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -82,6 +82,7 @@
         siteLinks.listen()
         changes.attach(site, siteLinks.network)
         site.addListener { logLeader() }
+        group.addListener { _, _ -> site.confirmState() }
         group.start().onLeft { throw IOException("${settings.dataFolder}: $it") }
         site.start(scope)
         httpServers.forEach { it.start() }
