Keep the decision on attempts without progress apart from the exchange

Cause: Exchange.kt had grown to 390 lines and mixed the timeouts of an attempt with its handling. StreamForwardingTest and FaultyServerTest cover it as before.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -6,6 +6,7 @@
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.relay.AttemptFailure
 import org.arbutusrelay.core.relay.EventStreamCursor
+import org.arbutusrelay.core.relay.ProgressTimeout
 import org.arbutusrelay.core.relay.RetryContext
 import org.arbutusrelay.core.relay.RetryRules
 import org.arbutusrelay.core.relay.RetryVerdict
@@ -183,11 +184,7 @@
     /** Retries on another backend server when the response makes no progress within its timeout. */
     private fun checkResponseTimeout(checked: Attempt) {
         val call = resolved ?: return
-        val timeoutMs = if (checked.hasProgressed) {
-            maxOf(MIN_IDLE_TIMEOUT_MS, call.route.targetPauseMs * IDLE_TIMEOUT_FACTOR)
-        } else {
-            maxOf(MIN_FIRST_BYTE_TIMEOUT_MS, call.route.targetLatencyMs * FIRST_BYTE_TIMEOUT_FACTOR)
-        }
+        val timeoutMs = ProgressTimeout.timeoutMs(call.route, checked.hasProgressed)
         val idleMs = context.clock.nowMs() - checked.lastProgressMs
         if (idleMs < timeoutMs) {
             context.schedule(timeoutMs - idleMs) {
@@ -369,14 +366,6 @@
     private companion object {
         /** Prompt block that distinguishes sessions; many sessions share the blocks before it. */
         const val AFFINITY_BLOCK_INDEX = 12
-        const val MIN_FIRST_BYTE_TIMEOUT_MS = 1_000L
-        const val MIN_IDLE_TIMEOUT_MS = 1_500L
-
-        /** Multiple of the pause that the route allows; slow but sound streams stay below it. */
-        const val IDLE_TIMEOUT_FACTOR = 4L
-
-        /** Multiple of the route's target latency within which the first bytes of the body must arrive. */
-        const val FIRST_BYTE_TIMEOUT_FACTOR = 3L
 
         /** Maximum wait for the first route document after the start of this host. */
         const val ROUTES_WAIT_MS = 1_000L
