Give up a region that cannot be connected to

The breaker of a region counted lost connections and refusals only, and the host to forward to was chosen by affinity whatever had happened to it.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
@@ -14,7 +14,8 @@
         when (result) {
             AttemptResult.COMPLETE -> region.breaker.recordSuccess()
 
-            AttemptResult.CONNECTION_LOST -> region.breaker.recordFailure(nowMs)
+            // Connections to a region that is cut off time out, and each costs its request a second.
+            AttemptResult.CONNECTION_LOST, AttemptResult.UNREACHABLE -> region.breaker.recordFailure(nowMs)
 
             AttemptResult.REFUSED -> {
                 region.breaker.recordFailure(nowMs)
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/RegionSpilloverTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/RegionSpilloverTest.kt
@@ -44,6 +44,18 @@
         0,
     )
 
+    /**
+     * Simulates a region that is cut off: connections to it time out. Guards against requests that lose a second each
+     * although another region, or a refusal at once, would serve their callers better.
+     */
+    @Test
+    fun `a region that cannot be connected to is given up after a few attempts`() {
+        scheduler.updateTable(table(emptyList(), region("danang", summary("drafting", 256))))
+        val attempts = List(3) { assertIs<Placement.Forward>(submit("drafting", listOf("danang"), 700)).attempt }
+        attempts.forEach { scheduler.complete(it, AttemptResult.UNREACHABLE, 0) }
+        assertIs<Placement.Refused>(submit("drafting", listOf("danang"), 700))
+    }
+
     /**
      * Simulates a region without a server of a plain service beside streams that must run in another region. Guards
      * against counting streams in flight against the few slots of the plain service there.
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -148,7 +148,7 @@
 
     private fun forwardToRegion(placement: Placement.Forward) {
         val affinity = profile.prefixHashes.getOrNull(AFFINITY_BLOCK_INDEX)?.toString() ?: profile.id.toString()
-        val address = context.forwardTargets.select(placement.region, affinity, tried)
+        val address = context.forwardTargets.select(placement.region, affinity, tried, context.clock.nowMs())
         if (address == null) {
             context.complete(placement.attempt, AttemptResult.REFUSED)
             return failRequest(RelayError(ErrorKind.REGION_UNREACHABLE))
@@ -258,6 +258,8 @@
         if (attempt !== source) return
         attempt = null
         if (failure != AttemptFailure.NOT_SENT && failure != AttemptFailure.NOT_EXECUTED) possibleRuns++
+        val isHostUnreachable = failure == AttemptFailure.NOT_SENT && source.placed.backendServer.isEmpty()
+        if (isHostUnreachable) context.forwardTargets.recordUnreachable(source.address, context.clock.nowMs())
         context.complete(source.placed, resultOf(failure, source))
         if (phase != Phase.SENT) return
         cursor.dropPartial()
