Keep the ticks of a host alive when a load is observed during one

Messages refuse a negative age; the exception ended the coroutine of the ticks, and the host reported no more. Change: such a load has age 0. SiteServiceTest fails without the change (IllegalArgumentException: ageMs < minimum 0).

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
@@ -88,11 +88,12 @@
     /** Returns all servers for a digest or a routing table, with their remaining lease and cold time. */
     public fun states(nowMs: Long): List<BackendServerState> = entries.values.map { stateOf(it, nowMs) }
 
-    /** Returns the loads observed within the last [maxAgeMs]. */
+    /** Returns the loads observed within the last [maxAgeMs]; one that was recorded after [nowMs] was read has age 0. */
     public fun loads(nowMs: Long, maxAgeMs: Long): List<BackendLoad> = entries.values
         .filter { nowMs - it.loadAtMs <= maxAgeMs }
         .map {
-            BackendLoad(it.state.name, it.state.incarnation, it.state.running, it.state.queued, nowMs - it.loadAtMs)
+            val ageMs = (nowMs - it.loadAtMs).coerceAtLeast(0)
+            BackendLoad(it.state.name, it.state.incarnation, it.state.running, it.state.queued, ageMs)
         }
 
     /** Returns the state of one server, as in [states], or null if it is unknown. */
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -296,7 +296,8 @@
 
     private fun sendReports(nowMs: Long) {
         val report = synchronized(this) {
-            val loads = unreportedLoads.values.map { it.copy(ageMs = nowMs - it.ageMs) }
+            // Another thread may have observed a load after nowMs was read; a negative age is not a valid message.
+            val loads = unreportedLoads.values.map { it.copy(ageMs = (nowMs - it.ageMs).coerceAtLeast(0)) }
             unreportedLoads.clear()
             val recent = servers.departures(nowMs).filter { it.ageMs <= times.departureReportMs }
             SiteReport(self, state.index, loads, departures = recent)
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
@@ -7,6 +7,7 @@
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.HostIdentity
 import org.arbutusrelay.daemon.link.InMemoryLinks
+import org.arbutusrelay.schema.message.BackendLoad
 import org.arbutusrelay.schema.message.BackendServerState
 import org.arbutusrelay.schema.message.DocumentRecord
 import org.arbutusrelay.schema.message.HostState
@@ -18,6 +19,8 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TestTimeSource
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class SiteServiceTest {
@@ -118,6 +121,26 @@
         assertEquals(1, view(name).backendServers.size)
     }
 
+    /**
+     * Simulates a load that the thread of a request observes after the time of a tick was read. Guards against a tick
+     * that fails, after which the host reports no more and keeps its document for good.
+     */
+    @Test
+    fun `a load observed during a tick does not end the ticks`() = runTest {
+        val links = InMemoryLinks(backgroundScope)
+        val time = TestTimeSource()
+        for (isStateHost in listOf(false, true)) {
+            val identity = HostIdentity("10.4.0.1", "4", "4-a", 1)
+            val self = identity.initialState("10.4.0.1:1", isStateHost)
+            val service = SiteService(links.start(identity), self, stateHosts, linkPort = 1, RelayClock(time))
+            service.announce(server(1))
+            time += 5.milliseconds
+            service.observe(BackendLoad("b", 1, running = 3, queued = 0, ageMs = 0))
+            time += (-5).milliseconds
+            service.updateSelf { it.copy(callerAddress = "10.4.0.1:80") }
+        }
+    }
+
     /** Guards against a host that takes an old document from the disk of a state host that has just started. */
     @Test
     fun `a state host forwards its state only after its group has confirmed it`() = site {
