Shorten a comment line that the linter refuses

Change: fewer words. SiteServiceTest, SiteGrowthTest, SitePulsesTest and the linter of core and daemon pass.

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
@@ -88,7 +88,7 @@
     /** Returns all servers for a digest or a routing table, with their remaining lease and cold time. */
     public fun states(nowMs: Long): List<BackendServerState> = entries.values.map { stateOf(it, nowMs) }
 
-    /** Returns the loads observed within the last [maxAgeMs]; one that was recorded after [nowMs] was read has age 0. */
+    /** Returns the loads observed within the last [maxAgeMs]; one recorded after [nowMs] was read has age 0. */
     public fun loads(nowMs: Long, maxAgeMs: Long): List<BackendLoad> = entries.values
         .filter { nowMs - it.loadAtMs <= maxAgeMs }
         .map {
