Let only the host that received a request from its caller run it again

Change: a forwarded request runs once at the second host, and the first one decides on another run. ForwardingTest: two failing servers behind a host that gets a forwarded request see one run (two before).

--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/RetryRules.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/RetryRules.kt
@@ -45,6 +45,12 @@
     /** True if part of a response body that cannot be resumed was sent to the caller. */
     val isResponseStarted: Boolean,
     val remainingMs: Long,
+    /**
+     * Maximum number of backend servers that may execute the request on behalf of this host.
+     *
+     * A request that another host forwarded runs once here: that host counts the runs and decides on another one.
+     */
+    val maxRuns: Int = route.maxAttempts,
 )
 
 /**
@@ -66,10 +72,10 @@
             AttemptFailure.NOT_SENT, AttemptFailure.NOT_EXECUTED -> context.attempts < MAX_UNEXECUTED_ATTEMPTS
 
             AttemptFailure.UNKNOWN, AttemptFailure.SILENT ->
-                context.route.isRepeatable && context.runs < context.route.maxAttempts
+                context.route.isRepeatable && context.runs < context.maxRuns
 
             AttemptFailure.RAN_AND_FAILED ->
-                context.route.kind == RouteKind.IDEMPOTENT && context.runs < context.route.maxAttempts
+                context.route.kind == RouteKind.IDEMPOTENT && context.runs < context.maxRuns
         }
         val canResume = !context.isResponseStarted || context.route.isResumable
         return if (isRetryAllowed && canResume && context.remainingMs >= MIN_REMAINING_MS) {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -285,7 +285,10 @@
         val countedRuns = if (failure == AttemptFailure.SILENT) possibleRuns + 1 else possibleRuns
         val remainingMs = call.deadlineMs - context.clock.nowMs()
         val isStarted = response.isStarted
-        return RetryRules.decide(RetryContext(call.route, failure, countedRuns, attempts, isStarted, remainingMs))
+        val maxRuns = if (request.isForwarded) 1 else call.route.maxAttempts
+        return RetryRules.decide(
+            RetryContext(call.route, failure, countedRuns, attempts, isStarted, remainingMs, maxRuns),
+        )
     }
 
     private fun resultOf(failure: AttemptFailure, source: Attempt): AttemptResult = when (failure) {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ForwardingTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ForwardingTest.kt
@@ -102,6 +102,22 @@
         }
     }
 
+    /** Guards against a forwarded request that both hosts run again, on more servers than its route allows. */
+    @Test
+    fun `only the host that received a request from its caller runs it again`() {
+        for ((isForwarded, runs) in listOf(true to 1, false to 2)) {
+            val servers = List(2) {
+                ScriptedServer { socket, request, _ ->
+                    socket.write(signedResponse(request, "failed").replace("200 OK", "500 Failed"))
+                }
+            }
+            RelayFixture(*servers.toTypedArray(), isForwarded = isForwarded).use { relay ->
+                assertContains(relay.exchange("/safe/x"), "500")
+                assertEquals(runs, servers.sumOf { it.requests.size }, "isForwarded=$isForwarded")
+            }
+        }
+    }
+
     /** Guards against delivering a late or surplus response to the next request. */
     @Test
     fun `a response to another request is never used`() {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -56,6 +56,7 @@
     private val capacity: Long = 8,
     private val timeoutMs: Long = 2_000,
     private val targetPauseMs: Long = 0,
+    isForwarded: Boolean = false,
 ) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -87,7 +88,7 @@
     /** Memory that buffered responses take, in bytes. */
     val bufferedBytes: Int get() = context.responseBuffers.totalBytes
 
-    private val server = IngressServer(group, options, Service(), isForwarded = false)
+    private val server = IngressServer(group, options, Service(), isForwarded)
 
     init {
         val routes = listOf(
