Forward the state of a restarted state host at once again

A state host that waits for the first entry that its group applies forwards nothing for as long as there is none, and restarted entry hosts refuse their callers. Change: StateNode confirms its state at once; the mechanism and its test stay in SiteService for a better signal, such as the commit index of the leader.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -82,7 +82,9 @@
         siteLinks.listen()
         changes.attach(site, siteLinks.network)
         site.addListener { logLeader() }
-        group.addListener { _, _ -> site.confirmState() }
+        // Waiting for the first entry that the group applies would leave restarted entry hosts without a document: a
+        // follower without a new entry applies none.
+        site.confirmState()
         group.start().onLeft { throw IOException("${settings.dataFolder}: $it") }
         site.start(scope)
         httpServers.forEach { it.start() }
