Give back a grant whose run was cancelled before it started

DetachedRuns.await starts its run as an ordinary coroutine, and a coroutine that is cancelled before a thread is free for it is never entered. The test waits 1 ms and then awaits a signal that only the run gives, so that it waits for ever when no thread was free within that millisecond. The same happens in the product: with all detached runs taken, a posting whose run had not started when its wait ended kept its grant, and each resend was told "in progress". Change: the run is entered even when it is cancelled, and gives its grant back without sending anything.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/AtMostOnceExecutor.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/AtMostOnceExecutor.kt
@@ -4,6 +4,8 @@
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.routing.AttemptResult
@@ -127,14 +129,18 @@
         attempt: suspend (ResponseListener) -> AttemptEnd,
     ): AttemptEnd {
         var end: AttemptEnd? = null
+        var mayHaveRun = false
         try {
+            // A run that was cancelled while it waited for a thread must not be sent to a backend server any more.
+            currentCoroutineContext().ensureActive()
+            mayHaveRun = true
             end = attempt(buffer)
+            mayHaveRun = (end as? AttemptEnd.Failed)?.mayHaveRun ?: true
         } finally {
-            val failed = end as? AttemptEnd.Failed
             when {
                 end is AttemptEnd.Complete -> Unit
 
-                failed != null && !failed.mayHaveRun ->
+                !mayHaveRun ->
                     ledger.release(request.homeRegion, LedgerRelease(key, request.id.toAttempt()))
 
                 else -> ledger.settle(request.homeRegion, key, request.id.toAttempt())
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/DetachedRuns.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/request/DetachedRuns.kt
@@ -2,6 +2,8 @@
 
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.DelicateCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
 import kotlinx.coroutines.withTimeoutOrNull
@@ -21,9 +23,14 @@
 ) {
     private val permits = Semaphore(maxCount)
 
-    /** Returns the result of [run], or null if it takes longer than [waitMs]; the run is then detached. */
+    /**
+     * Returns the result of [run], or null if it takes longer than [waitMs]; the run is then detached.
+     *
+     * [run] is entered even if it was cancelled while it waited for a thread, so that it can give back what it holds.
+     */
+    @OptIn(DelicateCoroutinesApi::class)
     public suspend fun <T : Any> await(waitMs: Long, run: suspend () -> T): T? {
-        val deferred = scope.async { run() }
+        val deferred = scope.async(start = CoroutineStart.ATOMIC) { run() }
         try {
             return withTimeoutOrNull(waitMs) { deferred.await() }.also { if (it == null) detach(deferred) }
         } catch (e: CancellationException) {
