--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
@@ -134,14 +134,19 @@
     public fun limitAt(nowMs: Long): Int =
         maxOf(1, (limit.current() * ramp.sharePermille(nowMs) / PERMILLE).toInt())
 
-    /** Returns true when the backend server can accept one more request at [nowMs]; it reserves nothing. */
-    public fun hasRoom(nowMs: Long): Boolean =
+    /**
+     * Returns true when the backend server can accept one more request at [nowMs]; it reserves nothing.
+     *
+     * With [countsOtherHosts] false, only the requests of this host count towards its limit.
+     */
+    public fun hasRoom(nowMs: Long, countsOtherHosts: Boolean = true): Boolean =
         ownRequests.get() != ISOLATED && claim.get() == null && !state.isLeaving &&
-            load() < limitAt(nowMs) && breaker.isReady(nowMs) && coldLimiter.isOpen(nowMs)
+            (if (countsOtherHosts) load() else ownInFlight()) < limitAt(nowMs) && breaker.isReady(nowMs) &&
+            coldLimiter.isOpen(nowMs)
 
-    /** Acquires a slot; the caller must call [release] afterwards. */
-    public fun tryAcquire(nowMs: Long): Boolean {
-        if (!hasRoom(nowMs)) return false
+    /** Acquires a slot if there is room as in [hasRoom]; the caller must call [release] afterwards. */
+    public fun tryAcquire(nowMs: Long, countsOtherHosts: Boolean = true): Boolean {
+        if (!hasRoom(nowMs, countsOtherHosts)) return false
         val bound = limitAt(nowMs)
         while (true) {
             val count = ownRequests.get()
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteServerSelector.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteServerSelector.kt
@@ -26,16 +26,26 @@
         return PrefillEstimate(prompt.expectedPrefillTokens(profile, slots).toInt(), source)
     }
 
+    /** Selects among the servers with room; among all that this host's own share allows when none is known to have. */
     private fun selectBest(
         profile: RequestProfile,
         servers: ServerPool,
         prompt: PrefixLocality,
         nowMs: Long,
+    ): BackendSlots? = selectBest(profile, servers, prompt, nowMs, countsOtherHosts = true)
+        ?: if (servers.isBelowOwnShare()) selectBest(profile, servers, prompt, nowMs, false) else null
+
+    private fun selectBest(
+        profile: RequestProfile,
+        servers: ServerPool,
+        prompt: PrefixLocality,
+        nowMs: Long,
+        countsOtherHosts: Boolean,
     ): BackendSlots? {
         var best: BackendSlots? = null
         var bestScore = Double.MAX_VALUE
         for (slots in servers.slots) {
-            if (!slots.hasRoom(nowMs)) continue
+            if (!slots.hasRoom(nowMs, countsOtherHosts)) continue
             val score = score(profile, slots, servers, prompt, nowMs)
             if (score < bestScore) {
                 best = slots
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/LocalPlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/LocalPlacement.kt
@@ -17,7 +17,7 @@
             val snapshot = snapshotOf()
             val servers = snapshot.services[profile.serviceName] ?: return null
             val slots = selector.select(profile, servers, nowMs) ?: return null
-            if (slots.tryAcquire(nowMs)) {
+            if (slots.tryAcquire(nowMs, countsOtherHosts = !servers.isBelowOwnShare())) {
                 // The table may have been replaced since the selection; a slot of a leaving server is released.
                 if (snapshotOf().isCurrent(slots)) return place(profile, slots, servers.times, nowMs)
                 slots.release()
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/PrefixLocality.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/PrefixLocality.kt
@@ -18,7 +18,7 @@
         val uncachedShared = uncachedSharedTokens(profile, slots)
         if (slots === affinityServer) return ownTokens + uncachedShared * UNCACHED_SHARE
         if (!profile.canImportCache) return (ownTokens + uncachedShared).toDouble()
-        val importable = maxOf(0.0, uncachedShared - uncachedAtSource(profile))
+        val importable = maxOf(0, uncachedShared - uncachedAtSource(profile))
         return ownTokens + uncachedShared - importable * IMPORT_SAVING_SHARE
     }
 
@@ -34,12 +34,14 @@
         return source?.takeIf { it !== slots }
     }
 
-    private fun uncachedAtSource(profile: RequestProfile): Double {
-        val known = if (holder == null) profile.sharedTokens.toDouble() else holderUncachedTokens.toDouble()
-        val assumed =
-            if (affinityServer == null) profile.sharedTokens.toDouble() else profile.sharedTokens * UNCACHED_SHARE
-        return minOf(known, assumed)
-    }
+    /**
+     * Returns the shared tokens that the known holder would have to prefill.
+     *
+     * The assumed copy on the affinity server is not counted: if importing it looked free, requests would go to any
+     * server, and none of them would have the prefix.
+     */
+    private fun uncachedAtSource(profile: RequestProfile): Int =
+        if (holder == null) profile.sharedTokens else holderUncachedTokens
 
     companion object {
         /** Share of a shared prefix that is assumed not to be cached yet on the affinity server. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RoutingTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RoutingTable.kt
@@ -22,6 +22,8 @@
     val coldRatesPerSecond: Map<String, Double> = emptyMap(),
     /** Maximum burst of retries of this host for one service; null to use that of the scheduler settings. */
     val maxRetryBurst: Long? = null,
+    /** Number of entry hosts of this region, which share its backend servers; 0 when it is not known. */
+    val regionHosts: Int = 0,
     /** Build time of the table, on the scheduler clock; null to use the time of the last call of the scheduler. */
     val builtAtMs: Long? = null,
 )
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
@@ -41,7 +41,7 @@
             it.coldLimiter.update(it.state.coldMs, table.coldRatesPerSecond[it.name] ?: 0.0, builtMs)
         }
         val services = active.groupBy { it.service }.mapValues { (service, states) ->
-            ServerPool(states.mapNotNull { slots[it.name] }, timesOf(service))
+            ServerPool(states.mapNotNull { slots[it.name] }, timesOf(service), table.regionHosts)
         }
         val regions = table.otherRegions.mapValues { (name, region) ->
             old.regions[name]?.apply { update(region) }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerSelector.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerSelector.kt
@@ -20,10 +20,31 @@
 }
 
 /** The backend servers of one service in this region, and the service-time model of the service. */
-public class ServerPool(public val slots: List<BackendSlots>, public val times: ServiceTimeModel) {
+public class ServerPool(
+    public val slots: List<BackendSlots>,
+    public val times: ServiceTimeModel,
+    /** Number of hosts that share the backend servers; 0 when it is not known. */
+    hosts: Int = 0,
+) {
     /** Maximum number of concurrent requests on all backend servers together. */
     public val capacity: Int = slots.sumOf { it.capacity }
 
+    /**
+     * Slots that this host may use whatever the reported load is, as its share of all slots.
+     *
+     * The more hosts share the servers, the older and the rarer are the loads that one of them knows. Without a share,
+     * hosts that all believe the servers to be full send nothing and so never learn that they have become idle.
+     */
+    private val ownShare: Int = if (hosts == 0) 0 else maxOf(1, capacity / hosts)
+
+    /** Returns true when this host uses fewer slots than its share. */
+    public fun isBelowOwnShare(): Boolean {
+        if (ownShare == 0) return false
+        var sum = 0
+        for (index in slots.indices) sum += slots[index].ownInFlight()
+        return sum < ownShare
+    }
+
     /** Estimated requests in flight on all backend servers. */
     public fun load(): Int {
         var sum = 0
--- a/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
@@ -1,8 +1,10 @@
 package org.arbutusrelay.core.site
 
+import org.arbutusrelay.core.admission.HalfLife
 import org.arbutusrelay.schema.message.BackendDeparture
 import org.arbutusrelay.schema.message.BackendLoad
 import org.arbutusrelay.schema.message.BackendServerState
+import kotlin.math.roundToLong
 
 /** The last announcement of an incarnation, as a pulse passes it on; [key] is a hash of its name and incarnation. */
 public data class ServerRenewal(val key: Long, val version: Long, val ageMs: Long, val coldMs: Long)
@@ -18,6 +20,7 @@
     private val entries = LinkedHashMap<String, Entry>()
     private val byKey = HashMap<Long, Entry>()
     private val departures = LinkedHashMap<String, Departure>()
+    private val loadHalfLife = HalfLife(LOAD_HALF_LIFE_MS)
 
     /** Applies an announcement received by this host; returns true if it must be sent to other hosts at once. */
     public fun announce(state: BackendServerState, nowMs: Long): Boolean = store(state, nowMs, nowMs)
@@ -85,7 +88,12 @@
         departures.values.removeIf { nowMs - it.atMs > DEPARTURE_RETENTION_MS }
     }
 
-    /** Returns all servers for a digest or a routing table, with their remaining lease and cold time. */
+    /**
+     * Returns all servers for a digest or a routing table, with their remaining lease and cold time.
+     *
+     * Loads decay from their observation on: a server that gets no requests answers none, so that a load which made all
+     * hosts avoid it would never be corrected.
+     */
     public fun states(nowMs: Long): List<BackendServerState> = entries.values.map { stateOf(it, nowMs) }
 
     /** Returns the loads observed within the last [maxAgeMs]; one recorded after [nowMs] was read has age 0. */
@@ -109,10 +117,15 @@
             .forEach { it.coldUntilMs = maxOf(it.coldUntilMs, nowMs + coldMs) }
     }
 
-    private fun stateOf(entry: Entry, nowMs: Long): BackendServerState = entry.state.copy(
-        leaseMs = (leaseMs - (nowMs - entry.lastSeenMs)).coerceIn(0, leaseMs),
-        coldMs = (entry.coldUntilMs - nowMs).coerceAtLeast(0),
-    )
+    private fun stateOf(entry: Entry, nowMs: Long): BackendServerState {
+        val weight = loadHalfLife.weight(entry.loadAtMs, nowMs)
+        return entry.state.copy(
+            running = (entry.state.running * weight).roundToLong(),
+            queued = (entry.state.queued * weight).roundToLong(),
+            leaseMs = (leaseMs - (nowMs - entry.lastSeenMs)).coerceIn(0, leaseMs),
+            coldMs = (entry.coldUntilMs - nowMs).coerceAtLeast(0),
+        )
+    }
 
     private fun store(state: BackendServerState, lastSeenMs: Long, nowMs: Long): Boolean {
         if (nowMs - lastSeenMs >= leaseMs || isSuperseded(state)) return false
@@ -188,6 +201,9 @@
     private class Departure(val incarnation: Long, val atMs: Long)
 
     private companion object {
+        /** About the time of a response, within which a server that gets no more requests becomes idle. */
+        const val LOAD_HALF_LIFE_MS = 1_500.0
+
         /** Reports of the same cold period differ by no more than network delays. */
         const val COLD_TOLERANCE_MS = 500L
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
@@ -28,6 +28,7 @@
             sentAwayPermille = FULL_PERMILLE,
             coldRatesPerSecond = coldRates(localServers, view, plan),
             maxRetryBurst = retryBurst(view.entryHosts.size),
+            regionHosts = view.entryHosts.count { it.region == self.region },
             builtAtMs = view.builtAtMs,
         )
     }
--- /dev/null
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/BatchingEngine.kt
@@ -0,0 +1,139 @@
+package org.arbutusrelay.standin.fleet
+
+import org.arbutusrelay.schema.message.BackendServerState
+import org.arbutusrelay.standin.policy.VirtualClock
+
+/** Sizes and speeds of an engine. */
+internal data class BatchingEngineSpec(
+    val slots: Int = 24,
+    /** Time of one step without prefill, in milliseconds; each step produces one token for each running request. */
+    val stepMs: Double = 3.5,
+    /** Prompt tokens that are prefilled in one millisecond. */
+    val prefillTokensPerMs: Double = 44.0,
+    /** Maximum number of prompt tokens that one step prefills. */
+    val chunkTokens: Int = 2_048,
+    val cacheTokens: Int = 150_000,
+)
+
+/**
+ * Simulates an engine that prefills prompts in chunks between the tokens of its running requests, in virtual time.
+ *
+ * Waiting requests are admitted by priority, and the prompts of admitted ones are prefilled one after another. While a chunk is prefilled, all running requests wait, so a
+ * queue of long prompts delays first bytes and responses alike.
+ */
+internal class BatchingEngine(
+    val name: String,
+    private val region: String,
+    private val spec: BatchingEngineSpec,
+    private val clock: VirtualClock,
+) {
+    /** A request that was sent to the engine. */
+    class Job(
+        val sharedPrefix: Long,
+        val sharedTokens: Int,
+        val ownTokens: Int,
+        val responseTokens: Int,
+        /** More urgent requests, with a lower number, are admitted first. */
+        val priority: Int,
+        val deadlineMs: Double,
+        val importSource: BatchingEngine?,
+        val onFirstByte: () -> Unit,
+        /** Called once, with false when the deadline passed first. */
+        val onEnd: (Boolean) -> Unit,
+    ) {
+        var uncachedTokens = 0
+        var producedTokens = 0
+    }
+
+    private val waiting = ArrayDeque<Job>()
+    private val prefilling = ArrayDeque<Job>()
+    private val decoding = ArrayList<Job>()
+    private val cache = LinkedHashMap<Long, Int>(INITIAL_CACHE_SIZE, CACHE_LOAD_FACTOR, true)
+    private var isStepping = false
+
+    /** Shared tokens that were prefilled although another engine had them cached. */
+    var recomputedTokens = 0L
+        private set
+
+    /** Time during which the engine was busy, in milliseconds. */
+    var busyMs = 0.0
+        private set
+
+    val running: Int get() = prefilling.size + decoding.size
+    val queued: Int get() = waiting.size
+
+    /** Returns the announcement with [version], which tells no load. */
+    fun state(version: Long): BackendServerState = BackendServerState(
+        name, "drafting", region, "$region-a", name, 1, version, spec.slots.toLong(), emptyList(), emptyList(), "",
+        running = 0, queued = 0, isLeaving = false, LEASE_MS,
+    )
+
+    fun submit(job: Job) {
+        waiting.addLast(job)
+        admit()
+        if (!isStepping) step()
+    }
+
+    private fun holds(prefix: Long) = prefix in cache
+
+    private fun admit() {
+        while (waiting.isNotEmpty() && running < spec.slots) {
+            val job = waiting.minBy { it.priority }
+            waiting.remove(job)
+            val isCached = cache[job.sharedPrefix] != null || job.importSource?.holds(job.sharedPrefix) == true
+            job.uncachedTokens = job.ownTokens + if (isCached) 0 else job.sharedTokens
+            if (!isCached) recomputedTokens += job.sharedTokens
+            cache[job.sharedPrefix] = job.sharedTokens
+            var excess = cache.values.sum() - spec.cacheTokens
+            val oldest = cache.entries.iterator()
+            while (excess > 0) {
+                excess -= oldest.next().value
+                oldest.remove()
+            }
+            prefilling.addLast(job)
+        }
+    }
+
+    private fun step() {
+        endOverdue(waiting)
+        endOverdue(prefilling)
+        endOverdue(decoding)
+        admit()
+        isStepping = running > 0
+        if (!isStepping) return
+        val chunk = minOf(spec.chunkTokens, prefilling.firstOrNull()?.uncachedTokens ?: 0)
+        val durationMs = spec.stepMs + chunk / spec.prefillTokensPerMs
+        busyMs += durationMs
+        val produced = decoding.toList()
+        clock.schedule(clock.nowMs + durationMs) {
+            endStep(chunk, produced)
+            step()
+        }
+    }
+
+    private fun endStep(chunk: Int, produced: List<Job>) {
+        for (job in produced) {
+            if (++job.producedTokens < job.responseTokens || !decoding.remove(job)) continue
+            job.onEnd(true)
+        }
+        val first = prefilling.firstOrNull() ?: return
+        first.uncachedTokens -= chunk
+        if (first.uncachedTokens > 0) return
+        prefilling.removeFirst()
+        decoding += first
+        first.onFirstByte()
+    }
+
+    private fun endOverdue(jobs: MutableList<Job>) {
+        val overdue = jobs.filter { it.deadlineMs <= clock.nowMs }
+        if (overdue.isEmpty()) return
+        jobs.removeAll(overdue)
+        overdue.forEach { it.onEnd(false) }
+    }
+
+    private companion object {
+        const val LEASE_MS = 60_000L
+        const val INITIAL_CACHE_SIZE = 64
+        const val CACHE_LOAD_FACTOR = 0.75f
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetModel.kt
@@ -0,0 +1,144 @@
+package org.arbutusrelay.standin.fleet
+
+import org.arbutusrelay.core.routing.ServerSelector
+import org.arbutusrelay.standin.policy.VirtualClock
+import java.util.Random
+import kotlin.math.exp
+import kotlin.math.ln
+
+/** A kind of streamed request of the model. */
+internal data class FleetKind(
+    val name: String,
+    val priority: Int,
+    /** Arrivals in a second, over all hosts of a region with the weight 1. */
+    val perSecond: Double,
+    /** Number of different shared prefixes. */
+    val prefixes: Int,
+    val sharedTokens: Int,
+    /** Mean of the tokens that belong to the request alone; their logarithm has a standard deviation of 1. */
+    val ownTokens: Int,
+    val responseTokens: Int,
+    val targetMs: Long,
+    val deadlineMs: Long,
+)
+
+/** Size of a modelled region and its share of the load. */
+internal data class FleetRegion(val name: String, val hosts: Int, val engines: Int, val weight: Double)
+
+/** Sizes and load of a modelled site. */
+internal data class FleetSpec(
+    val regions: List<FleetRegion>,
+    val kinds: List<FleetKind>,
+    val durationMs: Double = 20_000.0,
+    /** Requests that arrive before this time only warm the caches and are not counted. */
+    val warmUpMs: Double = 5_000.0,
+    /** Interval at which hosts report observed loads, and at which all hosts receive them. */
+    val reportIntervalMs: Double = 1_000.0,
+    val linkDelayMs: Long = 55,
+    val engine: BatchingEngineSpec = BatchingEngineSpec(),
+)
+
+/** What happened to the requests of one kind. */
+internal class FleetTally {
+    var arrivals = 0
+    var inTime = 0
+    var served = 0
+    var refused = 0
+    var forwarded = 0
+
+    /** Returns [count] as a share of the arrivals. */
+    fun share(count: Int): Double = count.toDouble() / maxOf(1, arrivals)
+}
+
+/** A request of the model. */
+internal class FleetRequest(
+    val kind: FleetKind,
+    val prefix: Long,
+    val ownTokens: Int,
+    val arrivedMs: Long,
+    val isCounted: Boolean,
+)
+
+/**
+ * Simulates regions in which many entry hosts share the engines, with the production scheduler on each host.
+ *
+ * A host knows its own requests, the loads in its own responses, and what the other hosts observed up to two report
+ * intervals ago. The more hosts share a load, the less each of them sees of it.
+ */
+internal class FleetModel(val spec: FleetSpec, private val selector: () -> ServerSelector, seed: Long) {
+    val clock = VirtualClock()
+    private val random = Random(seed)
+    val engines: Map<String, List<BatchingEngine>> = spec.regions.associate { region ->
+        region.name to List(region.engines) {
+            BatchingEngine("${region.name}-engine-$it", region.name, spec.engine, clock)
+        }
+    }
+    private val hosts = spec.regions.associate { region ->
+        region.name to List(region.hosts) { FleetHost(this, region, "${region.name}-$it", selector()) }
+    }
+    private val reported = HashMap<String, ObservedLoad>()
+    val tallies: Map<String, FleetTally> = spec.kinds.associate { it.name to FleetTally() }
+
+    /** Loads that all hosts have received. */
+    var published: Map<String, ObservedLoad> = emptyMap()
+        private set
+
+    fun run(): FleetModel {
+        for (region in spec.regions) spec.kinds.forEach { scheduleArrival(region, it) }
+        for (host in hosts.values.flatten()) {
+            val phase = random.nextDouble()
+            repeatAfter(phase, spec.reportIntervalMs) { host.takeObserved().forEach(::report) }
+            repeatAfter(phase, TABLE_INTERVAL_MS) { host.updateTable() }
+            clock.schedulePeriodically(POLL_INTERVAL_MS, spec.durationMs) { host.poll() }
+        }
+        clock.schedulePeriodically(spec.reportIntervalMs, spec.durationMs) { published = reported.toMap() }
+        clock.run()
+        return this
+    }
+
+    fun nowMs(): Long = clock.nowMs.toLong()
+
+    /** Returns the host of [region] that receives a forwarded request. */
+    fun forwardTarget(region: String): FleetHost = hosts.getValue(region).let { it[random.nextInt(it.size)] }
+
+    fun engine(name: String): BatchingEngine? = engines.values.firstNotNullOfOrNull { list ->
+        list.find { it.name == name }
+    }
+
+    private fun report(name: String, load: ObservedLoad) {
+        if ((reported[name]?.atMs ?: 0.0) <= load.atMs) reported[name] = load
+    }
+
+    private fun repeatAfter(phase: Double, intervalMs: Double, action: () -> Unit) {
+        clock.schedule(phase * intervalMs) {
+            action()
+            clock.schedulePeriodically(intervalMs, spec.durationMs, action)
+        }
+    }
+
+    private fun scheduleArrival(region: FleetRegion, kind: FleetKind) {
+        val gapMs = -ln(1 - random.nextDouble()) * MS_PER_SECOND / (kind.perSecond * region.weight)
+        if (clock.nowMs + gapMs > spec.durationMs) return
+        clock.schedule(clock.nowMs + gapMs) {
+            val isCounted = clock.nowMs >= spec.warmUpMs
+            if (isCounted) tallies.getValue(kind.name).arrivals++
+            val prefix = random.nextInt(kind.prefixes).toLong() * PREFIX_STRIDE + kind.name.hashCode()
+            val ownTokens = (kind.ownTokens * exp(random.nextGaussian() - LOG_NORMAL_MEAN_SHIFT)).toInt() + 1
+            forwardTarget(region.name).accept(FleetRequest(kind, prefix, ownTokens, nowMs(), isCounted))
+            scheduleArrival(region, kind)
+        }
+    }
+
+    private companion object {
+        const val PREFIX_STRIDE = 1_000_003L
+        const val MS_PER_SECOND = 1_000.0
+        const val TABLE_INTERVAL_MS = 450.0
+        const val POLL_INTERVAL_MS = 20.0
+
+        /** Shifts the logarithm so that the mean of the tokens is the given one. */
+        const val LOG_NORMAL_MEAN_SHIFT = 0.5
+    }
+}
+
+/** Load of an engine that a host observed in a response. */
+internal class ObservedLoad(val running: Long, val queued: Long, val atMs: Double)
