--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -64,6 +64,7 @@
         open.endPending()
         val overrunMs = nowMs - attempt.placedAtMs - open.predictedFirstByteMs
         open.region?.recordOverrun(attempt.profile.serviceName, overrunMs, nowMs)
+        if (open.slots != null) open.times.firstByteOverrun.record(overrunMs, nowMs)
     }
 
     override fun complete(attempt: PlacedAttempt, result: AttemptResult, nowMs: Long): List<QueuedPlacement> {
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteModel.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteModel.kt
@@ -18,7 +18,7 @@
     public var msPerToken: Double = INITIAL_MS_PER_TOKEN
         private set
 
-    /** Fixed part of the time to first byte, in milliseconds. */
+    /** Fixed part of the time to first byte without queueing, in milliseconds. */
     @Volatile
     public var baseMs: Double = INITIAL_BASE_MS
         private set
@@ -39,7 +39,9 @@
         if (spread > MIN_TOKEN_VARIANCE * weight) {
             msPerToken = ((sumXy - sumX * sumY / weight) / spread).coerceIn(MIN_MS_PER_TOKEN, MAX_MS_PER_TOKEN)
         }
-        baseMs = ((sumY - msPerToken * sumX) / weight).coerceIn(MIN_BASE_MS, MAX_BASE_MS)
+        val excessMs = firstByteMs - tokens * msPerToken - baseMs
+        val step = excessMs * if (excessMs < 0) FALL_WEIGHT else RISE_WEIGHT
+        baseMs = (baseMs + step).coerceIn(MIN_BASE_MS, MAX_BASE_MS)
     }
 
     private companion object {
@@ -55,5 +57,9 @@
         const val MAX_MS_PER_TOKEN = 0.5
         const val MIN_BASE_MS = 1.0
         const val MAX_BASE_MS = 1_000.0
+
+        /** The fixed time falls quickly and rises slowly, so that queueing does not become a part of it. */
+        const val FALL_WEIGHT = 0.1
+        const val RISE_WEIGHT = 0.01
     }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteServerSelector.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteServerSelector.kt
@@ -17,7 +17,8 @@
     override fun predictFirstByteMs(profile: RequestProfile, servers: ServerPool, nowMs: Long): Double? {
         val prompt = PrefixLocality.of(profile, servers)
         val slots = selectBest(profile, servers, prompt, nowMs) ?: return null
-        return predictMs(profile, slots, servers, prompt.expectedPrefillTokens(profile, slots), nowMs)
+        val overrunMs = if (profile.promptTokens == 0) 0.0 else servers.times.firstByteOverrun.at(nowMs)
+        return predictMs(profile, slots, servers, prompt.expectedPrefillTokens(profile, slots), nowMs) + overrunMs
     }
 
     override fun estimatePrefill(profile: RequestProfile, slots: BackendSlots, servers: ServerPool): PrefillEstimate {
@@ -109,6 +110,6 @@
         const val LOAD_TIE_BREAK_MS = 0.5
 
         /** A full batch slows prefill about as much as it slows decoding. */
-        const val BATCH_SLOWDOWN = 0.5
+        const val BATCH_SLOWDOWN = 1.0
     }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceTimeModel.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceTimeModel.kt
@@ -17,6 +17,9 @@
 
     /** Time to first byte as a function of the prompt tokens that are prefilled before it. */
     public val firstByte: FirstByteModel = FirstByteModel()
+
+    /** How much later than predicted recent first bytes in this region arrived. */
+    public val firstByteOverrun: FirstByteOverrun = FirstByteOverrun()
     private val uncachedTokens = MovingAverage(INITIAL_UNCACHED_TOKENS)
 
     /** Returns the mean number of uncached prompt tokens of a request. */
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/FirstByteServerSelectorTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/FirstByteServerSelectorTest.kt
@@ -104,6 +104,44 @@
         assertNotEquals(first.name, selector.select(request(2), servers, 0)?.name)
     }
 
+    /**
+     * Guards against a prefix that is cached nowhere because each host sends it to another engine and expects to import
+     * it from the engine with the highest rendezvous weight.
+     */
+    @Test
+    fun `a prefix that is only assumed to be cached is not expected to be imported`() {
+        val servers = ServerPool(List(4) { slots("engine-$it") }, ServiceTimeModel())
+        val selector = FirstByteServerSelector()
+        val profile = request(1).copy(canImportCache = true)
+        val preferred = checkNotNull(selector.select(profile, servers, 0))
+        val other = servers.slots.first { it !== preferred }
+        assertEquals(profile.promptTokens, selector.estimatePrefill(profile, other, servers).tokens)
+        preferred.prefixIndex.add(profile.prefixHashes)
+        val tokens = selector.estimatePrefill(profile, other, servers).tokens
+        assertTrue(tokens < profile.promptTokens / 2, "known to be cached on ${preferred.name}: $tokens")
+    }
+
+    /**
+     * Guards against hosts that all hold their requests back because a report, which lags, says that the engines are
+     * full; a host may always use its share of the slots.
+     */
+    @Test
+    fun `a host uses its share of the slots although other hosts are reported to use them all`() {
+        data class Case(val hosts: Int, val expected: Int)
+        for (case in listOf(Case(hosts = 0, expected = 0), Case(hosts = 4, expected = 12), Case(100, expected = 1))) {
+            val table = RoutingTable(
+                "hue",
+                "hue-a",
+                List(2) { slots("engine-$it", 24).state.copy(running = 24, version = 2) },
+                regionHosts = case.hosts,
+            )
+            val scheduler = DefaultRequestScheduler({ null }, serverSelector = FirstByteServerSelector())
+            scheduler.updateTable(table)
+            val placements = List(20) { scheduler.submit(request(it.toLong()), 0) }
+            assertEquals(case.expected, placements.count { it is Placement.Run }, "$case")
+        }
+    }
+
     /** Guards against requests of a plain service that accumulate on one server. */
     @Test
     fun `a plain request goes to the least loaded server`() {
--- a/core/src/test/kotlin/org/arbutusrelay/core/site/BackendServerRegistryTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/site/BackendServerRegistryTest.kt
@@ -112,4 +112,16 @@
         registry.recordLoad(BackendLoad("a", 1, 5, 5, ageMs = 0), 1_000)
         assertEquals(7L to 1L, registry.states(1_000).single().let { it.running to it.queued })
     }
+
+    /** Guards against a server that all hosts avoid for ever because no response corrects the last load seen there. */
+    @Test
+    fun `a load that is not observed again decays`() {
+        registry.announce(server("a", 1), 0)
+        registry.recordLoad(BackendLoad("a", 1, 8, 4, ageMs = 0), 0)
+        val loads = listOf(0L, 1_500L, 3_000L, 5_900L).map { nowMs ->
+            registry.announce(server("a", 2 + nowMs), nowMs)
+            registry.states(nowMs).single().let { it.running to it.queued }
+        }
+        assertEquals(listOf(8L to 4L, 4L to 2L, 2L to 1L, 1L to 0L), loads)
+    }
 }
--- a/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetHost.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetHost.kt
@@ -12,10 +12,10 @@
 import org.arbutusrelay.core.routing.SchedulerSettings
 import org.arbutusrelay.core.routing.ServerSelector
 import org.arbutusrelay.core.site.BackendServerRegistry
-import org.arbutusrelay.schema.message.ServiceSummary
 import org.arbutusrelay.schema.manifest.RegionLink
 import org.arbutusrelay.schema.message.BackendLoad
 import org.arbutusrelay.schema.message.BackendServerState
+import org.arbutusrelay.schema.message.ServiceSummary
 
 /** Simulates an entry host: runs the production scheduler and applies its placements to engines and regions. */
 internal class FleetHost(
@@ -59,8 +59,15 @@
             .mapValues { (name, servers) -> remoteRegion(name, servers) }
         scheduler.updateTable(
             RoutingTable(
-                region.name, "${region.name}-a", states.filter { it.region == region.name }, others, sentAwayPermille = FULL_PERMILLE,
-                regionHosts = region.hosts, builtAtMs = model.nowMs(),
+                region.name,
+                "${region.name}-a",
+                states.filter {
+                    it.region == region.name
+                },
+                others,
+                sentAwayPermille = FULL_PERMILLE,
+                regionHosts = region.hosts,
+                builtAtMs = model.nowMs(),
             ),
         )
     }
@@ -72,8 +79,12 @@
 
     private fun remoteRegion(other: String, servers: List<BackendServerState>): RemoteRegion {
         val summary = ServiceSummary(
-            SERVICE, servers.size.toLong(), servers.sumOf { it.capacity }, servers.sumOf { it.running },
-            servers.sumOf { it.queued }, 0,
+            SERVICE,
+            servers.size.toLong(),
+            servers.sumOf { it.capacity },
+            servers.sumOf { it.running },
+            servers.sumOf { it.queued },
+            0,
         )
         val link = RegionLink(region.name, other, spec.linkDelayMs, LINK_BITS_PER_SECOND)
         return RemoteRegion(other, link, mapOf(SERVICE to summary), 0)
@@ -89,6 +100,7 @@
             onFirstByte = { isInTime = model.nowMs() - request.arrivedMs <= request.kind.targetMs },
             onEnd = { result ->
                 if (!request.isCounted) return@accept
+                tally.ended++
                 if (result == AttemptResult.COMPLETE) tally.served++
                 if (result == AttemptResult.COMPLETE && isInTime) tally.inTime++
                 if (result == AttemptResult.REFUSED) tally.refused++
@@ -110,7 +122,15 @@
             List(request.ownTokens / BLOCK_TOKENS) { own * BLOCK_STRIDE + it }
         val profile = RequestProfile(
             id, "", SERVICE, kind.name, kind.priority, false, request.arrivedMs + kind.deadlineMs,
-            if (isForwarded) listOf(region.name) else listOf(region.name) + (spec.regions.map { it.name } - region.name),
+            if (isForwarded) {
+                listOf(region.name)
+            } else {
+                listOf(region.name) + (
+                    spec.regions.map {
+                        it.name
+                    } - region.name
+                    )
+            },
             prefixHashes = hashes,
             promptTokens = kind.sharedTokens + request.ownTokens,
             responseTokens = kind.responseTokens,
--- a/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetMeasurement.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetMeasurement.kt
@@ -25,11 +25,14 @@
     /** Prints one row for each policy, number of hosts and load, as means over [seeds] seeds. */
     public fun run(seeds: Int, loadsPermille: List<Int>, hostCounts: List<Int>) {
         println(HEADER)
-        for (load in loadsPermille) for (hosts in hostCounts) for ((title, selector) in policies) {
-            if (System.getenv("ALL") == null && title != "first byte") continue
-            val runs = (1L..seeds).toList().parallelStream()
-                .map { seed -> FleetModel(site(hosts, load), selector, seed).run() }.toList()
-            println(row(hosts, load, title, runs))
+        for (load in loadsPermille) {
+            for (hosts in hostCounts) {
+                for ((title, selector) in policies) {
+                    val runs = (1L..seeds).toList().parallelStream()
+                        .map { seed -> FleetModel(site(hosts, load), selector, seed).run() }.toList()
+                    println(row(hosts, load, title, runs))
+                }
+            }
         }
     }
 
@@ -44,7 +47,9 @@
         }
         val kinds = listOf(LONG, SHORT).flatMap { kind ->
             listOf(
-                share(kind) { it.inTime }, share(kind) { it.served }, share(kind) { it.refused },
+                share(kind) { it.inTime },
+                share(kind) { it.served },
+                share(kind) { it.refused },
                 share(kind) { it.forwarded },
             )
         }
--- a/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetModel.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetModel.kt
@@ -45,6 +45,7 @@
     var served = 0
     var refused = 0
     var forwarded = 0
+    var ended = 0
 
     /** Returns [count] as a share of the arrivals. */
     fun share(count: Int): Double = count.toDouble() / maxOf(1, arrivals)
