--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
@@ -20,7 +20,7 @@
             AttemptResult.REFUSED -> {
                 region.breaker.recordFailure(nowMs)
                 val waitedMs = (nowMs - attempt.placedAtMs).toDouble()
-                region.recordOverrun(serviceName, waitedMs + REFUSAL_OVERRUN_MS, nowMs)
+                region.recordOverrun(attempt.profile, waitedMs + REFUSAL_OVERRUN_MS, nowMs)
             }
 
             else -> Unit
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -63,8 +63,8 @@
         open.firstByteMs = nowMs
         open.endPending()
         val overrunMs = nowMs - attempt.placedAtMs - open.predictedFirstByteMs
-        open.region?.recordOverrun(attempt.profile.serviceName, overrunMs, nowMs)
-        if (open.slots != null) open.times.firstByteOverrun.record(overrunMs, nowMs)
+        open.region?.recordOverrun(attempt.profile, overrunMs, nowMs)
+        if (open.slots != null) open.times.firstByteOverruns.record(attempt.profile.priority, overrunMs, nowMs)
     }
 
     override fun complete(attempt: PlacedAttempt, result: AttemptResult, nowMs: Long): List<QueuedPlacement> {
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteServerSelector.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteServerSelector.kt
@@ -17,7 +17,13 @@
     override fun predictFirstByteMs(profile: RequestProfile, servers: ServerPool, nowMs: Long): Double? {
         val prompt = PrefixLocality.of(profile, servers)
         val slots = selectBest(profile, servers, prompt, nowMs) ?: return null
-        val overrunMs = if (profile.promptTokens == 0) 0.0 else servers.times.firstByteOverrun.at(nowMs)
+        val overrunMs = if (profile.promptTokens ==
+            0
+        ) {
+            0.0
+        } else {
+            servers.times.firstByteOverruns.at(profile.priority, nowMs)
+        }
         return predictMs(profile, slots, servers, prompt.expectedPrefillTokens(profile, slots), nowMs) + overrunMs
     }
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
@@ -19,7 +19,7 @@
 
     public val breaker: CircuitBreaker = CircuitBreaker(failureThreshold, openMs)
     private val inFlightByService = ConcurrentHashMap<String, AtomicInteger>()
-    private val overrunByService = ConcurrentHashMap<String, FirstByteOverrun>()
+    private val overrunByService = ConcurrentHashMap<String, FirstByteOverruns>()
 
     /** Applies a newer summary. */
     public fun update(newer: RemoteRegion) {
@@ -59,9 +59,10 @@
         return linkMs + waitMs + runMs
     }
 
-    /** Records that a first byte of [serviceName] arrived [overrunMs] later than predicted from the announced load. */
-    internal fun recordOverrun(serviceName: String, overrunMs: Double, nowMs: Long): Unit =
-        overrunByService.computeIfAbsent(serviceName) { FirstByteOverrun() }.record(overrunMs, nowMs)
+    /** Records that the first byte of [profile] arrived [overrunMs] later than predicted from the announced load. */
+    internal fun recordOverrun(profile: RequestProfile, overrunMs: Double, nowMs: Long): Unit =
+        overrunByService.computeIfAbsent(profile.serviceName) { FirstByteOverruns() }
+            .record(profile.priority, overrunMs, nowMs)
 
     /**
      * Predicts the time to first byte of [profile] there, in milliseconds, including the link delay both ways.
@@ -69,12 +70,13 @@
      * The overrun of recent first bytes is added, because the queues of the hosts there are unknown.
      */
     public fun predictFirstByteMs(profile: RequestProfile, times: ServiceTimeModel, nowMs: Long): Double =
-        predictFirstByteFromSummaryMs(profile, times) + overrunMs(profile.serviceName, nowMs)
+        predictFirstByteFromSummaryMs(profile, times) + overrunMs(profile, nowMs)
 
     /**
-     * Returns how much later than predicted from the announced load recent first bytes of [serviceName] arrived, in ms.
+     * Returns how much later than predicted from the announced load recent first bytes of such requests arrived, in ms.
      */
-    internal fun overrunMs(serviceName: String, nowMs: Long): Double = overrunByService[serviceName]?.at(nowMs) ?: 0.0
+    internal fun overrunMs(profile: RequestProfile, nowMs: Long): Double =
+        overrunByService[profile.serviceName]?.at(profile.priority, nowMs) ?: 0.0
 
     /** Predicts the time to first byte from the announced load alone, in milliseconds. */
     internal fun predictFirstByteFromSummaryMs(profile: RequestProfile, times: ServiceTimeModel): Double {
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
@@ -108,7 +108,7 @@
         val basis = PlacementBasis(
             load = (summary?.running ?: 0) + (summary?.queued ?: 0),
             limit = summary?.capacity ?: 0,
-            predictedMs = (firstMs + region.overrunMs(profile.serviceName, nowMs)).toLong(),
+            predictedMs = (firstMs + region.overrunMs(profile, nowMs)).toLong(),
         )
         return Placement.Forward(PlacedAttempt(profile, "", 0, "", number, nowMs, region = name, basis = basis), name)
     }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceTimeModel.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceTimeModel.kt
@@ -19,7 +19,7 @@
     public val firstByte: FirstByteModel = FirstByteModel()
 
     /** How much later than predicted recent first bytes in this region arrived. */
-    public val firstByteOverrun: FirstByteOverrun = FirstByteOverrun()
+    public val firstByteOverruns: FirstByteOverruns = FirstByteOverruns()
     private val uncachedTokens = MovingAverage(INITIAL_UNCACHED_TOKENS)
 
     /** Returns the mean number of uncached prompt tokens of a request. */
--- a/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetMeasurement.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetMeasurement.kt
@@ -58,10 +58,13 @@
         return cells.joinToString(" | ", "| ", " |")
     }
 
-    /** Returns a site with a region at its peak and a calm one; see [kinds]. */
+    /** Returns a site with a region at its peak and two calm ones; see [kinds]. */
     internal fun site(hosts: Int, loadPermille: Int): FleetSpec {
-        val regions =
-            listOf(FleetRegion(PEAK, hosts, PEAK_ENGINES, 1.0), FleetRegion(CALM, hosts, CALM_ENGINES, CALM_WEIGHT))
+        val regions = listOf(
+            FleetRegion(PEAK, hosts, PEAK_ENGINES, 1.0),
+            FleetRegion(CALM, hosts, CALM_ENGINES, CALM_WEIGHT),
+            FleetRegion(SMALL, hosts, SMALL_ENGINES, CALM_WEIGHT),
+        )
         return FleetSpec(regions, kinds(PEAK_ENGINES, loadPermille))
     }
 
@@ -78,7 +81,9 @@
     internal const val SHORT: String = "short"
     private const val PEAK = "hue"
     private const val CALM = "danang"
+    private const val SMALL = "quangtri"
     private const val PEAK_ENGINES = 25
+    private const val SMALL_ENGINES = 12
     private const val CALM_ENGINES = 18
     private const val CALM_WEIGHT = 0.06
     private const val PERCENT = 100
