--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/AttemptRecorder.kt
@@ -4,10 +4,26 @@
 internal object AttemptRecorder {
     /** Releases the slot of a finished attempt and updates the statistics from its [result]. */
     fun end(open: OpenAttempt, attempt: PlacedAttempt, result: AttemptResult, nowMs: Long) {
+        val isWaitEnded = result == AttemptResult.CANCELLED || result == AttemptResult.TIMED_OUT
+        if (isWaitEnded && open.firstByteMs == OpenAttempt.NO_FIRST_BYTE) recordWait(open, attempt, nowMs)
         open.region?.let { endRemote(it, attempt, result, nowMs) }
         open.slots?.let { endLocal(it, open, attempt, result, nowMs) }
     }
 
+    /**
+     * Records how long an attempt has waited beyond its prediction, at its first byte or in vain.
+     *
+     * Without the waits in vain, only the requests that were served would count, and a server that serves none of them
+     * would look as good as an idle one.
+     */
+    fun recordWait(open: OpenAttempt, attempt: PlacedAttempt, nowMs: Long) {
+        val overrunMs = nowMs - attempt.placedAtMs - open.predictedFirstByteMs
+        val isInVain = open.firstByteMs == OpenAttempt.NO_FIRST_BYTE
+        if (isInVain && overrunMs <= 0) return
+        open.region?.recordOverrun(attempt.profile, overrunMs, nowMs)
+        if (open.slots != null) open.times.firstByteOverruns.record(attempt.profile.priority, overrunMs, nowMs)
+    }
+
     private fun endRemote(region: RegionSlots, attempt: PlacedAttempt, result: AttemptResult, nowMs: Long) {
         val serviceName = attempt.profile.serviceName
         region.release(serviceName)
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -62,9 +62,7 @@
         val open = attempts.find(attempt.attemptNumber) ?: return
         open.firstByteMs = nowMs
         open.endPending()
-        val overrunMs = nowMs - attempt.placedAtMs - open.predictedFirstByteMs
-        open.region?.recordOverrun(attempt.profile, overrunMs, nowMs)
-        if (open.slots != null) open.times.firstByteOverruns.record(attempt.profile.priority, overrunMs, nowMs)
+        AttemptRecorder.recordWait(open, attempt, nowMs)
     }
 
     override fun complete(attempt: PlacedAttempt, result: AttemptResult, nowMs: Long): List<QueuedPlacement> {
@@ -198,10 +196,29 @@
     ): Placement? {
         if (profile.targetMs <= 0 || profile.isForwarded) return null
         val firstMs = serverSelector.predictFirstByteMs(profile, servers, nowMs) ?: return null
+        tryBalance(profile, current, servers, nowMs)?.let { return it }
         if (firstMs <= profile.targetMs * settings.spilloverTargetShare) return null
         return remote.trySpillOver(profile, current, servers.times, firstMs, nowMs)
     }
 
+    /**
+     * Forwards a long prompt while this host uses most of its share and another region has free slots.
+     *
+     * Its prefill would delay all streams of its server, and of the requests that could go elsewhere it relieves this
+     * region most for the few events that then cross the link.
+     */
+    private fun tryBalance(
+        profile: RequestProfile,
+        current: SchedulerSnapshot,
+        servers: ServerPool,
+        nowMs: Long,
+    ): Placement? {
+        val isLong = profile.promptTokens > servers.times.meanPromptTokens()
+        if (!isLong || !servers.isShareKnown || servers.ownShareUsed() < settings.balanceShareUsed) return null
+        val limits = BalanceLimits(settings.balanceMaxRegionUse, profile.targetMs * settings.spilloverTargetShare)
+        return remote.tryBalance(profile, current, servers.times, limits, nowMs)
+    }
+
     private fun enqueue(
         profile: RequestProfile,
         current: SchedulerSnapshot,
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
@@ -95,6 +95,12 @@
             times.firstByte.predictMs(aheadTokens + profile.promptTokens - profile.sharedTokens * ASSUMED_CACHED_SHARE)
     }
 
+    /** Returns the part of the slots of [serviceName] there that is reported to be in use. */
+    internal fun usedShare(serviceName: String): Double {
+        val summary = region.services[serviceName] ?: return 1.0
+        return (summary.running + summary.queued).toDouble() / maxOf(1L, summary.capacity)
+    }
+
     internal fun acquire(serviceName: String) {
         inFlightByService.computeIfAbsent(serviceName) { AtomicInteger() }.incrementAndGet()
     }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
@@ -43,6 +43,24 @@
         return if (budget.trySpend()) forward(profile, best.region, times, nowMs) else null
     }
 
+    /** Forwards a request to a region with free slots whose first byte is predicted to be in time. */
+    fun tryBalance(
+        profile: RequestProfile,
+        snapshot: SchedulerSnapshot,
+        times: ServiceTimeModel,
+        limits: BalanceLimits,
+        nowMs: Long,
+    ): Placement? {
+        if (profile.isForwarded || !budget.canSpend()) return null
+        val free = usableRegions(profile, snapshot, nowMs).filter {
+            it.usedShare(profile.serviceName) <
+                limits.maxRegionUse
+        }
+        val best = free.earliestFirstByte(profile, times, nowMs) ?: return null
+        if (best.firstByteMs > limits.maxFirstByteMs) return null
+        return if (budget.trySpend()) forward(profile, best.region, times, nowMs) else null
+    }
+
     /**
      * Forwards a request that arrived outside its home region to that region, or to another allowed region when this
      * one is not allowed.
@@ -118,6 +136,9 @@
          * The other region's cache is cold and its load is reported with a delay, so a small predicted gain
          * is not reliable.
          */
-        val MAX_SPILLOVER_RATIO = System.getenv("MSR")?.toDouble() ?: 0.7
+        const val MAX_SPILLOVER_RATIO = 0.7
     }
 }
+
+/** Limits on the region that relieves this one: the used part of its slots, and its predicted first byte. */
+internal class BalanceLimits(val maxRegionUse: Double, val maxFirstByteMs: Double)
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
@@ -13,7 +13,11 @@
     /** Maximum burst of retries of this host for one service after an idle period. */
     val maxRetryBurst: Long = 20,
     /** Other regions are considered when the first byte is predicted after this share of the target. */
-    val spilloverTargetShare: Double = System.getenv("STS")?.toDouble() ?: 0.8,
+    val spilloverTargetShare: Double = 0.8,
+    /** Long prompts are sent to regions with free slots while this host uses more than this part of its own share. */
+    val balanceShareUsed: Double = 0.8,
+    /** A region is free while less than this part of its slots is reported to be in use. */
+    val balanceMaxRegionUse: Double = 0.6,
     /** Maximum queueing time of a request with a target, as a share of the time from its arrival to its deadline. */
     val maxWaitShare: Double = 0.3,
     /** Consecutive failures after which a region gets no requests for [regionOpenMs]. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerSelector.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerSelector.kt
@@ -37,12 +37,18 @@
      */
     private val ownShare: Int = if (hosts == 0) 0 else maxOf(1, capacity / hosts)
 
+    /** True when the number of hosts that share the servers is known. */
+    public val isShareKnown: Boolean get() = ownShare > 0
+
     /** Returns true when this host uses fewer slots than its share. */
-    public fun isBelowOwnShare(): Boolean {
-        if (ownShare == 0) return false
+    public fun isBelowOwnShare(): Boolean = ownShareUsed() < 1.0
+
+    /** Returns the slots that this host uses, as a part of its share; 1 when the share is not known. */
+    public fun ownShareUsed(): Double {
+        if (ownShare == 0) return 1.0
         var sum = 0
         for (index in slots.indices) sum += slots[index].ownInFlight()
-        return sum < ownShare
+        return sum.toDouble() / ownShare
     }
 
     /** Estimated requests in flight on all backend servers. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceTimeModel.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceTimeModel.kt
@@ -22,6 +22,11 @@
     public val firstByteOverruns: FirstByteOverruns = FirstByteOverruns()
     private val uncachedTokens = MovingAverage(INITIAL_UNCACHED_TOKENS)
 
+    private val promptTokens = MovingAverage(INITIAL_UNCACHED_TOKENS)
+
+    /** Returns the mean length of a prompt, in tokens. */
+    public fun meanPromptTokens(): Double = promptTokens.value()
+
     /** Returns the mean number of uncached prompt tokens of a request. */
     public fun meanUncachedTokens(): Double = uncachedTokens.value()
 
@@ -42,6 +47,7 @@
 
     /** Records the number of uncached prompt tokens of a placed request. */
     public fun recordUncached(uncachedTokens: Int, promptTokens: Int) {
+        if (promptTokens > 0) this.promptTokens.record(promptTokens.toDouble())
         if (promptTokens > 0) this.uncachedTokens.record(uncachedTokens.toDouble())
         if (promptTokens > 0) uncachedShare.record(uncachedTokens.toDouble() / promptTokens)
     }
--- a/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/BatchingEngine.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/BatchingEngine.kt
@@ -69,6 +69,13 @@
         if (!isStepping) step()
     }
 
+    /** Ends a request whose caller has left, without calling [Job.onEnd]. */
+    fun cancel(job: Job) {
+        waiting.remove(job)
+        prefilling.remove(job)
+        decoding.remove(job)
+    }
+
     private fun holds(prefix: Long) = prefix in cache
 
     private fun admit() {
@@ -97,22 +104,24 @@
         admit()
         isStepping = running > 0
         if (!isStepping) return
-        val chunk = minOf(spec.chunkTokens, prefilling.firstOrNull()?.uncachedTokens ?: 0)
+        val prefilled = prefilling.firstOrNull()
+        val chunk = minOf(spec.chunkTokens, prefilled?.uncachedTokens ?: 0)
         val durationMs = spec.stepMs + chunk / spec.prefillTokensPerMs
         busyMs += durationMs
         val produced = decoding.toList()
         clock.schedule(clock.nowMs + durationMs) {
-            endStep(chunk, produced)
+            endStep(prefilled, chunk, produced)
             step()
         }
     }
 
-    private fun endStep(chunk: Int, produced: List<Job>) {
+    private fun endStep(prefilled: Job?, chunk: Int, produced: List<Job>) {
         for (job in produced) {
             if (++job.producedTokens < job.request.responseTokens || !decoding.remove(job)) continue
             job.onEnd(true)
         }
         val first = prefilling.firstOrNull() ?: return
+        if (first !== prefilled) return
         first.uncachedTokens -= chunk
         if (first.uncachedTokens > 0) return
         prefilling.removeFirst()
--- a/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetHost.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetHost.kt
@@ -29,7 +29,12 @@
         val profile: RequestProfile,
         val onFirstByte: () -> Unit,
         val onEnd: (AttemptResult) -> Unit,
-    )
+    ) {
+        var hasFirstByte = false
+
+        /** Ends the current attempt when the caller leaves; a queued request has none. */
+        var cancel: () -> Unit = {}
+    }
 
     private val spec = model.spec
     private val clock = model.clock
@@ -142,10 +147,22 @@
             submittedAtMs = request.arrivedMs,
             isForwarded = isForwarded,
         )
-        pending[id] = Pending(request, profile, onFirstByte, onEnd)
+        val entry = Pending(request, profile, onFirstByte, onEnd)
+        pending[id] = entry
+        clock.schedule(request.arrivedMs + kind.targetMs * PATIENCE_TARGETS) {
+            if (pending[id] === entry && !entry.hasFirstByte) leave(entry)
+        }
         place(id, scheduler.submit(profile, model.nowMs()))
     }
 
+    /** The caller leaves, as callers do that have waited too long for a first byte. */
+    private fun leave(entry: Pending) {
+        pending.remove(entry.profile.id)
+        scheduler.cancel(entry.profile)
+        entry.cancel()
+        entry.onEnd(AttemptResult.CANCELLED)
+    }
+
     fun poll() = scheduler.poll(model.nowMs()).forEach { place(it.profile.id, it.placement) }
 
     private fun place(id: RequestId, placement: Placement) {
@@ -168,25 +185,34 @@
                 val load = ObservedLoad(engine.running.toLong(), engine.queued.toLong(), clock.nowMs)
                 observed[engine.name] = load
                 recordLoad(engine, load)
+                current.hasFirstByte = true
                 scheduler.recordFirstByte(attempt, model.nowMs())
                 scheduler.recordLoad(engine.name, load.running, load.queued, model.nowMs())
                 current.onFirstByte()
             },
             onEnd = { complete(attempt, if (it) AttemptResult.COMPLETE else AttemptResult.TIMED_OUT) },
         )
-        clock.schedule(clock.nowMs + HOST_DELAY_MS) { engine.submit(job) }
+        current.cancel = {
+            engine.cancel(job)
+            scheduler.complete(attempt, AttemptResult.CANCELLED, model.nowMs())
+                .forEach { place(it.profile.id, it.placement) }
+        }
+        clock.schedule(clock.nowMs + HOST_DELAY_MS) { if (pending[attempt.profile.id] === current) engine.submit(job) }
     }
 
     private fun forward(attempt: PlacedAttempt, target: String) {
         val current = pending.getValue(attempt.profile.id)
         if (current.request.isCounted) model.tallies.getValue(current.request.kind.name).forwarded++
         fun afterLink(action: () -> Unit) = clock.schedule(clock.nowMs + spec.linkDelayMs, action)
+        // The host there notices the caller's patience by itself.
+        current.cancel = { scheduler.complete(attempt, AttemptResult.CANCELLED, model.nowMs()) }
         afterLink {
             model.forwardTarget(target).accept(
                 current.request,
                 isForwarded = true,
                 onFirstByte = {
                     afterLink {
+                        current.hasFirstByte = true
                         scheduler.recordFirstByte(attempt, model.nowMs())
                         current.onFirstByte()
                     }
@@ -197,6 +223,7 @@
     }
 
     private fun complete(attempt: PlacedAttempt, result: AttemptResult) {
+        if (attempt.profile.id !in pending) return
         val placements = scheduler.complete(attempt, result, model.nowMs())
         pending.remove(attempt.profile.id)?.onEnd?.invoke(result)
         placements.forEach { place(it.profile.id, it.placement) }
@@ -210,6 +237,7 @@
         const val FULL_PERMILLE = 1_000L
         const val LINK_BITS_PER_SECOND = 1_000_000_000L
         const val HOST_DELAY_MS = 1.0
+        const val PATIENCE_TARGETS = 4.0
         const val LEASE_MS = 60_000L
     }
 }
