Move spillover and links to state hosts into files of their own

Change: RegionSpillover decides which requests leave a region that could run them, StateHostLinks opens the links to state hosts, and the overruns by priority have a file of their own; no behaviour changes.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -38,6 +38,7 @@
     private val builder = SnapshotBuilder(settings, services::timesOf)
     private val local = LocalPlacement(serverSelector, attempts, invariants, snapshot::get)
     private val remote = RemotePlacement(regionSelector, attempts, invariants, forwardBudget)
+    private val spillover = RegionSpillover(remote, serverSelector, settings)
 
     override fun updateTable(table: RoutingTable): Unit = synchronized(builder) {
         val nowMs = latestMs.get()
@@ -182,43 +183,11 @@
         if (nowMs + minTimeMs > profile.deadlineMs) return refused(ErrorKind.DEADLINE_UNREACHABLE, minTimeMs.toLong())
         val queue = services.queueOf(profile.serviceName)
         if (profile.isIsolated) return if (queue.offer(profile)) Placement.Queued else refused(ErrorKind.OVERLOADED)
-        spillOver(profile, current, servers, nowMs)?.let { return it }
+        spillover.place(profile, current, servers, nowMs)?.let { return it }
         if (queue.size == 0) local.tryRun(profile, nowMs)?.let { return Placement.Run(it) }
         return enqueue(profile, current, servers, queue, nowMs)
     }
 
-    /** Forwards a request whose first byte is predicted to be late here and earlier in another region. */
-    private fun spillOver(
-        profile: RequestProfile,
-        current: SchedulerSnapshot,
-        servers: ServerPool,
-        nowMs: Long,
-    ): Placement? {
-        if (profile.targetMs <= 0 || profile.isForwarded) return null
-        val firstMs = serverSelector.predictFirstByteMs(profile, servers, nowMs) ?: return null
-        tryBalance(profile, current, servers, nowMs)?.let { return it }
-        if (firstMs <= profile.targetMs * settings.spilloverTargetShare) return null
-        return remote.trySpillOver(profile, current, servers.times, firstMs, nowMs)
-    }
-
-    /**
-     * Forwards a long prompt while this host uses most of its share and another region has free slots.
-     *
-     * Its prefill would delay all streams of its server, and of the requests that could go elsewhere it relieves this
-     * region most for the few events that then cross the link.
-     */
-    private fun tryBalance(
-        profile: RequestProfile,
-        current: SchedulerSnapshot,
-        servers: ServerPool,
-        nowMs: Long,
-    ): Placement? {
-        val isLong = profile.promptTokens > servers.times.meanPromptTokens()
-        if (!isLong || !servers.isShareKnown || servers.ownShareUsed() < settings.balanceShareUsed) return null
-        val limits = BalanceLimits(settings.balanceMaxRegionUse, profile.targetMs * settings.spilloverTargetShare)
-        return remote.tryBalance(profile, current, servers.times, limits, nowMs)
-    }
-
     private fun enqueue(
         profile: RequestProfile,
         current: SchedulerSnapshot,
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteModel.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteModel.kt
@@ -3,8 +3,9 @@
 /**
  * Models the time to first byte as a linear function of the prompt tokens that are prefilled before it.
  *
- * These are the uncached tokens of the request itself and those of the requests ahead of it. The line is a
- * least-squares fit over samples whose weight decays by [DECAY] with each new one.
+ * These are the uncached tokens of the request itself and those of the requests ahead of it. The slope is a
+ * least-squares fit over samples whose weight decays by [DECAY] with each new one. The fixed part follows the lowest
+ * samples, because queueing in this region says nothing about another region, for which the model is used as well.
  */
 public class FirstByteModel {
     private var weight = 0.0
@@ -39,9 +40,9 @@
         if (spread > MIN_TOKEN_VARIANCE * weight) {
             msPerToken = ((sumXy - sumX * sumY / weight) / spread).coerceIn(MIN_MS_PER_TOKEN, MAX_MS_PER_TOKEN)
         }
-        val excessMs = firstByteMs - tokens * msPerToken - baseMs
-        val step = excessMs * if (excessMs < 0) FALL_WEIGHT else RISE_WEIGHT
-        baseMs = (baseMs + step).coerceIn(MIN_BASE_MS, MAX_BASE_MS)
+        val excessMs = firstByteMs - predictMs(tokens)
+        val stepMs = excessMs * if (excessMs < 0) FALL_WEIGHT else RISE_WEIGHT
+        baseMs = (baseMs + stepMs).coerceIn(MIN_BASE_MS, MAX_BASE_MS)
     }
 
     private companion object {
@@ -58,7 +59,7 @@
         const val MIN_BASE_MS = 1.0
         const val MAX_BASE_MS = 1_000.0
 
-        /** The fixed time falls quickly and rises slowly, so that queueing does not become a part of it. */
+        /** The fixed part falls quickly and rises slowly, so that queueing does not become a part of it. */
         const val FALL_WEIGHT = 0.1
         const val RISE_WEIGHT = 0.01
     }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteOverrun.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteOverrun.kt
@@ -1,7 +1,6 @@
 package org.arbutusrelay.core.routing
 
 import org.arbutusrelay.core.admission.HalfLife
-import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicReference
 
 /**
@@ -39,15 +38,3 @@
         const val MAX_OVERRUN_MS = 5_000.0
     }
 }
-
-/** The overruns of a place by priority: backend servers admit urgent requests first, so that only the others wait. */
-public class FirstByteOverruns {
-    private val byPriority = ConcurrentHashMap<Int, FirstByteOverrun>()
-
-    /** Returns the overrun of requests of [priority] at [nowMs], in milliseconds. */
-    public fun at(priority: Int, nowMs: Long): Double = byPriority[priority]?.at(nowMs) ?: 0.0
-
-    /** Records that a first byte of a request of [priority] arrived [overrunMs] later than predicted. */
-    public fun record(priority: Int, overrunMs: Double, nowMs: Long): Unit =
-        byPriority.computeIfAbsent(priority) { FirstByteOverrun() }.record(overrunMs, nowMs)
-}
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteServerSelector.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteServerSelector.kt
@@ -17,16 +17,14 @@
     override fun predictFirstByteMs(profile: RequestProfile, servers: ServerPool, nowMs: Long): Double? {
         val prompt = PrefixLocality.of(profile, servers)
         val slots = selectBest(profile, servers, prompt, nowMs) ?: return null
-        val overrunMs = if (profile.promptTokens ==
-            0
-        ) {
-            0.0
-        } else {
-            servers.times.firstByteOverruns.at(profile.priority, nowMs)
-        }
-        return predictMs(profile, slots, servers, prompt.expectedPrefillTokens(profile, slots), nowMs) + overrunMs
+        val firstMs = predictMs(profile, slots, servers, prompt.expectedPrefillTokens(profile, slots), nowMs)
+        return firstMs + queueingMs(profile, servers.times, nowMs)
     }
 
+    /** Requests of plain services are predicted from the load alone. */
+    private fun queueingMs(profile: RequestProfile, times: ServiceTimeModel, nowMs: Long): Double =
+        if (profile.promptTokens == 0) 0.0 else times.firstByteOverruns.at(profile.priority, nowMs)
+
     override fun estimatePrefill(profile: RequestProfile, slots: BackendSlots, servers: ServerPool): PrefillEstimate {
         val prompt = PrefixLocality.of(profile, servers)
         val source = if (profile.canImportCache) prompt.importSourceFor(profile, slots) else null
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
@@ -52,10 +52,8 @@
         nowMs: Long,
     ): Placement? {
         if (profile.isForwarded || !budget.canSpend()) return null
-        val free = usableRegions(profile, snapshot, nowMs).filter {
-            it.usedShare(profile.serviceName) <
-                limits.maxRegionUse
-        }
+        val usable = usableRegions(profile, snapshot, nowMs)
+        val free = usable.filter { it.usedShare(profile.serviceName) < limits.maxRegionUse }
         val best = free.earliestFirstByte(profile, times, nowMs) ?: return null
         if (best.firstByteMs > limits.maxFirstByteMs) return null
         return if (budget.trySpend()) forward(profile, best.region, times, nowMs) else null
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceTimeModel.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceTimeModel.kt
@@ -18,10 +18,9 @@
     /** Time to first byte as a function of the prompt tokens that are prefilled before it. */
     public val firstByte: FirstByteModel = FirstByteModel()
 
-    /** How much later than predicted recent first bytes in this region arrived. */
+    /** How much later than predicted recent first bytes in this region arrived, by priority. */
     public val firstByteOverruns: FirstByteOverruns = FirstByteOverruns()
     private val uncachedTokens = MovingAverage(INITIAL_UNCACHED_TOKENS)
-
     private val promptTokens = MovingAverage(INITIAL_UNCACHED_TOKENS)
 
     /** Returns the mean length of a prompt, in tokens. */
@@ -45,11 +44,12 @@
     public fun predictTypicalMs(promptTokens: Int, responseTokens: Int): Double =
         predictMs((promptTokens * uncachedShare.value()).toInt(), responseTokens) * loadFactor(1, 1)
 
-    /** Records the number of uncached prompt tokens of a placed request. */
+    /** Records the prompt tokens of a placed request and how many of them are uncached. */
     public fun recordUncached(uncachedTokens: Int, promptTokens: Int) {
-        if (promptTokens > 0) this.promptTokens.record(promptTokens.toDouble())
-        if (promptTokens > 0) this.uncachedTokens.record(uncachedTokens.toDouble())
-        if (promptTokens > 0) uncachedShare.record(uncachedTokens.toDouble() / promptTokens)
+        if (promptTokens == 0) return
+        this.promptTokens.record(promptTokens.toDouble())
+        this.uncachedTokens.record(uncachedTokens.toDouble())
+        uncachedShare.record(uncachedTokens.toDouble() / promptTokens)
     }
 
     /** Records a completed request; [Sample.firstByteMs] is null when the response arrived as a whole. */
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -37,7 +37,7 @@
     private val network: LinkNetwork,
     self: HostState,
     @Volatile private var seeds: List<String>,
-    private val linkPort: Int,
+    linkPort: Int,
     private val clock: RelayClock,
     private val times: SiteTimes = SiteTimes(),
     private val otherStateHosts: () -> Set<String> = { emptySet() },
@@ -45,8 +45,8 @@
     private val publishLock = Any()
     private val hosts = HostRegistry()
     private val servers = BackendServerRegistry(times.backendLeaseMs)
-    private val selector = StateHostSelector(self.hostName, self.region)
-    private val dialledHosts = HashSet<String>()
+    private val links =
+        StateHostLinks(network, linkPort, StateHostSelector(self.hostName, self.region), self.isStateHost)
     private val subscriptions = Subscriptions(times)
     private val unreportedLoads = LinkedHashMap<String, BackendLoad>()
     private val listeners = CopyOnWriteArrayList<(SiteView) -> Unit>()
@@ -270,7 +270,7 @@
             hosts.tick(nowMs)
             servers.tick(nowMs)
         }
-        maintainLinks()
+        links.maintain(otherStateHostRegions(), isAnnouncementMissing())
         if (nowMs >= nextReportAtMs) {
             nextReportAtMs = nowMs + times.reportIntervalMs
             if (self.isStateHost) sendPulses(nowMs) else sendReports(nowMs)
@@ -278,13 +278,6 @@
         if (nowMs - publishedAtMs >= times.publishIntervalMs) publish()
     }
 
-    private fun maintainLinks() {
-        val known = stateHostRegions() - self.hostName
-        if (self.isStateHost) return known.keys.forEach(::dial)
-        val ranked = selector.rank(known)
-        selector.nextToDial(ranked, network.connected().keys, dialledHosts, isAnnouncementMissing())?.let(::dial)
-    }
-
     private fun isAnnouncementMissing(): Boolean =
         synchronized(this) { servers.hasOverdue(times.renewalOverdueMs, clock.nowMs()) }
 
@@ -293,9 +286,7 @@
         return (seeds + otherStateHosts()).associateWith { known[it].orEmpty() } + known
     }
 
-    private fun dial(hostName: String) {
-        if (dialledHosts.add(hostName)) network.connect(hostName, "$hostName:$linkPort")
-    }
+    private fun otherStateHostRegions(): Map<String, String> = stateHostRegions() - self.hostName
 
     private fun sendReports(nowMs: Long) {
         val report = synchronized(this) {
@@ -305,8 +296,7 @@
             val recent = servers.departures(nowMs).filter { it.ageMs <= times.departureReportMs }
             SiteReport(self, state.index, loads, departures = recent)
         }
-        val ranked = selector.rank(stateHostRegions() - self.hostName)
-        val targets = selector.reportTargets(ranked, network.connected().keys, isAnnouncementMissing())
+        val targets = links.reportTargets(otherStateHostRegions(), isAnnouncementMissing())
         network.sendAll(targets, LinkFrame(siteReport = report))
     }
 
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/StateHostLinks.kt
@@ -0,0 +1,33 @@
+package org.arbutusrelay.daemon.site
+
+import org.arbutusrelay.daemon.link.LinkNetwork
+
+/** Opens the links of a host to state hosts. */
+internal class StateHostLinks(
+    private val network: LinkNetwork,
+    private val linkPort: Int,
+    private val selector: StateHostSelector,
+    private val isStateHost: Boolean,
+) {
+    private val dialledHosts = HashSet<String>()
+
+    /**
+     * Dials the state hosts of which a link is wanted; the network keeps a dialled link open.
+     *
+     * [regionsByName] maps the other state hosts to their regions. A state host dials all of them, an entry host as
+     * many as [StateHostSelector] wants.
+     */
+    fun maintain(regionsByName: Map<String, String>, isAllWanted: Boolean) {
+        if (isStateHost) return regionsByName.keys.forEach(::dial)
+        val ranked = selector.rank(regionsByName)
+        selector.nextToDial(ranked, network.connected().keys, dialledHosts, isAllWanted)?.let(::dial)
+    }
+
+    /** Returns the state hosts that an entry host reports to. */
+    fun reportTargets(regionsByName: Map<String, String>, isAllWanted: Boolean): List<String> =
+        selector.reportTargets(selector.rank(regionsByName), network.connected().keys, isAllWanted)
+
+    private fun dial(hostName: String) {
+        if (dialledHosts.add(hostName)) network.connect(hostName, "$hostName:$linkPort")
+    }
+}
