--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteServerSelector.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/FirstByteServerSelector.kt
@@ -113,7 +113,10 @@
         const val TIE_BREAK_MS = 2.0
         const val LOAD_TIE_BREAK_MS = 0.5
 
-        /** A full batch slows prefill about as much as it slows decoding. */
+        /**
+         * A full batch slows prefill by more than it slows decoding, because it may hold prompts of other hosts that
+         * are not prefilled yet.
+         */
         const val BATCH_SLOWDOWN = 1.0
     }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
@@ -12,7 +12,10 @@
     val retryPermille: Long = 100,
     /** Maximum burst of retries of this host for one service after an idle period. */
     val maxRetryBurst: Long = 20,
-    /** Other regions are considered when the first byte is predicted after this share of the target. */
+    /**
+     * Other regions are considered when the first byte is predicted after this share of the target. A long prompt is
+     * sent to a region with free slots only if its first byte is predicted there before this share.
+     */
     val spilloverTargetShare: Double = 0.8,
     /** Long prompts are sent to regions with free slots while this host uses more than this part of its own share. */
     val balanceShareUsed: Double = 0.8,
--- a/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetHost.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetHost.kt
@@ -193,7 +193,7 @@
         val current = pending.getValue(attempt.profile.id)
         if (current.request.isCounted) model.tallies.getValue(current.request.kind.name).forwarded++
         fun afterLink(action: () -> Unit) = clock.schedule(clock.nowMs + spec.linkDelayMs, action)
-        // The host there notices the caller's patience by itself.
+        // The other host ends its attempt by a timer of its own, started when it accepted the request.
         current.cancel = { scheduler.complete(attempt, AttemptResult.CANCELLED, model.nowMs()) }
         afterLink {
             model.forwardTarget(target).accept(
--- a/standin/src/test/kotlin/org/arbutusrelay/standin/fleet/FleetModelTest.kt
+++ b/standin/src/test/kotlin/org/arbutusrelay/standin/fleet/FleetModelTest.kt
@@ -19,9 +19,9 @@
     }
 
     /**
-     * Replays a region at its peak beside a calm one: the same load through few and through many hosts. Guards against
-     * hosts that hold requests back, spread prompts over all engines or forward in vain, because each of them sees only
-     * a small part of the load.
+     * Replays a region at its peak beside two calm ones: the same load through few and through many hosts. Guards
+     * against hosts that hold requests back, spread prompts over all engines or forward in vain, because each of them
+     * sees only a small part of the load.
      */
     @Test
     fun `many hosts serve nearly as much in time as few hosts do`() {
