Keep backend servers in use whose responses take less than a millisecond

Repeated beside six busy loops, 400 rounds, the third request was queued beside an idle server in several of the first hundred and refused after its maximum wait. Two responses of 0 ms had set the predicted time to 0 and the ratio of measured to predicted time to NaN; a server whose score is NaN is never selected again. The test only shows it when a machine is fast enough, so it was passed by all runs before; the fault is the product's.

Change: a prediction is at least 1 ms, the resolution of the clock.

Measured: FastServerTest fails without the change (third request queued) and passes with it; the repeated test has no failure in 800 rounds beside the same load.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceTimeModel.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceTimeModel.kt
@@ -29,9 +29,11 @@
     /** Returns the mean number of uncached prompt tokens of a request. */
     public fun meanUncachedTokens(): Double = uncachedTokens.value()
 
-    /** Predicts the service time on an idle backend server, in milliseconds. */
-    public fun predictMs(uncachedTokens: Int, responseTokens: Int): Double =
-        predictFirstByteMs(uncachedTokens) + (responseTokens + OVERHEAD_TOKENS) * decodeUs.value() / US_PER_MS
+    /** Predicts the service time on an idle backend server, in milliseconds; at least [MIN_PREDICTED_MS]. */
+    public fun predictMs(uncachedTokens: Int, responseTokens: Int): Double {
+        val decodeMs = (responseTokens + OVERHEAD_TOKENS) * decodeUs.value() / US_PER_MS
+        return maxOf(MIN_PREDICTED_MS, predictFirstByteMs(uncachedTokens) + decodeMs)
+    }
 
     /** Predicts the time to first byte on an idle backend server, in milliseconds. */
     public fun predictFirstByteMs(uncachedTokens: Int): Double =
@@ -77,6 +79,11 @@
         public fun loadFactor(load: Int, capacity: Int): Double =
             1.0 + BATCH_SLOPE * minOf(load, capacity) / capacity
 
+        /**
+         * Resolution of the clock, in milliseconds. Responses that are faster are measured as 0 ms, and a measured time
+         * cannot be compared with a prediction of 0.
+         */
+        private const val MIN_PREDICTED_MS = 1.0
         private const val OVERHEAD_TOKENS = 16
         private const val INITIAL_UNCACHED_TOKENS = 800.0
         private const val INITIAL_TOTAL_MS = 200.0
