Send most pulses to an entry host from one state host only

A profile of twelve idle entry hosts (194 samples) shows the tick four times a second, the decoding of the same pulse from three state hosts, and a timer for each link.

Change: a report names the primary state host, the first of those that the host reports to; only that one sends it every pulse, the others one of three. While an announcement is missing, a host still gets all pulses of all. Ticks come twice a second. A ping is sent 1.25 s after the last frame instead of at the first check a second or two after it, so that a link is idle for 1.25 s at most (2 s before).

SiteGrowthTest: pulses by sender, and no server lost while the primary is connected and silent for 12 s.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/Link.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/Link.kt
@@ -65,12 +65,14 @@
     /** Sends a ping whenever no other frame was sent for an interval, and closes the link when the peer is silent. */
     private suspend fun sendPings() {
         var sequence = 0L
+        val interval = options.pingIntervalMs.milliseconds
         while (true) {
-            if (lastOfferedAt.elapsedNow() >= options.pingIntervalMs.milliseconds) {
+            if (lastOfferedAt.elapsedNow() >= interval) {
                 val frame = LinkFrame(ping = Ping(sequence++))
                 offer(frame, FrameCodec.encode(frame))
             }
-            delay(options.pingIntervalMs)
+            // A later frame puts the next ping off, but not the check for silence.
+            delay(interval - lastOfferedAt.elapsedNow())
             if (lastReceivedAt.elapsedNow() > options.silenceTimeoutMs.milliseconds) {
                 val detail = "nothing received for ${options.silenceTimeoutMs} ms"
                 throw LinkClosedException(LinkClosure.SILENT, detail)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -29,8 +29,8 @@
  * Replicates site membership and state between hosts: hosts, backend servers, current document and evacuations.
  *
  * State hosts form a full mesh and exchange all data. An entry host reports to a majority of the state hosts, those of
- * its region first, and receives from them a digest of everything at first, changes at once, and every second a pulse
- * that renews what it knows. Changes that arrive within [SiteTimes.batchDelayMs] are sent and published together. The
+ * its region first, and receives from them a digest of everything at first, changes at once, and pulses that renew what
+ * it knows: every second from the first of them, its primary, and less often from the others. Changes that arrive within [SiteTimes.batchDelayMs] are sent and published together. The
  * name of a host is its IP address because a seed is configured only by address; [linkPort] is the same on all hosts.
  */
 public class SiteService(
@@ -54,6 +54,7 @@
     private var state = SiteStateMachine.EMPTY
     private var nextReportAtMs = 0L
     private var nextMeshDigestAtMs = 0L
+    private var pulseSequence = 0L
     private val digestRequestedAtMs = HashMap<String, Long>()
     private val changesForAll = PendingChanges()
     private val changesForSubscribers = PendingChanges()
@@ -174,7 +175,8 @@
 
     private fun onReport(from: HostIdentity, report: SiteReport) {
         val nowMs = clock.nowMs()
-        val isNewSubscriber = subscriptions.record(from.hostName, from.epoch, nowMs)
+        val needsEveryPulse = report.primaryName.isEmpty() || report.primaryName == self.hostName
+        val isNewSubscriber = subscriptions.record(from.hostName, from.epoch, needsEveryPulse, nowMs)
         val isChanged = synchronized(this) {
             report.loads.forEach { servers.recordLoad(it, nowMs) }
             val newDepartures = report.departures.filter { servers.merge(it, nowMs) }
@@ -296,14 +298,18 @@
             val recent = servers.departures(nowMs).filter { it.ageMs <= times.departureReportMs }
             SiteReport(self, state.index, loads, departures = recent)
         }
-        val targets = links.reportTargets(otherStateHostRegions(), isAnnouncementMissing())
-        network.sendAll(targets, LinkFrame(siteReport = report))
+        val isAnnouncementMissing = isAnnouncementMissing()
+        val targets = links.reportTargets(otherStateHostRegions(), isAnnouncementMissing)
+        // The state host that heard of a missing announcement may be any of them.
+        val primaryName = if (isAnnouncementMissing) "" else targets.firstOrNull().orEmpty()
+        network.sendAll(targets, LinkFrame(siteReport = report.copy(primaryName = primaryName)))
     }
 
-    /** Sends a pulse to all hosts; state hosts also exchange full digests, which repair a missed change. */
+    /** Sends a pulse to other hosts; state hosts also exchange full digests, which repair a missed change. */
     private fun sendPulses(nowMs: Long) {
         val pulse = synchronized(this) { SitePulses.of(state.index, hosts, servers, nowMs, times.loadMaxAgeMs) }
-        network.sendAll(digestTargets() - self.hostName, LinkFrame(sitePulse = pulse))
+        val subscribers = subscriptions.pulseReceivers(pulseSequence++, self.hostName, nowMs)
+        network.sendAll(subscribers + connectedStateHosts() - self.hostName, LinkFrame(sitePulse = pulse))
         if (nowMs < nextMeshDigestAtMs) return
         nextMeshDigestAtMs = nowMs + times.meshDigestIntervalMs
         sendDigest(fullDigest(nowMs), connectedStateHosts())
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteTimes.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteTimes.kt
@@ -2,9 +2,14 @@
 
 /** Intervals and timeouts of site membership, in milliseconds. */
 public data class SiteTimes(
-    val tickIntervalMs: Long = 250,
+    val tickIntervalMs: Long = 500,
     /** Interval between reports and between pulses. */
     val reportIntervalMs: Long = 1_000,
+    /**
+     * A state host that is not the primary of an entry host sends it one of this many pulses; often enough for leases
+     * while the primary is silent.
+     */
+    val pulsesPerBackupPulse: Int = 3,
     /** Interval between full digests of two state hosts; shorter than the timeouts of hosts and leases. */
     val meshDigestIntervalMs: Long = 3_000,
     /** Time for which changes are collected before they are sent and published together. */
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/Subscriptions.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/Subscriptions.kt
@@ -4,14 +4,27 @@
 internal class Subscriptions(private val times: SiteTimes) {
     private val entries = HashMap<String, Entry>()
 
-    /** Records a report; returns true if its host is not subscribed, or restarted since its last report. */
+    /**
+     * Records a report; returns true if its host is not subscribed, or restarted since its last report.
+     *
+     * With [needsEveryPulse] false, the host gets most pulses from another state host.
+     */
     @Synchronized
-    fun record(hostName: String, epoch: Long, nowMs: Long): Boolean {
+    fun record(hostName: String, epoch: Long, needsEveryPulse: Boolean, nowMs: Long): Boolean {
         val known = entries[hostName]?.takeIf { it.epoch == epoch }
-        if (known == null) entries[hostName] = Entry(epoch, nowMs) else known.reportedAtMs = nowMs
+        val entry = known ?: Entry(epoch).also { entries[hostName] = it }
+        entry.reportedAtMs = nowMs
+        entry.needsEveryPulse = needsEveryPulse
         return known == null
     }
 
+    /** Returns the hosts to send the pulse with the number [sequence] to; [selfName] spreads those that get a part. */
+    @Synchronized
+    fun pulseReceivers(sequence: Long, selfName: String, nowMs: Long): Set<String> = active(nowMs).filterTo(HashSet()) {
+        val offset = it.hashCode() + selfName.hashCode()
+        entries.getValue(it).needsEveryPulse || (sequence + offset).mod(times.pulsesPerBackupPulse) == 0
+    }
+
     /** Returns the hosts that have reported recently. */
     @Synchronized
     fun active(nowMs: Long): Set<String> {
@@ -40,7 +53,9 @@
         }
     }
 
-    private class Entry(val epoch: Long, var reportedAtMs: Long) {
+    private class Entry(val epoch: Long) {
+        var reportedAtMs = 0L
+        var needsEveryPulse = true
         var pushedIndex = 0L
         var pushedAtMs = 0L
     }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteGrowthTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteGrowthTest.kt
@@ -26,8 +26,10 @@
         var digests = 0
         var states = 0
         var bytes = 0
+        val pulsesBySender = HashMap<String, Int>()
 
         override fun onFrame(from: HostIdentity, frame: LinkFrame) {
+            if (frame.sitePulse != null) pulsesBySender.merge(from.hostName, 1, Int::plus)
             if (frame.siteDigest != null) digests++
             if (frame.siteState != null) states++
             bytes += FrameCodec.encode(frame).size
@@ -107,6 +109,36 @@
         assertTrue(bytesPerSecond <= 7_000_000 / 8 / 50, "$bytesPerSecond bytes a second")
     }
 
+    /** Guards against an entry host that decodes the same pulse from each of the state hosts it reports to. */
+    @Test
+    fun `one state host sends an entry host every pulse and the others one of three`() = runTest {
+        val site = site(entryHosts = 20)
+        delay(5_000)
+        site.received.pulsesBySender.clear()
+        delay(30_000)
+        val pulses = site.received.pulsesBySender.values.sortedDescending()
+        assertEquals(3, pulses.size, "state hosts that send pulses")
+        assertTrue(pulses[0] in 28..31 && pulses.drop(1).all { it in 9..11 }, "$pulses")
+    }
+
+    /**
+     * Simulates a primary state host that stays connected and sends nothing for some seconds. Guards against servers
+     * that are given up because the state host that renews them is silent.
+     */
+    @Test
+    fun `no server is lost while the primary state host is silent`() = runTest {
+        val servers = 20
+        val site = site(entryHosts = 10)
+        site.announceFor(servers, 1..5)
+        val observed = site.services.getValue(OBSERVED)
+        val primary = site.received.pulsesBySender.maxBy { it.value }.key
+        site.links.delayMs = { from, to -> if (primary in listOf(from.hostName, to.hostName)) 60_000 else 1 }
+        for (round in 6..15) {
+            site.announceFor(servers, round..round)
+            assertEquals(servers, observed.view.backendServers.size, "round $round")
+        }
+    }
+
     /** Guards against a restart in which each entry host receives every document since the snapshot. */
     @Test
     fun `states that a state host installs in a moment are sent once`() = runTest {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteLinks.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteLinks.kt
@@ -44,9 +44,9 @@
     suspend fun listen(): Int = network.listen(settings.bindAddress, settings.linkPort)
 
     companion object {
-        /** Reports and pulses cross each link once a second, so that a ping is needed only when they are late. */
+        /** Reports cross most links once a second, so that a ping is needed only when they are late. */
         private val LINK_OPTIONS =
-            LinkOptions(pingIntervalMs = 1_000, silenceTimeoutMs = 2_500, maxReconnectDelayMs = 500)
+            LinkOptions(pingIntervalMs = 1_250, silenceTimeoutMs = 2_500, maxReconnectDelayMs = 500)
 
         /** Returns the host names of the seeds in [settings]. */
         fun seedNames(settings: SiteSettings): List<String> = settings.seeds.map { it.substringBefore(':') }
