--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -31,8 +31,8 @@
  * State hosts form a full mesh and exchange all data. An entry host reports to a majority of the state hosts, those of
  * its region first, and receives from them a digest of everything at first, changes at once, and pulses that renew
  * what it knows: every second from the first of them, its primary, and less often from the others. Changes that arrive
- * within [SiteTimes.batchDelayMs] are sent and published together. The name of a host is its IP address because a seed is
- * configured only by address; [linkPort] is the same on all hosts.
+ * within [SiteTimes.batchDelayMs] are sent and published together. The name of a host is its IP address because a seed
+ * is configured only by address; [linkPort] is the same on all hosts.
  */
 public class SiteService(
     private val network: LinkNetwork,
