Hold requests at a starting host for half of their time

Change: before the first document, a request of a caller that tells its deadline waits for half of the time left instead of one second, while the host is starting (4 s). A request without a deadline waits for a second as before; one with a short deadline is refused earlier than before.

Measured: StartingHostTest fails without the change (refused after a second) and passes with it.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -69,11 +69,7 @@
     }
 
     private fun resolve() {
-        val table = context.routes.get()
-        if (table == null) {
-            if (mayAwaitStartup(ROUTES_WAIT_MS)) pollStartup(::resolve) else sendError(RelayError(ErrorKind.NOT_READY))
-            return
-        }
+        val table = context.routes.get() ?: return awaitRoutes()
         val matchedRoute = table.find(request.authority, request.path)
             ?: return sendError(
                 RelayError(ErrorKind.UNKNOWN_SERVICE, "no route for ${request.authority}${request.path}"),
@@ -97,6 +93,13 @@
         submit()
     }
 
+    /** Holds the request of a caller until the first document arrives, as long as enough of its time would be left. */
+    private fun awaitRoutes() {
+        val metadata = context.dialect.decodeRequest(request.headers).fold({ return sendError(it) }, { it })
+        val waitMs = metadata.deadlineMs?.let { it / ROUTES_WAIT_DIVISOR } ?: ROUTES_WAIT_MS
+        if (mayAwaitStartup(waitMs)) pollStartup(::resolve) else sendError(RelayError(ErrorKind.NOT_READY))
+    }
+
     override fun onCallerDisconnected() {
         when (phase) {
             Phase.DONE -> return
@@ -372,7 +375,13 @@
         /** Prompt block that distinguishes sessions; many sessions share the blocks before it. */
         const val AFFINITY_BLOCK_INDEX = 12
 
-        /** Maximum wait for the first route document after the start of this host. */
+        /**
+         * After the start of this host, a request waits for the first document for at most its time divided by this
+         * value. Its caller would otherwise come back to a host that has just started as well.
+         */
+        const val ROUTES_WAIT_DIVISOR = 2
+
+        /** Maximum wait for the first document of a request without a deadline of its own. */
         const val ROUTES_WAIT_MS = 1_000L
 
         /** During startup, a request waits for backend servers for at most its timeout divided by this value. */
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -47,7 +47,7 @@
  * The request path of an entry host on the loopback interface, with [servers] as its backend servers.
  *
  * [log] receives the log lines about requests. If [otherRegionPort] is set, the host knows another region with a single
- * entry host that listens on that port.
+ * entry host that listens on that port. With [hasRoutes] false, it has none until [applyRoutes].
  */
 internal class RelayFixture(
     private vararg val servers: ScriptedServer,
@@ -57,6 +57,7 @@
     private val timeoutMs: Long = 2_000,
     private val targetPauseMs: Long = 0,
     isForwarded: Boolean = false,
+    hasRoutes: Boolean = true,
 ) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -91,13 +92,7 @@
     private val server = IngressServer(group, options, Service(), isForwarded)
 
     init {
-        val routes = listOf(
-            route("safe", RouteKind.IDEMPOTENT),
-            route("once", RouteKind.AT_MOST_ONCE),
-            route("stream", RouteKind.STREAM),
-            route("resumable", RouteKind.STREAM, isResumable = true),
-        )
-        context.routes.set(RouteTable(RoutePlan(1, routes, mapOf("svc" to RoutedService("svc")))))
+        if (hasRoutes) applyRoutes()
         scheduler.updateTable(
             RoutingTable(
                 "hue",
@@ -113,6 +108,17 @@
         server.start("127.0.0.1:$port")
     }
 
+    /** Puts the routes in force, as when the first document arrives. */
+    fun applyRoutes() {
+        val routes = listOf(
+            route("safe", RouteKind.IDEMPOTENT),
+            route("once", RouteKind.AT_MOST_ONCE),
+            route("stream", RouteKind.STREAM),
+            route("resumable", RouteKind.STREAM, isResumable = true),
+        )
+        context.routes.set(RouteTable(RoutePlan(1, routes, mapOf("svc" to RoutedService("svc")))))
+    }
+
     /** Opens a caller connection. */
     fun connect(): Socket = Socket(InetAddress.getLoopbackAddress(), port).apply { soTimeout = TIMEOUT_MS }
 
--- /dev/null
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/StartingHostTest.kt
@@ -0,0 +1,38 @@
+package org.arbutusrelay.relay
+
+import org.arbutusrelay.relay.RelayFixture.Companion.readResponse
+import org.arbutusrelay.relay.RelayFixture.Companion.send
+import org.arbutusrelay.relay.ScriptedServer.Companion.signedResponse
+import org.arbutusrelay.relay.ScriptedServer.Companion.write
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class StartingHostTest {
+    /**
+     * Guards against a host that starts and refuses requests just before its first document arrives, and against one
+     * that holds a request for longer than half of its caller's wait.
+     */
+    @Test
+    fun `a request waits for the first document for half of its time`() {
+        data class Case(val waitMs: Long, val documentAfterMs: Long, val status: String)
+        val cases = listOf(
+            Case(waitMs = 8_000, documentAfterMs = 1_600, "200"),
+            Case(waitMs = 8_000, documentAfterMs = 0, "200"),
+            Case(waitMs = 1_000, documentAfterMs = 1_600, "503"),
+        )
+        for (case in cases) {
+            val server = ScriptedServer { socket, request, _ -> socket.write(signedResponse(request, "ok")) }
+            RelayFixture(server, hasRoutes = false, timeoutMs = 8_000).use { relay ->
+                relay.connect().use { caller ->
+                    caller.send("/safe/x", headers = "Wait-Ms: ${case.waitMs}\r\n")
+                    Thread.sleep(case.documentAfterMs)
+                    relay.applyRoutes()
+                    val response = caller.readResponse()
+                    assertTrue(response.startsWith("HTTP/1.1 ${case.status}"), "$case: $response")
+                    assertEquals(if (case.status == "200") 1 else 0, server.requests.size, "$case")
+                }
+            }
+        }
+    }
+}
