--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteGrowthTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteGrowthTest.kt
@@ -37,6 +37,7 @@
     }
 
     private class Site(
+        val scope: TestScope,
         val links: InMemoryLinks,
         val services: Map<String, SiteService>,
         val received: Received,
@@ -64,7 +65,14 @@
                 it.confirmState()
             }
         }
-        return Site(links, services, received) { views }
+        return Site(this, links, services, received) { views }
+    }
+
+    private fun Site.startEntryHost(name: String) {
+        val identity = HostIdentity(name, "1", "1-a", 1)
+        val self = identity.initialState("$name:1", isStateHost = false)
+        SiteService(links.start(identity), self, stateHosts.take(3), 1, RelayClock(scope.testScheduler.timeSource))
+            .start(scope.backgroundScope)
     }
 
     private suspend fun Site.announceFor(servers: Int, rounds: IntRange) = rounds.forEach { round ->
@@ -92,6 +100,22 @@
         assertTrue(large.first <= small.first * 2 && large.second <= small.second * 2, "$counts")
     }
 
+    /** Guards against an entry host that rebuilds its routing table for each of the hosts that start beside it. */
+    @Test
+    fun `an entry host publishes hosts that start with its next periodic view`() = runTest {
+        val site = site(entryHosts = 5)
+        delay(3_000)
+        val views = site.views()
+        repeat(60) {
+            site.startEntryHost("10.3.0.${it + 1}")
+            delay(30)
+        }
+        val published = site.views() - views
+        assertTrue(published <= 60 * 30 / SiteTimes().publishIntervalMs + 1, "$published views")
+        delay(1_000)
+        assertEquals(stateHosts.size + 65, site.services.getValue(OBSERVED).view.hosts.size)
+    }
+
     /** Guards against digests of everything that are sent again and again while nothing changes. */
     @Test
     fun `renewals of a steady site need no digest and few bytes, and every server stays known`() = runTest {
