--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -222,7 +222,7 @@
                 changedServers.forEach(changesForSubscribers::add)
                 changedHosts.forEach(changesForSubscribers::add)
             }
-            // An entry host uses other hosts only to forward requests, so that their changes can wait for the next view.
+            // An entry host uses other hosts only to forward requests, so their changes can wait for the next view.
             val isHostChangeUrgent = self.isStateHost && changedHosts.isNotEmpty()
             newDepartures.isNotEmpty() || changedServers.isNotEmpty() || isHostChangeUrgent
         }
