Hold only the own requests of callers at a starting host

A request that a host of another region forwards would also have been held for half of its time, although that host can send it elsewhere.

Change: forwarded requests wait for a second at most, as before; comments on the ping, the views and the wait say what holds.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/Link.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/Link.kt
@@ -71,7 +71,7 @@
                 val frame = LinkFrame(ping = Ping(sequence++))
                 offer(frame, FrameCodec.encode(frame))
             }
-            // A later frame puts the next ping off, but not the check for silence.
+            // Waits until a ping is due if no frame is sent in the meantime; silence is checked at the same times.
             delay(interval - lastOfferedAt.elapsedNow())
             if (lastReceivedAt.elapsedNow() > options.silenceTimeoutMs.milliseconds) {
                 val detail = "nothing received for ${options.silenceTimeoutMs} ms"
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -93,10 +93,11 @@
         submit()
     }
 
-    /** Holds the request of a caller until the first document arrives, as long as enough of its time would be left. */
+    /** Holds the request until the first document arrives; a caller's own request for a part of the caller's time. */
     private fun awaitRoutes() {
         val metadata = context.dialect.decodeRequest(request.headers).fold({ return sendError(it) }, { it })
-        val waitMs = metadata.deadlineMs?.let { it / ROUTES_WAIT_DIVISOR } ?: ROUTES_WAIT_MS
+        val callerMs = metadata.deadlineMs?.takeUnless { request.isForwarded }
+        val waitMs = callerMs?.let { it / ROUTES_WAIT_DIVISOR } ?: ROUTES_WAIT_MS
         if (mayAwaitStartup(waitMs)) pollStartup(::resolve) else sendError(RelayError(ErrorKind.NOT_READY))
     }
 
@@ -381,7 +382,10 @@
          */
         const val ROUTES_WAIT_DIVISOR = 2
 
-        /** Maximum wait for the first document of a request without a deadline of its own. */
+        /**
+         * Maximum wait for the first document of other requests: without a deadline, or forwarded by a host that can
+         * send them elsewhere.
+         */
         const val ROUTES_WAIT_MS = 1_000L
 
         /** During startup, a request waits for backend servers for at most its timeout divided by this value. */
