Refuse requests during a stop that may outlast the host

Cause: callers use their open connections, and hosts of other regions their forward connections, until the process of a stopping host is gone. After the lifetime of the host lists (3 s) the listener is closed, but a request that arrived on a connection within the next 250 ms, or at the forward port at any time until the end, was still accepted, whatever its wait. If it ran longer than the rest of the grace period, its response was cut off. A request that was still queued, or only partly read, when the process ended had its connection closed without a response, although it certainly had not run.

Change: PlannedStop holds the steps of a stop and is what the fixture runs. From the end of the list lifetime on, StopState accepts only requests whose wait ends before the process does; the others get shutting_down (503, not run, Retry-After 0). At the end, what is left gets an error: shutting_down if it was not sent, backend_failed (502) if it may have run.

Measured: PlannedStopTest passes (5 tests). With the admission check and the errors at the end taken out, two fail: the late request got 200 in place of 503, and the requests that were left got no response within 10 s.

Conclusion: the class of fault is closed on the path of requests; a stream accepted within the first 3 s may still outlast the grace period.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -76,6 +76,9 @@
             )
         val metadata = context.dialect.decodeRequest(request.headers).fold({ return sendError(it) }, { it })
         val waitMs = minOf(metadata.deadlineMs ?: matchedRoute.timeoutMs, matchedRoute.timeoutMs)
+        if (!context.stopState.mayAccept(request.receivedMs + waitMs)) {
+            return sendError(RelayError(ErrorKind.SHUTTING_DOWN))
+        }
         val service = ForwardHeaders.serviceOf(request.headers)?.takeIf { request.isForwarded }
             ?: matchedRoute.serviceFor(context.randomBelow(matchedRoute.totalWeight))
         resolved = ResolvedRequest(matchedRoute, metadata, service, request.receivedMs + waitMs, table.plan.number)
@@ -126,6 +129,17 @@
         finish()
     }
 
+    override fun onProcessEnding() {
+        if (phase == Phase.DONE) return
+        if (phase == Phase.WAITING) context.cancelQueued(this)
+        val isSent = phase == Phase.SENT
+        if (isSent) possibleRuns++
+        attempt?.cancel(AttemptResult.CANCELLED)
+        attempt = null
+        val kind = if (isSent) ErrorKind.BACKEND_FAILED else ErrorKind.SHUTTING_DOWN
+        failRequest(RelayError(kind, "the host stopped before the response was complete"))
+    }
+
     /** Applies the decision of the scheduler. */
     fun onPlacement(placement: Placement) {
         when (placement) {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
@@ -13,6 +13,7 @@
 import org.arbutusrelay.relay.backend.BackendPool
 import org.arbutusrelay.relay.dialect.HeaderDialect
 import org.arbutusrelay.relay.dialect.ReportedLoad
+import org.arbutusrelay.relay.ingress.StopState
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
@@ -27,6 +28,8 @@
     val dialect: HeaderDialect,
     val forwardTargets: ForwardTargets,
     val eventListener: RequestEventListener,
+    /** Tells which requests are accepted while the host stops. */
+    val stopState: StopState,
     private val random: Random,
     private val onLoadReported: (PlacedAttempt, ReportedLoad) -> Unit,
 ) {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
@@ -17,14 +17,20 @@
     private val nowMs: () -> Long,
     private val quietMs: Long = 250,
 ) {
-    /** Closes quiet connections and waits for the others until [endMs]; returns true if no request was left. */
+    /**
+     * Closes quiet connections and waits for the others until [endMs]; returns true if no request was left.
+     *
+     * Requests that are left get an error.
+     */
     suspend fun await(endMs: Long, openExchanges: () -> Int): Boolean = withContext(loop.asCoroutineDispatcher()) {
         delay(quietMs)
         while (nowMs() < endMs && !(connections.isEmpty() && openExchanges() == 0)) {
             connections.closeQuiet(quietMs)
             delay(POLL_MS)
         }
-        !connections.hasRequests() && openExchanges() == 0
+        val isDrained = !connections.hasRequests() && openExchanges() == 0
+        connections.failRequests()
+        isDrained
     }
 
     private companion object {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
@@ -38,8 +38,10 @@
     private val pipelined = ArrayDeque<HttpObject>()
     private var lastActiveMs = options.nowMs()
     private var headReadMs = 0L
+    private var handlerContext: ChannelHandlerContext? = null
 
     override fun channelActive(context: ChannelHandlerContext) {
+        handlerContext = context
         service.onConnectionOpened(this, context.channel())
         context.fireChannelActive()
     }
@@ -83,6 +85,16 @@
     /** Returns true when no request is processed and none has begun or ended for more than [idleMs]. */
     fun isIdleLongerThan(idleMs: Long): Boolean = exchange == null && options.nowMs() - lastActiveMs > idleMs
 
+    /** Ends the request that is being read or processed with an error. */
+    fun failRequest() {
+        val active = exchange
+        val context = handlerContext
+        when {
+            active != null -> active.onProcessEnding()
+            head != null && context != null -> reject(context, HttpResponseStatus.SERVICE_UNAVAILABLE)
+        }
+    }
+
     private fun bufferPipelined(context: ChannelHandlerContext, message: HttpObject) {
         pipelined.addLast(message)
         if (pipelined.size > MAX_PIPELINED_MESSAGES) context.close()
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressService.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressService.kt
@@ -23,6 +23,9 @@
 
     /** The caller closed its connection. */
     fun onCallerDisconnected()
+
+    /** The process is about to end; the request must get its response now. */
+    fun onProcessEnding()
 }
 
 /**
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/OpenConnections.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/OpenConnections.kt
@@ -22,6 +22,11 @@
         channels.filterKeys { it.isQuietFor(quietMs) }.values.forEach { it.close() }
     }
 
+    /** Responds with an error to each request that is being read or processed, because the process is about to end. */
+    fun failRequests() {
+        channels.keys.toList().forEach { it.failRequest() }
+    }
+
     fun isEmpty(): Boolean = channels.isEmpty()
 
     /** Closes the connections on which nothing has begun or ended for more than [idleMs]. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -6,7 +6,6 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.arbutusrelay.core.invariant.Guarantee
 import org.arbutusrelay.core.invariant.Invariants
@@ -38,9 +37,11 @@
 import org.arbutusrelay.relay.ingress.IngressServer
 import org.arbutusrelay.relay.ingress.IngressService
 import org.arbutusrelay.relay.ingress.OpenConnections
+import org.arbutusrelay.relay.ingress.PlannedStop
 import org.arbutusrelay.relay.ingress.ResponseWriter
 import org.arbutusrelay.relay.ingress.StatusResponse
 import org.arbutusrelay.relay.ingress.StatusServer
+import org.arbutusrelay.relay.ingress.StopState
 import org.arbutusrelay.schema.log.EventLine
 import org.arbutusrelay.schema.log.EventLine.Event
 import org.arbutusrelay.schema.message.BackendLoad
@@ -88,7 +89,8 @@
     private val forwardTargets = ForwardTargets(settings.linkPort + 1)
     private val context = RelayContext(
         siteLinks.identity, clock, loop, pool, scheduler, dialect, forwardTargets,
-        RequestMetricsListener(metrics, RequestLogListener(log, clock::nowMs)), Random(siteLinks.identity.epoch),
+        RequestMetricsListener(metrics, RequestLogListener(log, clock::nowMs)), StopState(),
+        Random(siteLinks.identity.epoch),
         ::reportLoad,
     )
     private val profiles = ProfileBuilder(settings.region) { otherRegions }
@@ -106,11 +108,8 @@
         StatusServer(group, "${settings.bindAddress}:${settings.metricsPort}", mapOf("/metrics" to ::metricsResponse)),
     )
 
-    @Volatile
-    private var isShuttingDown = false
-
     /** True while this host has routes and accepts requests. */
-    public fun isReady(): Boolean = !isShuttingDown && context.routes.get() != null
+    public fun isReady(): Boolean = !context.stopState.isStopping && context.routes.get() != null
 
     override suspend fun start() {
         siteLinks.listen()
@@ -131,17 +130,15 @@
     override fun reload(settings: SiteSettings): Unit = site.replaceSeeds(SiteLinks.seedNames(settings))
 
     override suspend fun stop() {
-        isShuttingDown = true
+        context.stopState.begin()
         val startMs = clock.nowMs()
         log.write(siteLinks.eventLine(Event.STOPPING).copy(openRequests = context.openExchanges.toLong()))
         site.updateSelf { it.copy(isLeaving = true) }
         val graceMs = (settings.bounds.graceSeconds * MS_PER_SECOND).toLong()
-        // Callers may still use a cached host list and would otherwise connect to a closed port.
-        delay(minOf(graceMs / 2, HOST_LIST_LIFETIME_MS))
-        callerServer.stop()
-        ConnectionDrain(loop, connections, clock::nowMs).await(startMs + graceMs - EXIT_MARGIN_MS) {
-            context.openExchanges
-        }
+        PlannedStop(context.stopState, callerServer, ConnectionDrain(loop, connections, clock::nowMs))
+            .await(minOf(graceMs / 2, HOST_LIST_LIFETIME_MS), startMs + graceMs - EXIT_MARGIN_MS) {
+                context.openExchanges
+            }
         val durationMs = clock.nowMs() - startMs
         log.write(
             siteLinks.eventLine(Event.STOPPED).copy(
@@ -232,7 +229,7 @@
     }
 
     private inner class Ingress : IngressService {
-        override val isShuttingDown: Boolean get() = this@EntryNode.isShuttingDown
+        override val isShuttingDown: Boolean get() = context.stopState.isStopping
 
         override fun createExchange(request: IngressRequest, writer: ResponseWriter): IngressExchange =
             Exchange(context, profiles, request, writer)
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
@@ -4,11 +4,15 @@
 import org.arbutusrelay.relay.RelayFixture.Companion.send
 import org.arbutusrelay.relay.ScriptedServer.Companion.signedResponse
 import org.arbutusrelay.relay.ScriptedServer.Companion.write
+import org.arbutusrelay.schema.log.EventLine
+import org.arbutusrelay.schema.log.EventLine.Event
 import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
 class PlannedStopTest {
@@ -49,6 +53,65 @@
         assertTrue(isDrained, case.name)
     }
 
+    private class Late(
+        val name: String,
+        val path: String,
+        val waitMs: Long,
+        val isForwarded: Boolean,
+        val status: String,
+    )
+
+    /** Guards against accepting a request long after a stop began and cutting it off when the process ends. */
+    @Test
+    fun `a request that arrives after the host lists have expired is accepted only if it ends before the host`() {
+        val cases = listOf(
+            Late("may outlast the host", "/once/x", 60_000, false, "503"),
+            Late("stream that may outlast the host", "/stream/x", 60_000, false, "503"),
+            Late("forwarded, may outlast the host", "/once/x", 60_000, true, "503"),
+            Late("ends before the host", "/once/x", 1_000, false, "200"),
+        )
+        for (case in cases) {
+            val server = server(0)
+            RelayFixture(server, timeoutMs = 60_000, isForwarded = case.isForwarded).use { relay ->
+                val response = relay.exchangeDuringStop(case)
+                assertContains(response.lineSequence().first(), case.status, message = case.name)
+                val isRefused = case.status == "503"
+                assertEquals(isRefused, "Retry-After: 0.000" in response, case.name)
+                assertEquals(if (isRefused) 0 else 1, server.requests.size, case.name)
+            }
+        }
+    }
+
+    private fun RelayFixture.exchangeDuringStop(case: Late): String = connect().use { caller ->
+        while (acceptedConnections.get() == 0) Thread.sleep(POLL_MS)
+        val stop = thread { stopGracefully() }
+        while (!isDraining) Thread.sleep(POLL_MS)
+        caller.send(case.path, "POST", "Wait-Ms: ${case.waitMs}\r\n", body = "b")
+        String(caller.getInputStream().readAllBytes()).also { stop.join() }
+    }
+
+    /** Guards against closing the connection of a request that was read, without a response, when the process ends. */
+    @Test
+    fun `a request that is left when the host ends gets an error`() {
+        val lines = CopyOnWriteArrayList<EventLine>()
+        RelayFixture(server(60_000), log = { lines += it }, capacity = 1, timeoutMs = 60_000).use { relay ->
+            val running = relay.connect()
+            running.send("/once/running", "POST", body = "b")
+            while (lines.none { it.event == Event.REQUEST_PLACED }) Thread.sleep(POLL_MS)
+            val waiting = relay.connect()
+            waiting.send("/once/waiting", "POST", body = "b")
+            while (lines.none { it.event == Event.REQUEST_QUEUED }) Thread.sleep(POLL_MS)
+            val partlyRead = relay.connect()
+            partlyRead.getOutputStream().write(HEAD.encodeToByteArray())
+            while (relay.acceptedConnections.get() < 3) Thread.sleep(POLL_MS)
+            assertFalse(relay.stopGracefully(quietMs = 100, graceMs = 300))
+            val expected = mapOf(running to "502", waiting to "503", partlyRead to "503")
+            for ((caller, status) in expected) {
+                caller.use { assertContains(String(it.getInputStream().readAllBytes()).lineSequence().first(), status) }
+            }
+        }
+    }
+
     /** Guards against giving up, or running again elsewhere, what a server runs that was only silent for a while. */
     @Test
     fun `a server that falls out of the table keeps its running requests`() {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -30,7 +30,9 @@
 import org.arbutusrelay.relay.ingress.IngressServer
 import org.arbutusrelay.relay.ingress.IngressService
 import org.arbutusrelay.relay.ingress.OpenConnections
+import org.arbutusrelay.relay.ingress.PlannedStop
 import org.arbutusrelay.relay.ingress.ResponseWriter
+import org.arbutusrelay.relay.ingress.StopState
 import org.arbutusrelay.relay.node.RequestLogListener
 import org.arbutusrelay.schema.manifest.RegionLink
 import org.arbutusrelay.schema.message.BackendServerState
@@ -69,20 +71,20 @@
     )
     private val context = RelayContext(
         HostIdentity("host", "hue", "hue-a", 1), clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
-        ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), Random(1),
+        ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), StopState(), Random(1),
     ) { _, _ -> }
     private val profiles = ProfileBuilder("hue") { listOf("north") }
     private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     private val options = IngressOptions(clock::nowMs, { lagMs }) { MAX_BODY_BYTES }
     private val connections = OpenConnections()
 
-    @Volatile
-    private var isShuttingDown = false
-
     /** Simulated delay of the event loop, in milliseconds. */
     @Volatile
     var lagMs: Long = 0
 
+    /** True once only requests are accepted that end before the host does. */
+    val isDraining: Boolean get() = !context.stopState.mayAccept(Long.MAX_VALUE)
+
     /** Number of connections accepted so far. */
     val acceptedConnections = AtomicInteger()
 
@@ -136,10 +138,8 @@
 
     /** Stops as an entry host does, with a long quiet time for slow machines; returns true if no request was left. */
     fun stopGracefully(quietMs: Long = 1_500, graceMs: Long = 10_000): Boolean {
-        isShuttingDown = true
-        server.stop()
-        val drain = ConnectionDrain(loop, connections, clock::nowMs, quietMs)
-        return runBlocking { drain.await(clock.nowMs() + graceMs) { context.openExchanges } }
+        val stop = PlannedStop(context.stopState, server, ConnectionDrain(loop, connections, clock::nowMs, quietMs))
+        return runBlocking { stop.await(0, clock.nowMs() + graceMs) { context.openExchanges } }
     }
 
     override fun close() {
@@ -167,7 +167,7 @@
     )
 
     private inner class Service : IngressService {
-        override val isShuttingDown: Boolean get() = this@RelayFixture.isShuttingDown
+        override val isShuttingDown: Boolean get() = context.stopState.isStopping
 
         override fun createExchange(request: IngressRequest, writer: ResponseWriter): IngressExchange =
             Exchange(context, profiles, request, writer)
