Refuse waiting requests before a stop ends the running ones

Cause: at the end of a stop, the end of a running request gave its slot to a waiting one, which was sent and ended at once with backend_failed (502) although it could have been refused as not run. PlannedStopTest failed by it in one of two runs, in the order of a hash table (502 in place of 503).

Change: requests that were not sent to a backend server get their error first.

Conclusion: what a stop did not send is refused truthfully.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -63,6 +63,8 @@
     /** Number of the route document that was applied to the request. */
     val documentNumber: Long? get() = resolved?.documentNumber
 
+    override val isSent: Boolean get() = phase == Phase.SENT
+
     override fun start() {
         context.openExchanges++
         resolve()
@@ -132,11 +134,10 @@
     override fun onProcessEnding() {
         if (phase == Phase.DONE) return
         if (phase == Phase.WAITING) context.cancelQueued(this)
-        val isSent = phase == Phase.SENT
+        val kind = if (isSent) ErrorKind.BACKEND_FAILED else ErrorKind.SHUTTING_DOWN
         if (isSent) possibleRuns++
         attempt?.cancel(AttemptResult.CANCELLED)
         attempt = null
-        val kind = if (isSent) ErrorKind.BACKEND_FAILED else ErrorKind.SHUTTING_DOWN
         failRequest(RelayError(kind, "the host stopped before the response was complete"))
     }
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
@@ -85,6 +85,9 @@
     /** Returns true when no request is processed and none has begun or ended for more than [idleMs]. */
     fun isIdleLongerThan(idleMs: Long): Boolean = exchange == null && options.nowMs() - lastActiveMs > idleMs
 
+    /** True while the current request may run on a backend server. */
+    val isRequestSent: Boolean get() = exchange?.isSent == true
+
     /** Ends the request that is being read or processed with an error. */
     fun failRequest() {
         val active = exchange
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressService.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressService.kt
@@ -19,6 +19,9 @@
 
 /** Processing of one request. */
 internal interface IngressExchange {
+    /** True while the request may run on a backend server. */
+    val isSent: Boolean
+
     fun start()
 
     /** The caller closed its connection. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/OpenConnections.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/OpenConnections.kt
@@ -22,9 +22,13 @@
         channels.filterKeys { it.isQuietFor(quietMs) }.values.forEach { it.close() }
     }
 
-    /** Responds with an error to each request that is being read or processed, because the process is about to end. */
+    /**
+     * Responds with an error to each request that is being read or processed, because the process is about to end.
+     *
+     * Requests that were not sent to a backend server come first: the end of another one would give them its slot.
+     */
     fun failRequests() {
-        channels.keys.toList().forEach { it.failRequest() }
+        channels.keys.sortedBy { it.isRequestSent }.forEach { it.failRequest() }
     }
 
     fun isEmpty(): Boolean = channels.isEmpty()
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
@@ -8,6 +8,7 @@
 import org.arbutusrelay.schema.log.EventLine.Event
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
 import kotlin.concurrent.thread
 import kotlin.test.Test
 import kotlin.test.assertContains
@@ -90,6 +91,34 @@
         String(caller.getInputStream().readAllBytes()).also { stop.join() }
     }
 
+    /** Guards against dropping a request that was read behind a stream whose head did not announce the close. */
+    @Test
+    fun `a request that is pipelined behind a stream is answered when a stop begins`() {
+        val mayEnd = CountDownLatch(1)
+        val streaming = ScriptedServer { socket, request, _ ->
+            socket.write(
+                "HTTP/1.1 200 OK\r\nAttempt: ${request.header("Attempt")}\r\nSignature: s\r\n" +
+                    "Transfer-Encoding: chunked\r\n\r\nd\r\nid: 1\ndata:\n\n\r\n",
+            )
+            mayEnd.await()
+            socket.write("0\r\n\r\n")
+        }
+        RelayFixture(streaming).use { relay ->
+            relay.connect().use { caller ->
+                caller.send("/stream/x", "POST", body = "b")
+                caller.send("/nowhere/x", "POST", body = "b")
+                val head = ScriptedServer.readLine(caller.getInputStream())
+                val stop = thread { relay.stopGracefully() }
+                while (!relay.isDraining) Thread.sleep(POLL_MS)
+                mayEnd.countDown()
+                val rest = String(caller.getInputStream().readAllBytes())
+                stop.join()
+                assertContains(head.orEmpty(), "200")
+                assertContains(rest, "HTTP/1.1 404")
+            }
+        }
+    }
+
     /** Guards against closing the connection of a request that was read, without a response, when the process ends. */
     @Test
     fun `a request that is left when the host ends gets an error`() {
@@ -98,14 +127,15 @@
             val running = relay.connect()
             running.send("/once/running", "POST", body = "b")
             while (lines.none { it.event == Event.REQUEST_PLACED }) Thread.sleep(POLL_MS)
-            val waiting = relay.connect()
-            waiting.send("/once/waiting", "POST", body = "b")
-            while (lines.none { it.event == Event.REQUEST_QUEUED }) Thread.sleep(POLL_MS)
+            // Several, because the slot of the running request is given to one of them when it ends first.
+            val waiting = List(4) { relay.connect() }
+            waiting.forEach { it.send("/once/waiting", "POST", body = "b") }
+            while (lines.count { it.event == Event.REQUEST_QUEUED } < waiting.size) Thread.sleep(POLL_MS)
             val partlyRead = relay.connect()
             partlyRead.getOutputStream().write(HEAD.encodeToByteArray())
-            while (relay.acceptedConnections.get() < 3) Thread.sleep(POLL_MS)
+            while (relay.acceptedConnections.get() < waiting.size + 2) Thread.sleep(POLL_MS)
             assertFalse(relay.stopGracefully(quietMs = 100, graceMs = 300))
-            val expected = mapOf(running to "502", waiting to "503", partlyRead to "503")
+            val expected = mapOf(running to "502", partlyRead to "503") + waiting.associateWith { "503" }
             for ((caller, status) in expected) {
                 caller.use { assertContains(String(it.getInputStream().readAllBytes()).lineSequence().first(), status) }
             }
