Keep a connection open after a stream whose head did not announce its close

A stream that began before a stop had a head without 'Connection: close', but its connection was closed when it ended during the stop.

Change: the end of a response keeps to what its head announced. The next response on the connection announces the close, or the drain closes the connection once it is quiet.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ResponseWriter.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ResponseWriter.kt
@@ -27,6 +27,9 @@
     var isStarted: Boolean = false
         private set
 
+    /** What the response head announced; the connection keeps to it, because more requests may have been read. */
+    private var isPersistent = false
+
     /** Called when the channel becomes writable again after [isWritable] was false. */
     var onWritable: () -> Unit = {}
 
@@ -35,7 +38,7 @@
     fun sendFull(statusCode: Int, headers: HttpHeaders, body: ByteArray) {
         if (isStarted) return
         isStarted = true
-        val isPersistent = isKeepAlive()
+        isPersistent = isKeepAlive()
         val response = DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.valueOf(statusCode),
@@ -51,13 +54,14 @@
 
     fun startStream(statusCode: Int, headers: HttpHeaders) {
         isStarted = true
+        isPersistent = isKeepAlive()
         val response = DefaultHttpResponse(
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.valueOf(statusCode),
             HopByHopHeaders.strip(headers),
         )
         response.headers()[HttpHeaderNames.TRANSFER_ENCODING] = "chunked"
-        if (!isKeepAlive()) response.headers()[HttpHeaderNames.CONNECTION] = "close"
+        if (!isPersistent) response.headers()[HttpHeaderNames.CONNECTION] = "close"
         channel.write(response)
     }
 
@@ -67,7 +71,7 @@
 
     fun endStream() {
         channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-        onEnd(isKeepAlive())
+        onEnd(isPersistent)
     }
 
     /** Closes the connection so that an incomplete response cannot be mistaken for a complete one. */
