--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -265,8 +265,8 @@
         const val IDLE_MARGIN_MS = 1_000L
 
         /**
-         * Time for which callers use host lists that still contain this host. Below the 3 s that they are promised, because
-         * a stop begins later than its signal; requests that came up to 10 ms after the 3 s were accepted and cut off.
+         * Time for which callers use host lists that still contain this host. Below the 3 s that they are promised,
+         * because a stop begins later than its signal; requests that came up to 10 ms after the 3 s were cut off.
          */
         const val HOST_LIST_LIFETIME_MS = 2_800L
 
