Answer requests in progress when an HTTP server stops

The HTTP server of state hosts and of arbutusd closed all connections at once.

Change: Jetty's GracefulHandler refuses new requests with 503 and waits up to 1 s for those in progress, which is longer than the 850 ms that a command of an operator may take.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HttpServer.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HttpServer.kt
@@ -10,6 +10,7 @@
 import org.eclipse.jetty.server.HttpConnectionFactory
 import org.eclipse.jetty.server.NetworkConnectionLimit
 import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.server.handler.GracefulHandler
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import java.io.IOException
 
@@ -33,7 +34,11 @@
         config.http.compressionStrategy = CompressionStrategy.NONE
         config.http.asyncTimeout = 0
         config.jetty.threadPool = QueuedThreadPool(maxThreads, MIN_THREADS).apply { name = "http" }
-        config.jetty.modifyServer { it.addBean(NetworkConnectionLimit(MAX_CONNECTIONS, it)) }
+        config.jetty.modifyServer {
+            it.addBean(NetworkConnectionLimit(MAX_CONNECTIONS, it))
+            it.handler = GracefulHandler()
+            it.stopTimeout = STOP_TIMEOUT_MS
+        }
         config.jetty.addConnector { server, http ->
             ServerConnector(
                 server,
@@ -70,7 +75,7 @@
         }
     }
 
-    /** Closes all connections. */
+    /** Refuses new requests with 503, waits a limited time for those in progress, and closes all connections. */
     public fun stop() {
         javalin.stop()
     }
@@ -88,5 +93,8 @@
         private const val SELECTOR_THREADS = 2
         private const val NOT_FOUND = 404
         private const val MAX_HEADER_BYTES = 16_384
+
+        /** Longer than a command of an operator may take at a state host. */
+        private const val STOP_TIMEOUT_MS = 1_000L
     }
 }
