Refuse addresses that cannot be connected to

A heartbeat with port 99999 or an octet of 999 was accepted. At each entry host, opening a connection to it threw IllegalArgumentException on the event loop, or resolved a name there, and the caller got no response.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
@@ -9,7 +9,9 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.util.NetUtil
 import jdk.net.ExtendedSocketOptions
+import java.net.InetAddress
 import java.net.InetSocketAddress
 
 /**
@@ -59,6 +61,13 @@
             override fun initChannel(channel: Channel) = Unit
         })
 
+    /** Returns null if [address] is not an IP address and port; a host name would be resolved on the event loop. */
+    private fun parseAddress(address: String): InetSocketAddress? {
+        val port = address.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..MAX_PORT } ?: return null
+        val ip = NetUtil.createByteArrayFromIpAddressString(address.substringBeforeLast(':')) ?: return null
+        return InetSocketAddress(InetAddress.getByAddress(ip), port)
+    }
+
     private inner class PendingCall(
         private val address: String,
         private val request: BackendRequest,
@@ -68,9 +77,10 @@
         private var isCancelled = false
 
         fun connect() {
-            val port = address.substringAfterLast(':').toInt()
-            val future = bootstrap().connect(InetSocketAddress(address.substringBeforeLast(':'), port))
-            future.addListener(
+            val remote = parseAddress(address) ?: return loop.execute {
+                if (!isCancelled) listener.onFailure(CallFailure.NOT_CONNECTED)
+            }
+            bootstrap().connect(remote).addListener(
                 ChannelFutureListener {
                     when {
                         isCancelled -> it.channel().close()
@@ -111,6 +121,7 @@
 
     private companion object {
         const val CONNECT_TIMEOUT_MS = 1_000
+        const val MAX_PORT = 65_535
         const val MAX_LINE_BYTES = 4_096
         const val MAX_HEADER_BYTES = 32_768
         const val MAX_CHUNK_BYTES = 16_384
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ForwardingTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ForwardingTest.kt
@@ -102,6 +102,22 @@
         }
     }
 
+    /** Guards against an exception on the event loop that leaves the request of a caller without a response. */
+    @Test
+    fun `requests succeed when one server cannot be connected to or named in a header`() {
+        val cases = listOf(
+            "odd" to "127.0.0.1:99999",
+            "odd" to "127.0.0.1:-1",
+            "odd" to "none",
+        )
+        for (case in cases) {
+            val server = ScriptedServer { socket, request, _ -> socket.write(signedResponse(request, "ok")) }
+            RelayFixture(server, oddServers = mapOf(case)).use { relay ->
+                repeat(4) { assertContains(relay.exchange("/once/x", "POST", body = "b"), "200 OK", message = "$case") }
+            }
+        }
+    }
+
     /** Guards against a forwarded request that both hosts run again, on more servers than its route allows. */
     @Test
     fun `only the host that received a request from its caller runs it again`() {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -47,7 +47,8 @@
  * The request path of an entry host on the loopback interface, with [servers] as its backend servers.
  *
  * [log] receives the log lines about requests. If [otherRegionPort] is set, the host knows another region with a single
- * entry host that listens on that port. With [hasRoutes] false, it has none until [applyRoutes].
+ * entry host that listens on that port. With [hasRoutes] false, it has none until [applyRoutes]. [oddServers] maps the
+ * names of further backend servers to their addresses.
  */
 internal class RelayFixture(
     private vararg val servers: ScriptedServer,
@@ -58,6 +59,7 @@
     private val targetPauseMs: Long = 0,
     isForwarded: Boolean = false,
     hasRoutes: Boolean = true,
+    oddServers: Map<String, String> = emptyMap(),
 ) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -99,7 +101,7 @@
                 "hue-a",
                 servers.mapIndexed { index, server ->
                     state("s$index", server.address)
-                },
+                } + oddServers.map { (name, address) -> state(name, address) },
                 otherRegions = otherRegions(),
                 sentAwayPermille = 1_000,
             ),
