Refuse engine names that fit in no header

An id with a line break, sent percent-encoded in the path, was accepted. Each entry host that placed a request there threw while it set the header for the expected server, and closed the connection of its caller. A request whose headers cannot be built counts as not sent and goes to another server.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -174,9 +174,13 @@
         val newAttempt = Attempt(context, this, placed, address)
         attempt = newAttempt
         context.eventListener.placed(this, placed, address, if (attempts > 1) cursor.lastEventId else null)
-        newAttempt.start(
-            BackendRequest(request.method, request.uri, headersFor(call, placed, backendServer), request.body),
-        )
+        val headers = try {
+            headersFor(call, placed, backendServer)
+        } catch (e: IllegalArgumentException) {
+            // A value that another program announced, such as the name of the backend server, fits in no header.
+            return onAttemptFailed(newAttempt, AttemptFailure.NOT_SENT, e.message.orEmpty())
+        }
+        newAttempt.start(BackendRequest(request.method, request.uri, headers, request.body))
         if (attempt === newAttempt && call.route.isRepeatable) checkResponseTimeout(newAttempt)
     }
 
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ForwardingTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ForwardingTest.kt
@@ -109,6 +109,7 @@
             "odd" to "127.0.0.1:99999",
             "odd" to "127.0.0.1:-1",
             "odd" to "none",
+            "a\r\nb: c" to "1.1.1.1:1",
         )
         for (case in cases) {
             val server = ScriptedServer { socket, request, _ -> socket.write(signedResponse(request, "ok")) }
