--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/BodyReader.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/BodyReader.kt
@@ -13,12 +13,12 @@
 import java.util.concurrent.TimeoutException
 
 /** Reads request bodies within a size limit and a time limit. */
-internal class BodyReader(private val clock: RelayClock, private val timeoutMs: Long, maxConcurrentReads: Int) {
+public class BodyReader(private val clock: RelayClock, private val timeoutMs: Long, maxConcurrentReads: Int) {
     // A slow sender occupies a server thread, so each group of routes may use only a share of the threads.
     private val readPermits = Semaphore(maxConcurrentReads)
 
     /** Returns the body, `BODY_TOO_LARGE`, `SLOW_SENDER`, `OVERLOADED`, or `MALFORMED_REQUEST` when it is truncated. */
-    fun read(ctx: Context, maxBytes: Long): Either<RelayError, ByteArray> {
+    public fun read(ctx: Context, maxBytes: Long): Either<RelayError, ByteArray> {
         if (!readPermits.tryAcquire()) {
             return RelayError(
                 ErrorKind.OVERLOADED,
