Refuse documents with times or weights too large

A timeout of 1e30 ms became Long.MAX_VALUE, so that the deadline overflowed into the past and every request of the route was refused; a pause or an idle timeout overflowed likewise, and weights whose sum exceeds an Int made the draw of a target throw.

Before, -Dtest=PlatformTranslationTest: "an invalid configuration is rejected with a reason" accepted "timeout_ms":1e30.

--- a/core/src/main/kotlin/org/arbutusrelay/core/route/RoutePlan.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/route/RoutePlan.kt
@@ -38,15 +38,27 @@
                 add("route ${route.name}: prefix ${route.pathPrefix} needs slashes around it")
             }
             if (route.timeoutMs <= 0) add("route ${route.name}: the timeout is 0")
+            if (maxOf(route.timeoutMs, route.targetLatencyMs, route.targetPauseMs) > MAX_TIME_MS) {
+                add("route ${route.name}: a time is longer than $MAX_TIME_MS ms")
+            }
             if (route.maxAttempts < 1) add("route ${route.name}: the number of attempts is 0")
-            if (route.targets.any { it.weight < 0 } || route.totalWeight <= 0) {
-                add("route ${route.name}: the weights add up to 0")
+            if (route.targets.any { it.weight !in 0..MAX_WEIGHT } || route.totalWeight <= 0) {
+                add("route ${route.name}: the weights add up to 0, or one is not in 0..$MAX_WEIGHT")
             }
             route.targets.filter { it.serviceName !in services }.forEach {
                 add("route ${route.name}: service ${it.serviceName} does not exist")
             }
         }
+        if (maxOf(limits.headerTimeoutMs, limits.idleTimeoutMs) > MAX_TIME_MS) {
+            add("limits: a time is longer than $MAX_TIME_MS ms")
+        }
     }
 
     private fun isValidPrefix(prefix: String) = prefix.startsWith('/') && prefix.endsWith('/')
+
+    private companion object {
+        /** Times and weights are added up; a day and a million are far above those in use. */
+        const val MAX_TIME_MS = 86_400_000L
+        const val MAX_WEIGHT = 1_000_000
+    }
 }
