Keep links open when a receiver fails

An exception of a receiver of frames ended the link, the coroutine that reconnects, or, because accepted connections were children of the accepting coroutine, the accepting of all connections for good. Failures of receivers are now logged, at a limited rate, and the link goes on; an accepted connection is no longer a child of the accepting coroutine.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetwork.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetwork.kt
@@ -19,6 +19,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeout
 import kotlinx.io.IOException
+import org.arbutusrelay.daemon.observe.FailureGuard
 import org.arbutusrelay.schema.message.LinkFrame
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
@@ -50,6 +51,7 @@
     private val receivers = CopyOnWriteArrayList<FrameReceiver>()
     private val closures = AtomicLongArray(LinkClosure.entries.size)
     private val serverSockets = CopyOnWriteArrayList<ServerSocket>()
+    private val failures = FailureGuard("a receiver of link frames")
 
     /** Listens on [bindAddress] and returns the bound port; [port] 0 selects a free one. Throws if it is in use. */
     public suspend fun listen(bindAddress: String, port: Int): Int {
@@ -63,7 +65,8 @@
                     delay(options.minReconnectDelayMs)
                     continue
                 }
-                launch { runConnection(socket, null) }
+                // Not a child of this coroutine: a failed connection must not end the accepting of others.
+                this@SocketLinkNetwork.scope.launch { runConnection(socket, null) }
             }
         }
         return serverSocket.localAddress.port()
@@ -146,7 +149,7 @@
             val opened = Link(peer, dialler, connection, options, timeSource)
             if (!register(opened)) return false
             link = opened
-            opened.run { frame -> receivers.forEach { it.onFrame(peer, frame) } }
+            opened.run { frame -> notifyReceivers { it.onFrame(peer, frame) } }
         } catch (_: TimeoutCancellationException) {
             coroutineContext.ensureActive()
             countClosure(LinkClosure.HANDSHAKE_TIMEOUT)
@@ -178,16 +181,19 @@
         }
         replaced.forEach { old ->
             old.close()
-            receivers.forEach { it.onLinkDown(old.peer) }
+            notifyReceivers { it.onLinkDown(old.peer) }
         }
-        receivers.forEach { it.onLinkUp(link.peer) }
+        notifyReceivers { it.onLinkUp(link.peer) }
         return true
     }
 
     private fun unregister(link: Link) {
-        if (table.remove(link)) receivers.forEach { it.onLinkDown(link.peer) }
+        if (table.remove(link)) notifyReceivers { it.onLinkDown(link.peer) }
     }
 
+    private fun notifyReceivers(action: (FrameReceiver) -> Unit) =
+        receivers.forEach { receiver -> failures.run { action(receiver) } }
+
     private fun countClosure(closure: LinkClosure) {
         closures.incrementAndGet(closure.ordinal)
     }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/link/FrameCodecTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/link/FrameCodecTest.kt
@@ -16,6 +16,7 @@
 import kotlin.test.Test
 import kotlin.test.assertContentEquals
 import kotlin.test.assertEquals
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
 class FrameCodecTest {
@@ -48,4 +49,13 @@
         val body = cbor.encodeToByteArray(NewerFrame.serializer(), NewerFrame(NewerPing(5, 6), listOf("a", "b")))
         assertEquals(Ping(5), FrameCodec.decode(body)?.ping)
     }
+
+    /** Guards against a frame that overflows the stack of the coroutine that reads it. */
+    @Test
+    fun `a frame that is nested deeply under an unknown member is rejected`() {
+        val unknownMember = byteArrayOf(0xa1.toByte(), 0x19, 0x27, 0x0f)
+        for (nested in listOf(0x81, 0xa1, 0xd8, 0x9f, 0xbf)) {
+            assertNull(FrameCodec.decode(unknownMember + ByteArray(500_000) { nested.toByte() }), "$nested")
+        }
+    }
 }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetworkTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetworkTest.kt
@@ -101,6 +101,28 @@
         awaitUntil { a.connected()["b"]?.epoch == 2L }
     }
 
+    /** Guards against one frame that a receiver cannot process, which ends the link or the accepting of others. */
+    @Test
+    fun `a receiver that fails ends neither its link nor others`() = runBlocking {
+        val (a, b) = network("a") to network("b")
+        b.addReceiver(object : FrameReceiver {
+            override fun onFrame(from: HostIdentity, frame: LinkFrame) = error("cannot be processed")
+
+            override fun onLinkUp(host: HostIdentity) = error("cannot be processed")
+        })
+        val received = recordFrames(b)
+        val address = b.address()
+        a.connect("b", address)
+        awaitUntil { "b" in a.connected() && "a" in b.connected() }
+        repeat(3) { a.sendRetrying("b", synced(it.toLong())) }
+        awaitUntil { received.size == 3 }
+        val c = network("c")
+        c.connect("b", address)
+        c.sendRetrying("b", synced(4))
+        awaitUntil { received.size == 4 }
+        assertEquals(0, LinkClosure.entries.sumOf { b.closures(it) })
+    }
+
     @Test
     fun `a full queue rejects frames and control frames are sent before bulk frames`() {
         val queue = SendQueue(maxFrames = 2, maxBytes = 100)
