Keep following the site when a listener fails

An exception of one listener of views ended the ticks of a host for good, so that it no longer reported or followed the site, and failed commands and announcements. Failures of a tick or a listener are now logged, at a limited rate, and the other listeners and the next tick run as usual.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -12,6 +12,7 @@
 import org.arbutusrelay.daemon.link.FrameReceiver
 import org.arbutusrelay.daemon.link.HostIdentity
 import org.arbutusrelay.daemon.link.LinkNetwork
+import org.arbutusrelay.daemon.observe.FailureGuard
 import org.arbutusrelay.schema.message.BackendLoad
 import org.arbutusrelay.schema.message.BackendServerState
 import org.arbutusrelay.schema.message.HostState
@@ -61,6 +62,7 @@
     private val changesForSubscribers = PendingChanges()
     private val isBatchScheduled = AtomicBoolean()
     private val isStatePushDue = AtomicBoolean()
+    private val failures = FailureGuard("a step of the site service")
 
     @Volatile
     private var isStateConfirmed = !self.isStateHost
@@ -86,7 +88,7 @@
         batchScope = scope
         scope.launch {
             while (true) {
-                tick()
+                failures.run(::tick)
                 delay(times.tickIntervalMs)
             }
         }
@@ -344,7 +346,7 @@
         val next = synchronized(this) { SiteView(state, hosts.live(nowMs), servers.states(nowMs), nowMs) }
         currentView.set(next)
         publishedAtMs = nowMs
-        listeners.forEach { it(next) }
+        listeners.forEach { listener -> failures.run { listener(next) } }
     }
 
     private companion object {
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
@@ -135,6 +135,25 @@
         }
     }
 
+    /** Guards against a host that stops following the site after one view that a listener could not process. */
+    @Test
+    fun `a listener that fails ends neither ticks nor commands nor other listeners`() = site {
+        val seen = HashMap<String, Long>()
+        for (name in stateHosts + entryHosts) {
+            services.getValue(name).addListener { error("cannot be processed") }
+            services.getValue(name).addListener { seen[name] = it.state.index }
+        }
+        delay(2_000)
+        stateHosts.forEach { services.getValue(it).install(document(3)) }
+        services.getValue(stateHosts[0]).announce(server(1, leaseMs = 6_000))
+        delay(2_000)
+        for (name in stateHosts + entryHosts) {
+            assertEquals(3, seen[name], name)
+            assertEquals(listOf("b"), view(name).backendServers.map { it.name }, name)
+            assertEquals((stateHosts + entryHosts).toSet(), view(name).hosts.map { it.hostName }.toSet(), name)
+        }
+    }
+
     /** Guards against a restarted entry host that gets no site state until its next report is due. */
     @Test
     fun `a restarted entry host receives the full state immediately`() = site {
