Keep placing queued requests when one cannot be placed

An exception while one queued request was placed ended the polling of the queue for good, because the flag that says it is scheduled stayed set; the requests queued after it were placed only when another one completed.

Before, -pl relay -Dtest=ForwardingTest: "queued requests are placed after the placement of one has failed: Expected the char sequence to contain the substring" (no 200 within the deadline).

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
@@ -83,9 +83,13 @@
     }
 
     private fun poll() {
-        applyPlacements(scheduler.poll(clock.nowMs()))
-        isPolling = queuedExchanges.isNotEmpty()
-        if (isPolling) schedule(POLL_MS, ::poll)
+        try {
+            applyPlacements(scheduler.poll(clock.nowMs()))
+        } finally {
+            // One request that cannot be placed must not keep the others queued.
+            isPolling = queuedExchanges.isNotEmpty()
+            if (isPolling) schedule(POLL_MS, ::poll)
+        }
     }
 
     private fun applyPlacements(placements: List<QueuedPlacement>) {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ForwardingTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ForwardingTest.kt
@@ -119,6 +119,28 @@
         }
     }
 
+    /** Guards against queued requests that wait in vain because the placement of another one failed. */
+    @Test
+    fun `queued requests are placed after the placement of one has failed`() {
+        val busy = ScriptedServer { _, _, _ -> }
+        val server = ScriptedServer { socket, request, _ -> socket.write(signedResponse(request, "ok")) }
+        RelayFixture(busy, server, capacity = 1).use { relay ->
+            val callers = List(3) { relay.connect() }
+            relay.useServers(mapOf("s0" to busy.address))
+            callers[0].send("/once/0", "POST", body = "b")
+            awaitTrue { busy.requests.size == 1 }
+            callers[1].send("/once/1", "POST", body = "b")
+            awaitTrue { relay.queuedRequests == 1 }
+            relay.useServers(mapOf("s0" to busy.address, TestDialect.FAILING_SERVER to server.address))
+            awaitTrue { relay.queuedRequests == 0 }
+            callers[2].send("/once/2", "POST", body = "b")
+            awaitTrue { relay.queuedRequests == 1 }
+            relay.useServers(mapOf("s0" to busy.address, "s1" to server.address))
+            assertContains(callers[2].readResponse(), "200 OK")
+            callers.forEach { it.close() }
+        }
+    }
+
     /** Guards against a forwarded request that both hosts run again, on more servers than its route allows. */
     @Test
     fun `only the host that received a request from its caller runs it again`() {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -88,6 +88,8 @@
     /** Number of connections accepted so far. */
     val acceptedConnections = AtomicInteger()
 
+    val queuedRequests: Int get() = scheduler.queuedRequests()
+
     /** Memory that buffered responses take, in bytes. */
     val bufferedBytes: Int get() = context.responseBuffers.totalBytes
 
@@ -132,8 +134,12 @@
         }
 
     /** Removes all backend servers from the routing table, as when their leases expire. */
-    fun forgetServers() {
-        scheduler.updateTable(RoutingTable("hue", "hue-a", emptyList(), otherRegions(), sentAwayPermille = 1_000))
+    fun forgetServers() = useServers(emptyMap())
+
+    /** Replaces the backend servers in the routing table by [addresses], by name. */
+    fun useServers(addresses: Map<String, String>) {
+        val states = addresses.map { (name, address) -> state(name, address) }
+        scheduler.updateTable(RoutingTable("hue", "hue-a", states, otherRegions(), sentAwayPermille = 1_000))
     }
 
     /** Stops as an entry host does, with a long quiet time for slow machines; returns true if no request was left. */
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/TestDialect.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/TestDialect.kt
@@ -13,6 +13,9 @@
 
 /** A minimal dialect for tests with its own headers. */
 internal object TestDialect : HeaderDialect {
+    /** Name of a backend server for which the encoding of a request fails. */
+    const val FAILING_SERVER = "failing"
+
     override fun decodeRequest(headers: HttpHeaders): Either<RelayError, RequestMetadata> {
         val id = headers["Attempt"] ?: return RelayError(ErrorKind.MALFORMED_REQUEST).left()
         return RequestMetadata(
@@ -23,6 +26,7 @@
     }
 
     override fun encodeRequest(headers: HttpHeaders, metadata: BackendRequestMetadata) {
+        check(metadata.backendServer != FAILING_SERVER) { "a fault of the relay" }
         headers["Wait-Ms"] = metadata.remainingMs.toString()
         metadata.backendServer?.let { headers["Expect"] = it }
         metadata.lastEventId?.let { headers["Last-Event-Id"] = it.toString() }
