Continue a stream only with events

After a stream had begun and broken off, a complete response of the next server below 500 was dropped: the exchange ended while the connection of the caller stayed open without an end. A 204, a 206 or a 200 of another media type was written into the stream, or ended it as if complete. Once a stream has begun, only a 200 of the same media type continues it; all else counts as a failed attempt, after which the stream is resumed elsewhere where that is allowed, or ends without its last chunk.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -98,6 +98,12 @@
                 return false
             }
 
+            !exchange.canContinueWith(head) -> {
+                abandon()
+                fail(AttemptFailure.UNKNOWN, "status ${head.statusCode} after a stream has begun")
+                return false
+            }
+
             !isUsable(head, metadata) -> {
                 call?.cancel()
                 fail(AttemptFailure.UNKNOWN, "status ${head.statusCode} without a signature or with an encoding")
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/CallerResponse.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/CallerResponse.kt
@@ -13,6 +13,8 @@
 
 /** Writes the response to a request: that of a backend server, or an error of the relay. */
 internal class CallerResponse(private val request: IngressRequest, private val writer: ResponseWriter) {
+    private var streamHead: BackendHead? = null
+
     /** True once the response head has been written to the caller. */
     val isStarted: Boolean get() = writer.isStarted
 
@@ -36,15 +38,28 @@
 
     /** Writes [events]; the first call sends [head]. A resumed stream keeps the head of the first backend server. */
     fun writeEvents(head: BackendHead, events: ByteArray) {
-        if (!writer.isStarted) writer.startStream(head.statusCode, endToEndHeaders(head))
+        startStream(head)
         writer.write(events)
     }
 
     fun endStream(head: BackendHead) {
-        if (!writer.isStarted) writer.startStream(head.statusCode, endToEndHeaders(head))
+        startStream(head)
         writer.endStream()
     }
 
+    /** Returns true if the body of a response with [head] may follow the events that were already written. */
+    fun isContinuedBy(head: BackendHead): Boolean = head.statusCode == streamHead?.statusCode &&
+        head.statusCode == OK_STATUS && mediaTypeOf(head) == streamHead?.let(::mediaTypeOf)
+
+    private fun startStream(head: BackendHead) {
+        if (writer.isStarted) return
+        streamHead = head
+        writer.startStream(head.statusCode, endToEndHeaders(head))
+    }
+
+    private fun mediaTypeOf(head: BackendHead) =
+        head.headers["Content-Type"].orEmpty().substringBefore(';').trim().lowercase()
+
     /** Closes the connection so that the caller detects the incomplete response. */
     fun abort(): Unit = writer.abort()
 
@@ -53,5 +68,6 @@
 
     private companion object {
         const val MS_PER_SECOND = 1_000.0
+        const val OK_STATUS = 200
     }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -226,6 +226,9 @@
         }
     }
 
+    /** Returns false if a stream has begun that a response with [head] cannot continue. */
+    fun canContinueWith(head: BackendHead): Boolean = !response.isStarted || response.isContinuedBy(head)
+
     /** Forwards the complete events in [bytes], the next part of a stream, to the caller. */
     fun onStreamBytes(source: Attempt, head: BackendHead, bytes: ByteArray) {
         val events = cursor.push(bytes)
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/StreamForwardingTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/StreamForwardingTest.kt
@@ -54,6 +54,50 @@
         }
     }
 
+    /** Guards against an error, or the whole of another response, in the middle of a stream that has begun. */
+    @Test
+    fun `a stream that has begun goes on with events or is visibly aborted`() {
+        data class Case(val name: String, val status: String, val headers: String, val body: String, val ids: IntRange?)
+        val events = "Content-Type: text/event-stream\r\n"
+        val json = "Content-Type: application/json\r\n"
+        val all = (1..5).joinToString("") { event(it) }
+        val cases = listOf(
+            Case("an error of the request", "404 Not Found", json, "{}\n\n", 1..2),
+            Case("an error of the server", "500 Failed", json, "{}\n\n", 1..2),
+            Case("an error with events", "409 Conflict", events, all, 1..2),
+            Case("a redirect", "302 Found", "Location: /\r\n", "", 1..2),
+            Case("another type", "200 OK", json, "{}\n\n", 1..2),
+            Case("no content", "204 No Content", events, "", 1..2),
+            Case("a part", "206 Partial Content", events, all, 1..2),
+            Case("a refusal", "503 Full", "Not-Executed: 1\r\n$json", "{}\n\n", 1..2),
+            Case("a misdirected request", "421 Misdirected", json, "{}\n\n", 1..2),
+            Case("an error of another host", "502 Bad Gateway", "Arbutus-Outcome: unknown\r\n$json", "{}\n\n", 1..2),
+            Case("a refusal of another host", "503 Full", "Arbutus-Outcome: not_run\r\n$json", "{}\n\n", 1..2),
+            Case("all events from the first on", "200 OK", events, all, 1..5),
+            Case("an end without further events", "200 OK", events, "", 1..2).copy(ids = null),
+        )
+        for (case in cases) {
+            var count = 0
+            val script = { socket: Socket, request: RawRequest, _: Int ->
+                if (count++ == 0) {
+                    socket.write(head(request) + chunk(event(1)) + chunk(event(2)))
+                    Thread.sleep(50)
+                    socket.reset()
+                } else {
+                    val length = if (case.status.startsWith("204")) "" else "Content-Length: ${case.body.length}\r\n"
+                    val id = "Attempt: ${request.header("Attempt")}\r\nSignature: s\r\n"
+                    socket.write("HTTP/1.1 ${case.status}\r\n$id${case.headers}$length\r\n${case.body}")
+                }
+            }
+            RelayFixture(ScriptedServer(script), ScriptedServer(script)).use { relay ->
+                val response = relay.exchange("/resumable/x", "POST", body = "b")
+                assertEquals((case.ids ?: 1..2).joinToString("") { event(it) }, body(response), case.name)
+                val isComplete = case.ids == null || case.ids == 1..5
+                assertEquals(isComplete, response.endsWith("0\r\n\r\n"), case.name)
+            }
+        }
+    }
+
     /** Guards against buffering events until the stream is complete. */
     @Test
     fun `events are forwarded as they arrive`() {
