Do not resume a stream without identifiers

A resumable stream whose events have no identifiers was sent to a second server without Last-Event-Id, which began it anew: the caller received its events twice. Such a stream now ends without its last chunk.

Before, -pl relay -Dtest=StreamForwardingTest: "a stream without identifiers is not resumed" received the event twice.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -303,6 +303,7 @@
         val countedRuns = if (failure == AttemptFailure.SILENT) possibleRuns + 1 else possibleRuns
         val remainingMs = call.deadlineMs - context.clock.nowMs()
         val isStarted = response.isStarted
+        if (isStarted && cursor.lastEventId == null) return RetryVerdict.GIVE_UP
         val maxRuns = if (request.isForwarded) 1 else call.route.maxAttempts
         return RetryRules.decide(
             RetryContext(call.route, failure, countedRuns, attempts, isStarted, remainingMs, maxRuns),
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/StreamForwardingTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/StreamForwardingTest.kt
@@ -98,6 +98,25 @@
         }
     }
 
+    /** Guards against events that a caller receives twice because they have no identifier to resume after. */
+    @Test
+    fun `a stream without identifiers is not resumed`() {
+        val event = "data: part\n\n"
+        val servers = List(2) {
+            ScriptedServer { socket, request, _ ->
+                socket.write(head(request) + chunk(event))
+                Thread.sleep(50)
+                socket.reset()
+            }
+        }
+        RelayFixture(*servers.toTypedArray()).use { relay ->
+            val response = relay.exchange("/resumable/x", "POST", body = "b")
+            assertEquals(event, body(response))
+            assertFalse(response.endsWith("0\r\n\r\n"))
+            assertEquals(1, servers.sumOf { it.requests.size })
+        }
+    }
+
     /** Guards against buffering events until the stream is complete. */
     @Test
     fun `events are forwarded as they arrive`() {
