Distrust refusals without identifier on every route

On a connection in use again, a refusal without an identifier may be the late copy of an earlier one. Requests that may be repeated were exempt from this: the copy counted as "not run", the caller was told so while the server was running the request, and the connection, on which the response was still due, was used for the next request. Such a refusal now counts as an unknown outcome for all routes and closes the connection; a repeatable request is still sent again, within the number of runs of its route.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -81,7 +81,7 @@
         val outcome = ForwardHeaders.outcomeOf(head.headers)
         when {
             // Without an identifier it may be the late copy of a response to an earlier request on the connection.
-            metadata.isNotExecuted && !isOwnResponse && exchange.route?.isRepeatable != true -> {
+            metadata.isNotExecuted && !isOwnResponse -> {
                 abandon()
                 fail(AttemptFailure.UNKNOWN, "status ${head.statusCode} without an identifier")
                 return false
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/FaultyServerTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/FaultyServerTest.kt
@@ -152,6 +152,34 @@
         }
     }
 
+    /** Guards against a stale refusal that says "not run" of a request that its server is running. */
+    @Test
+    fun `a stale refusal is not taken for the refusal of a repeatable request`() {
+        for (status in listOf("503 Full\r\nNot-Executed: 1", "421 Misdirected\r\nNot-Executed: 1")) {
+            val refusal = "HTTP/1.1 $status\r\nContent-Length: 0\r\n"
+            var isRunning = false
+            val server = ScriptedServer { socket, request, _ ->
+                when {
+                    "/safe/1" in request.line -> socket.write(signedResponse(request, "first"))
+
+                    isRunning -> socket.write("${refusal}Attempt: ${request.header("Attempt")}\r\n\r\n")
+
+                    else -> {
+                        isRunning = true
+                        socket.write("$refusal\r\n")
+                    }
+                }
+            }
+            RelayFixture(server).use { relay ->
+                assertContains(relay.exchange("/safe/1"), "first")
+                val response = relay.exchange("/safe/2")
+                assertTrue(response.startsWith("HTTP/1.1 502"), "$status: $response")
+                // The connection on which a response is due.
+                awaitTrue { server.closed.size == 1 }
+            }
+        }
+    }
+
     private companion object {
         const val LIMIT_MS = 9_000L
 
