Send a request again on a connection of its own

All attempts of a request have the identifier of its caller. When a request came back to a server that had refused it, on the connection of that refusal, a late copy of the refusal had the identifier of the request and was believed: the caller was told "not run" while the server was running it. A request that was sent to an address before now opens a connection.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
@@ -3,7 +3,18 @@
 import io.netty.handler.codec.http.HttpHeaders
 
 /** A request to a backend server, including its body. */
-internal class BackendRequest(val method: String, val uri: String, val headers: HttpHeaders, val body: ByteArray)
+internal class BackendRequest(
+    val method: String,
+    val uri: String,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+    /**
+     * True if the same request was sent to the address before.
+     *
+     * It is then sent on a new connection: on the earlier one, a late copy of the earlier response has its identifier.
+     */
+    val isRepeated: Boolean = false,
+)
 
 /** Status and headers of a response. */
 internal class BackendHead(val statusCode: Int, val headers: HttpHeaders)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
@@ -23,9 +23,9 @@
 internal class BackendPool(private val loop: EventLoop, private val nowMs: () -> Long) {
     private val idle = HashMap<String, ArrayDeque<BackendConnection>>()
 
-    /** Sends [request] to [address] on an idle or a new connection. */
+    /** Sends [request] to [address] on an idle connection, or on a new one. */
     fun call(address: String, request: BackendRequest, listener: BackendListener): BackendCall {
-        val pooled = acquireIdle(address)
+        val pooled = if (request.isRepeated) null else acquireIdle(address)
         if (pooled != null) {
             pooled.send(request, listener)
             return pooled
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -180,7 +180,8 @@
             // A value that another program announced, such as the name of the backend server, fits in no header.
             return onAttemptFailed(newAttempt, AttemptFailure.NOT_SENT, e.message.orEmpty())
         }
-        newAttempt.start(BackendRequest(request.method, request.uri, headers, request.body))
+        val isRepeated = address in tried
+        newAttempt.start(BackendRequest(request.method, request.uri, headers, request.body, isRepeated))
         if (attempt === newAttempt && call.route.isRepeatable) checkResponseTimeout(newAttempt)
     }
 
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/FaultyServerTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/FaultyServerTest.kt
@@ -6,6 +6,7 @@
 import org.arbutusrelay.relay.ScriptedServer.Companion.write
 import java.io.IOException
 import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
@@ -180,6 +181,28 @@
         }
     }
 
+    /** Guards against a refusal written twice, whose copy has the identifier of the request that is sent again. */
+    @Test
+    fun `a request is sent to a server again on a connection of its own`() {
+        var runs = 0
+        val refused = CopyOnWriteArrayList<Socket>()
+        val script = { socket: Socket, request: RawRequest, _: Int ->
+            val refusal = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nAttempt: ${request.header("Attempt")}\r\n" +
+                "Content-Length: 0\r\n\r\n"
+            if (refused.size < 2) {
+                refused += socket
+                socket.write(refusal)
+            } else {
+                runs++
+                socket.write(if (socket in refused) refusal else signedResponse(request, "ran"))
+            }
+        }
+        RelayFixture(ScriptedServer(script), ScriptedServer(script)).use { relay ->
+            assertContains(relay.exchange("/once/1", "POST", body = "b"), "ran")
+            assertEquals(1, runs)
+        }
+    }
+
     private companion object {
         const val LIMIT_MS = 9_000L
 
