Read the response of a server that left the body unread

A server may respond and close before it has read a long body. The failed write then closed the connection at once, and the response in the receive buffer was lost: a request that may run once got 502 although the server had refused or answered it. A failed write no longer closes the connection; the response is read first, for at most 200 ms until its head. A connection on which the request was not sent in full is not used again.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
@@ -33,6 +33,9 @@
     private var phase = Phase.IDLE
     private var isReusable = true
     private var isReused = false
+
+    /** True once the whole request has been written to the socket. */
+    private var isSent = false
     private var skippedResponses = 0
     private var discardedBytes = 0
     private var discardNumber = 0
@@ -59,7 +62,15 @@
             request.headers,
             EmptyHttpHeaders.INSTANCE,
         )
-        channel.writeAndFlush(message).addListener { if (!it.isSuccess) fail(CallFailure.BROKEN) }
+        isSent = false
+        channel.writeAndFlush(message).addListener { if (it.isSuccess) isSent = true else awaitEarlyResponse() }
+    }
+
+    /** Waits for a response of a server that closed the connection before it had read the whole request. */
+    private fun awaitEarlyResponse() {
+        if (phase == Phase.CLOSED) return
+        val failUnlessStarted = { if (phase == Phase.HEAD || phase == Phase.INTERIM) fail(CallFailure.BROKEN) }
+        channel.eventLoop().schedule(failUnlessStarted, MAX_EARLY_RESPONSE_MS, TimeUnit.MILLISECONDS)
     }
 
     override fun cancel() {
@@ -167,7 +178,7 @@
 
     private fun markIdle() {
         listener = null
-        if (!isReusable || !channel.isActive) return close()
+        if (!isReusable || !isSent || !channel.isActive) return close()
         phase = Phase.IDLE
         isReused = true
         idleSinceMs = nowMs()
@@ -202,6 +213,9 @@
         const val MAX_SKIPPED_RESPONSES = 8
         const val MAX_DISCARDED_BYTES = 64 * 1024
         const val MAX_DISCARD_MS = 1_000L
+
+        /** What the peer sent before it closed the connection is in the receive buffer when a write fails. */
+        const val MAX_EARLY_RESPONSE_MS = 200L
         const val MS_PER_SECOND = 1_000L
 
         /** Servers that send no `Keep-Alive` header commonly close idle connections after five seconds or more. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
@@ -53,6 +53,8 @@
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
+        // A failed write must not discard a response that has arrived before the request was sent in full.
+        .option(ChannelOption.AUTO_CLOSE, false)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_S)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_S)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/FaultyServerTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/FaultyServerTest.kt
@@ -203,7 +203,32 @@
         }
     }
 
+    /** Guards against a response that is lost because its server did not read the request to its end. */
+    @Test
+    fun `a response that arrives before the body is sent reaches the caller`() {
+        val refusal = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        data class Case(val response: (RawRequest) -> String, val expected: String)
+        val cases = listOf(
+            Case({ signedResponse(it, "early", "Connection: close\r\n") }, "200 OK"),
+            Case({ refusal }, "503"),
+            Case({ signedResponse(it, "early") }, "200 OK"),
+        )
+        for (case in cases) {
+            val server = ScriptedServer(readsBodies = false) { socket, request, _ ->
+                socket.write(case.response(request))
+                socket.close()
+            }
+            RelayFixture(server, maxBodyBytes = LONG_BODY_BYTES).use { relay ->
+                repeat(3) {
+                    val response = relay.exchange("/once/x", "POST", body = "b".repeat(LONG_BODY_BYTES))
+                    assertContains(response.lineSequence().first(), case.expected)
+                }
+            }
+        }
+    }
+
     private companion object {
+        const val LONG_BODY_BYTES = 16 * 1024 * 1024
         const val LIMIT_MS = 9_000L
 
         // The limit of all buffered responses, and as much again for the buffers of the sockets.
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -60,6 +60,7 @@
     isForwarded: Boolean = false,
     hasRoutes: Boolean = true,
     oddServers: Map<String, String> = emptyMap(),
+    maxBodyBytes: Int = MAX_BODY_BYTES,
 ) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -75,7 +76,7 @@
     ) { _, _ -> }
     private val profiles = ProfileBuilder("hue") { listOf("north") }
     private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
-    private val options = IngressOptions(clock::nowMs, { lagMs }) { MAX_BODY_BYTES }
+    private val options = IngressOptions(clock::nowMs, { lagMs }) { maxBodyBytes }
     private val connections = OpenConnections()
 
     @Volatile
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ScriptedServer.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ScriptedServer.kt
@@ -17,9 +17,15 @@
 /**
  * A backend server on a raw socket, so that tests can observe each byte and each connection.
  *
- * [script] is called for each request with its sequence number on the connection and writes the response.
+ * [script] is called for each request with its sequence number on the connection and writes the response. With
+ * [readsBodies] false, it is called after the head of a request, whose body is not read.
  */
-internal class ScriptedServer(private val script: (Socket, RawRequest, Int) -> Unit) : AutoCloseable {
+internal class ScriptedServer(
+    private val readsBodies: Boolean,
+    private val script: (Socket, RawRequest, Int) -> Unit,
+) : AutoCloseable {
+    constructor(script: (Socket, RawRequest, Int) -> Unit) : this(readsBodies = true, script)
+
     private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
     val address: String get() = "127.0.0.1:${server.localPort}"
     val requests = CopyOnWriteArrayList<RawRequest>()
@@ -49,7 +55,7 @@
         val input = BufferedInputStream(socket.getInputStream())
         var number = 0
         while (true) {
-            val request = read(input)
+            val request = read(input, readsBodies)
             if (request == null) {
                 closed += socket
                 return
@@ -63,12 +69,12 @@
 
     companion object {
         /** Reads one request; returns null at the end of the stream. */
-        fun read(input: InputStream): RawRequest? {
+        fun read(input: InputStream, readsBody: Boolean = true): RawRequest? {
             val line = readLine(input) ?: return null
             val headers = generateSequence { readLine(input)?.takeIf { it.isNotEmpty() } }.toList()
             val length = headers.firstOrNull { it.startsWith("Content-Length:", ignoreCase = true) }
                 ?.substringAfter(':')?.trim()?.toInt() ?: 0
-            return RawRequest(line, headers, String(input.readNBytes(length)))
+            return RawRequest(line, headers, if (readsBody) String(input.readNBytes(length)) else "")
         }
 
         fun readLine(input: InputStream): String? {
