Test how bodies and streams without length end

Bodies and streams without length and chunks, with HTTP/1.0 and HTTP/1.1 status lines, with Connection: close and keep-alive, ended by FIN, by RST and inside an event, and bodies that break off before their length or their last chunk. These tests also pass on the code before: the behaviour was right and is now shown.

--- a/relay/src/test/kotlin/org/arbutusrelay/relay/FaultyServerTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/FaultyServerTest.kt
@@ -2,6 +2,7 @@
 
 import org.arbutusrelay.relay.RelayFixture.Companion.readResponse
 import org.arbutusrelay.relay.RelayFixture.Companion.send
+import org.arbutusrelay.relay.ScriptedServer.Companion.reset
 import org.arbutusrelay.relay.ScriptedServer.Companion.signedResponse
 import org.arbutusrelay.relay.ScriptedServer.Companion.write
 import java.io.IOException
@@ -227,7 +228,38 @@
         }
     }
 
+    /** Guards against a body without length that is taken for complete after a reset, or never ends. */
+    @Test
+    fun `a body is complete only with the end that its head announces`() {
+        data class Case(val line: String, val headers: String, val isReset: Boolean, val isComplete: Boolean)
+        val cases = listOf("HTTP/1.1 200 OK", "HTTP/1.0 200 OK").flatMap { line ->
+            listOf("", "Connection: close\r\n", "Connection: keep-alive\r\n").flatMap {
+                listOf(false, true).map { isReset -> Case(line, it, isReset, !isReset) }
+            }
+        } + listOf("Content-Length: 99\r\n", "Transfer-Encoding: chunked\r\n").flatMap { headers ->
+            listOf(false, true).map { Case("HTTP/1.1 200 OK", headers, it, false) }
+        }
+        for (case in cases) {
+            val server = ScriptedServer { socket, request, _ ->
+                val id = "Attempt: ${request.header("Attempt")}\r\nSignature: s\r\n"
+                val body = if ("chunked" in case.headers) chunk("a whole body") else "a whole body"
+                socket.write("${case.line}\r\n$id${case.headers}\r\n$body")
+                Thread.sleep(EARLY_CLOSE_MS)
+                if (case.isReset) socket.reset() else socket.close()
+            }
+            RelayFixture(server).use { relay ->
+                val response = relay.exchange("/once/x", "POST", body = "b")
+                assertTrue(
+                    response.startsWith(if (case.isComplete) "HTTP/1.1 200" else "HTTP/1.1 502"),
+                    "$case $response",
+                )
+                assertEquals(case.isComplete, response.endsWith("\r\n\r\na whole body"), "$case $response")
+            }
+        }
+    }
+
     private companion object {
+        const val EARLY_CLOSE_MS = 50L
         const val LONG_BODY_BYTES = 16 * 1024 * 1024
         const val LIMIT_MS = 9_000L
 
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/StreamForwardingTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/StreamForwardingTest.kt
@@ -133,10 +133,23 @@
     /** Guards against misreading the end of a stream that only the close of the connection delimits. */
     @Test
     fun `a stream without framing ends with its connection`() {
-        data class Case(val isReset: Boolean, val isComplete: Boolean)
-        for (case in listOf(Case(false, true), Case(true, false))) {
+        data class Case(val head: String, val rest: String, val isReset: Boolean, val isComplete: Boolean)
+        val cases = listOf("HTTP/1.1 200 OK", "HTTP/1.0 200 OK").flatMap { line ->
+            listOf("", "Connection: close\r\n", "Connection: keep-alive\r\nKeep-Alive: timeout=9\r\n").flatMap {
+                val head = "$line\r\n$it"
+                listOf(
+                    Case(head, "", isReset = false, isComplete = true),
+                    Case(head, "", isReset = true, isComplete = false),
+                    Case(head, "id: 3\nda", isReset = false, isComplete = false),
+                    Case(head, "id: 3\ndata: part 3\n", isReset = false, isComplete = false),
+                    Case(head, "id: 3\nda", isReset = true, isComplete = false),
+                )
+            }
+        }
+        for (case in cases) {
             val server = ScriptedServer { socket, request, _ ->
-                socket.write(head(request).replace("Transfer-Encoding: chunked\r\n", "") + event(1) + event(2))
+                val unframed = head(request).replace("Transfer-Encoding: chunked\r\n", "")
+                socket.write(unframed.replace("HTTP/1.1 200 OK\r\n", case.head) + event(1) + event(2) + case.rest)
                 Thread.sleep(50)
                 if (case.isReset) socket.reset() else socket.close()
             }
