--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
@@ -9,7 +9,9 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.util.NetUtil
 import jdk.net.ExtendedSocketOptions
+import java.net.InetAddress
 import java.net.InetSocketAddress
 
 /**
@@ -21,9 +23,9 @@
 internal class BackendPool(private val loop: EventLoop, private val nowMs: () -> Long) {
     private val idle = HashMap<String, ArrayDeque<BackendConnection>>()
 
-    /** Sends [request] to [address] on an idle or a new connection. */
+    /** Sends [request] to [address] on an idle connection, or on a new one. */
     fun call(address: String, request: BackendRequest, listener: BackendListener): BackendCall {
-        val pooled = acquireIdle(address)
+        val pooled = if (request.isRepeated) null else acquireIdle(address)
         if (pooled != null) {
             pooled.send(request, listener)
             return pooled
@@ -51,6 +53,8 @@
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
+        // A failed write must not discard a response that has arrived before the request was sent in full.
+        .option(ChannelOption.AUTO_CLOSE, false)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_S)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_S)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
@@ -59,6 +63,13 @@
             override fun initChannel(channel: Channel) = Unit
         })
 
+    /** Returns null if [address] is not an IP address and port; a host name would be resolved on the event loop. */
+    private fun parseAddress(address: String): InetSocketAddress? {
+        val port = address.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..MAX_PORT } ?: return null
+        val ip = NetUtil.createByteArrayFromIpAddressString(address.substringBeforeLast(':')) ?: return null
+        return InetSocketAddress(InetAddress.getByAddress(ip), port)
+    }
+
     private inner class PendingCall(
         private val address: String,
         private val request: BackendRequest,
@@ -68,9 +79,10 @@
         private var isCancelled = false
 
         fun connect() {
-            val port = address.substringAfterLast(':').toInt()
-            val future = bootstrap().connect(InetSocketAddress(address.substringBeforeLast(':'), port))
-            future.addListener(
+            val remote = parseAddress(address) ?: return loop.execute {
+                if (!isCancelled) listener.onFailure(CallFailure.NOT_CONNECTED)
+            }
+            bootstrap().connect(remote).addListener(
                 ChannelFutureListener {
                     when {
                         isCancelled -> it.channel().close()
@@ -111,6 +123,7 @@
 
     private companion object {
         const val CONNECT_TIMEOUT_MS = 1_000
+        const val MAX_PORT = 65_535
         const val MAX_LINE_BYTES = 4_096
         const val MAX_HEADER_BYTES = 32_768
         const val MAX_CHUNK_BYTES = 16_384
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -81,7 +81,7 @@
         val outcome = ForwardHeaders.outcomeOf(head.headers)
         when {
             // Without an identifier it may be the late copy of a response to an earlier request on the connection.
-            metadata.isNotExecuted && !isOwnResponse && exchange.route?.isRepeatable != true -> {
+            metadata.isNotExecuted && !isOwnResponse -> {
                 abandon()
                 fail(AttemptFailure.UNKNOWN, "status ${head.statusCode} without an identifier")
                 return false
@@ -98,6 +98,12 @@
                 return false
             }
 
+            !exchange.canContinueWith(head) -> {
+                abandon()
+                fail(AttemptFailure.UNKNOWN, "status ${head.statusCode} after a stream has begun")
+                return false
+            }
+
             !isUsable(head, metadata) -> {
                 call?.cancel()
                 fail(AttemptFailure.UNKNOWN, "status ${head.statusCode} without a signature or with an encoding")
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -189,9 +189,14 @@
         val newAttempt = Attempt(context, this, placed, address)
         attempt = newAttempt
         context.eventListener.placed(this, placed, address, if (attempts > 1) cursor.lastEventId else null)
-        newAttempt.start(
-            BackendRequest(request.method, request.uri, headersFor(call, placed, backendServer), request.body),
-        )
+        val headers = try {
+            headersFor(call, placed, backendServer)
+        } catch (e: IllegalArgumentException) {
+            // A value that another program announced, such as the name of the backend server, fits in no header.
+            return onAttemptFailed(newAttempt, AttemptFailure.NOT_SENT, e.message.orEmpty())
+        }
+        val isRepeated = address in tried
+        newAttempt.start(BackendRequest(request.method, request.uri, headers, request.body, isRepeated))
         if (attempt === newAttempt && call.route.isRepeatable) checkResponseTimeout(newAttempt)
     }
 
@@ -237,6 +242,9 @@
         }
     }
 
+    /** Returns false if a stream has begun that a response with [head] cannot continue. */
+    fun canContinueWith(head: BackendHead): Boolean = !response.isStarted || response.isContinuedBy(head)
+
     /** Forwards the complete events in [bytes], the next part of a stream, to the caller. */
     fun onStreamBytes(source: Attempt, head: BackendHead, bytes: ByteArray) {
         val events = cursor.push(bytes)
@@ -311,6 +319,7 @@
         val countedRuns = if (failure == AttemptFailure.SILENT) possibleRuns + 1 else possibleRuns
         val remainingMs = call.deadlineMs - context.clock.nowMs()
         val isStarted = response.isStarted
+        if (isStarted && cursor.lastEventId == null) return RetryVerdict.GIVE_UP
         val maxRuns = if (request.isForwarded) 1 else call.route.maxAttempts
         return RetryRules.decide(
             RetryContext(call.route, failure, countedRuns, attempts, isStarted, remainingMs, maxRuns),
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/FaultyServerTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/FaultyServerTest.kt
@@ -2,10 +2,12 @@
 
 import org.arbutusrelay.relay.RelayFixture.Companion.readResponse
 import org.arbutusrelay.relay.RelayFixture.Companion.send
+import org.arbutusrelay.relay.ScriptedServer.Companion.reset
 import org.arbutusrelay.relay.ScriptedServer.Companion.signedResponse
 import org.arbutusrelay.relay.ScriptedServer.Companion.write
 import java.io.IOException
 import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
@@ -152,7 +154,113 @@
         }
     }
 
+    /** Guards against a stale refusal that says "not run" of a request that its server is running. */
+    @Test
+    fun `a stale refusal is not taken for the refusal of a repeatable request`() {
+        for (status in listOf("503 Full\r\nNot-Executed: 1", "421 Misdirected\r\nNot-Executed: 1")) {
+            val refusal = "HTTP/1.1 $status\r\nContent-Length: 0\r\n"
+            var isRunning = false
+            val server = ScriptedServer { socket, request, _ ->
+                when {
+                    "/safe/1" in request.line -> socket.write(signedResponse(request, "first"))
+
+                    isRunning -> socket.write("${refusal}Attempt: ${request.header("Attempt")}\r\n\r\n")
+
+                    else -> {
+                        isRunning = true
+                        socket.write("$refusal\r\n")
+                    }
+                }
+            }
+            RelayFixture(server).use { relay ->
+                assertContains(relay.exchange("/safe/1"), "first")
+                val response = relay.exchange("/safe/2")
+                assertTrue(response.startsWith("HTTP/1.1 502"), "$status: $response")
+                // The connection on which a response is due.
+                awaitTrue { server.closed.size == 1 }
+            }
+        }
+    }
+
+    /** Guards against a refusal written twice, whose copy has the identifier of the request that is sent again. */
+    @Test
+    fun `a request is sent to a server again on a connection of its own`() {
+        var runs = 0
+        val refused = CopyOnWriteArrayList<Socket>()
+        val script = { socket: Socket, request: RawRequest, _: Int ->
+            val refusal = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nAttempt: ${request.header("Attempt")}\r\n" +
+                "Content-Length: 0\r\n\r\n"
+            if (refused.size < 2) {
+                refused += socket
+                socket.write(refusal)
+            } else {
+                runs++
+                socket.write(if (socket in refused) refusal else signedResponse(request, "ran"))
+            }
+        }
+        RelayFixture(ScriptedServer(script), ScriptedServer(script)).use { relay ->
+            assertContains(relay.exchange("/once/1", "POST", body = "b"), "ran")
+            assertEquals(1, runs)
+        }
+    }
+
+    /** Guards against a response that is lost because its server did not read the request to its end. */
+    @Test
+    fun `a response that arrives before the body is sent reaches the caller`() {
+        val refusal = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        data class Case(val response: (RawRequest) -> String, val expected: String)
+        val cases = listOf(
+            Case({ signedResponse(it, "early", "Connection: close\r\n") }, "200 OK"),
+            Case({ refusal }, "503"),
+            Case({ signedResponse(it, "early") }, "200 OK"),
+        )
+        for (case in cases) {
+            val server = ScriptedServer(readsBodies = false) { socket, request, _ ->
+                socket.write(case.response(request))
+                socket.close()
+            }
+            RelayFixture(server, maxBodyBytes = LONG_BODY_BYTES).use { relay ->
+                repeat(3) {
+                    val response = relay.exchange("/once/x", "POST", body = "b".repeat(LONG_BODY_BYTES))
+                    assertContains(response.lineSequence().first(), case.expected)
+                }
+            }
+        }
+    }
+
+    /** Guards against a body without length that is taken for complete after a reset, or never ends. */
+    @Test
+    fun `a body is complete only with the end that its head announces`() {
+        data class Case(val line: String, val headers: String, val isReset: Boolean, val isComplete: Boolean)
+        val cases = listOf("HTTP/1.1 200 OK", "HTTP/1.0 200 OK").flatMap { line ->
+            listOf("", "Connection: close\r\n", "Connection: keep-alive\r\n").flatMap {
+                listOf(false, true).map { isReset -> Case(line, it, isReset, !isReset) }
+            }
+        } + listOf("Content-Length: 99\r\n", "Transfer-Encoding: chunked\r\n").flatMap { headers ->
+            listOf(false, true).map { Case("HTTP/1.1 200 OK", headers, it, false) }
+        }
+        for (case in cases) {
+            val server = ScriptedServer { socket, request, _ ->
+                val id = "Attempt: ${request.header("Attempt")}\r\nSignature: s\r\n"
+                val body = if ("chunked" in case.headers) chunk("a whole body") else "a whole body"
+                socket.write("${case.line}\r\n$id${case.headers}\r\n$body")
+                Thread.sleep(EARLY_CLOSE_MS)
+                if (case.isReset) socket.reset() else socket.close()
+            }
+            RelayFixture(server).use { relay ->
+                val response = relay.exchange("/once/x", "POST", body = "b")
+                assertTrue(
+                    response.startsWith(if (case.isComplete) "HTTP/1.1 200" else "HTTP/1.1 502"),
+                    "$case $response",
+                )
+                assertEquals(case.isComplete, response.endsWith("\r\n\r\na whole body"), "$case $response")
+            }
+        }
+    }
+
     private companion object {
+        const val EARLY_CLOSE_MS = 50L
+        const val LONG_BODY_BYTES = 16 * 1024 * 1024
         const val LIMIT_MS = 9_000L
 
         // The limit of all buffered responses, and as much again for the buffers of the sockets.
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -49,7 +49,8 @@
  * The request path of an entry host on the loopback interface, with [servers] as its backend servers.
  *
  * [log] receives the log lines about requests. If [otherRegionPort] is set, the host knows another region with a single
- * entry host that listens on that port. With [hasRoutes] false, it has none until [applyRoutes].
+ * entry host that listens on that port. With [hasRoutes] false, it has none until [applyRoutes]. [oddServers] maps the
+ * names of further backend servers to their addresses.
  */
 internal class RelayFixture(
     private vararg val servers: ScriptedServer,
@@ -60,6 +61,8 @@
     private val targetPauseMs: Long = 0,
     isForwarded: Boolean = false,
     hasRoutes: Boolean = true,
+    oddServers: Map<String, String> = emptyMap(),
+    maxBodyBytes: Int = MAX_BODY_BYTES,
 ) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -75,7 +78,7 @@
     ) { _, _ -> }
     private val profiles = ProfileBuilder("hue") { listOf("north") }
     private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
-    private val options = IngressOptions(clock::nowMs, { lagMs }) { MAX_BODY_BYTES }
+    private val options = IngressOptions(clock::nowMs, { lagMs }) { maxBodyBytes }
     private val connections = OpenConnections()
 
     /** Simulated delay of the event loop, in milliseconds. */
@@ -88,6 +91,8 @@
     /** Number of connections accepted so far. */
     val acceptedConnections = AtomicInteger()
 
+    val queuedRequests: Int get() = scheduler.queuedRequests()
+
     /** Memory that buffered responses take, in bytes. */
     val bufferedBytes: Int get() = context.responseBuffers.totalBytes
 
@@ -101,7 +106,7 @@
                 "hue-a",
                 servers.mapIndexed { index, server ->
                     state("s$index", server.address)
-                },
+                } + oddServers.map { (name, address) -> state(name, address) },
                 otherRegions = otherRegions(),
                 sentAwayPermille = 1_000,
             ),
@@ -132,8 +137,12 @@
         }
 
     /** Removes all backend servers from the routing table, as when their leases expire. */
-    fun forgetServers() {
-        scheduler.updateTable(RoutingTable("hue", "hue-a", emptyList(), otherRegions(), sentAwayPermille = 1_000))
+    fun forgetServers() = useServers(emptyMap())
+
+    /** Replaces the backend servers in the routing table by [addresses], by name. */
+    fun useServers(addresses: Map<String, String>) {
+        val states = addresses.map { (name, address) -> state(name, address) }
+        scheduler.updateTable(RoutingTable("hue", "hue-a", states, otherRegions(), sentAwayPermille = 1_000))
     }
 
     /** Stops as an entry host does, with a long quiet time for slow machines; returns true if no request was left. */
