Apply the rule of a stop to waiting requests, unread responses and late steps

Change: StopState decides by time; waiting requests that may outlast the host are refused when the rule begins and before a send; a connection with unsent bytes is not quiet, and the end of a stop waits up to 200 ms for them; nothing starts after the drain; the listener stays open 200 ms longer and refuses.

Conclusion: one class of fault, a stop that judges a request only at its arrival.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -78,9 +78,7 @@
             )
         val metadata = context.dialect.decodeRequest(request.headers).fold({ return sendError(it) }, { it })
         val waitMs = minOf(metadata.deadlineMs ?: matchedRoute.timeoutMs, matchedRoute.timeoutMs)
-        if (!context.stopState.mayAccept(request.receivedMs + waitMs)) {
-            return sendError(RelayError(ErrorKind.SHUTTING_DOWN))
-        }
+        if (!mayRunUntil(request.receivedMs + waitMs)) return sendError(RelayError(ErrorKind.SHUTTING_DOWN))
         val service = ForwardHeaders.serviceOf(request.headers)?.takeIf { request.isForwarded }
             ?: matchedRoute.serviceFor(context.randomBelow(matchedRoute.totalWeight))
         resolved = ResolvedRequest(matchedRoute, metadata, service, request.receivedMs + waitMs, table.plan.number)
@@ -131,6 +129,16 @@
         finish()
     }
 
+    override fun onAdmissionRestricted() {
+        val call = resolved ?: return
+        if (phase == Phase.DONE || phase == Phase.SENT || mayRunUntil(call.deadlineMs)) return
+        if (phase == Phase.WAITING) context.cancelQueued(this)
+        failRequest(RelayError(ErrorKind.SHUTTING_DOWN))
+    }
+
+    /** Returns false if this host stops and may end before a response that arrives at [deadlineMs]. */
+    private fun mayRunUntil(deadlineMs: Long) = context.stopState.mayAccept(deadlineMs + DEADLINE_GRACE_MS)
+
     override fun onProcessEnding() {
         if (phase == Phase.DONE) return
         if (phase == Phase.WAITING) context.cancelQueued(this)
@@ -184,6 +192,10 @@
 
     private fun send(placed: PlacedAttempt, address: String, backendServer: String?) {
         val call = resolved ?: return
+        if (!response.isStarted && !mayRunUntil(call.deadlineMs)) {
+            context.complete(placed, AttemptResult.CANCELLED)
+            return failRequest(RelayError(ErrorKind.SHUTTING_DOWN))
+        }
         phase = Phase.SENT
         attempts++
         val newAttempt = Attempt(context, this, placed, address)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
@@ -14,9 +14,13 @@
 internal class ConnectionDrain(
     private val loop: EventLoop,
     private val connections: OpenConnections,
+    private val state: StopState,
     private val nowMs: () -> Long,
     private val quietMs: Long = 250,
 ) {
+    /** Refuses the requests that wait for a backend server and may not end before the process does. */
+    suspend fun refuseUnsent(): Unit = withContext(loop.asCoroutineDispatcher()) { connections.refuseUnsent() }
+
     /**
      * Closes quiet connections and waits for the others until [endMs]; returns true if no request was left.
      *
@@ -29,11 +33,17 @@
             delay(POLL_MS)
         }
         val isDrained = !connections.hasRequests() && openExchanges() == 0
+        state.refuseAll()
         connections.failRequests()
+        val flushEndMs = nowMs() + MAX_FLUSH_MS
+        while (connections.hasUnsentBytes() && nowMs() < flushEndMs) delay(POLL_MS)
         isDrained
     }
 
     private companion object {
         const val POLL_MS = 20L
+
+        /** Less than the margin between the end of the drain and the end of the grace period. */
+        const val MAX_FLUSH_MS = 200L
     }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
@@ -76,8 +76,12 @@
         context.close()
     }
 
-    /** Returns true when no request is being read or processed. */
-    fun isIdle(): Boolean = exchange == null && head == null
+    /** True while a part of a response waits for a caller that reads slowly. */
+    val hasUnsentBytes: Boolean
+        get() = (handlerContext?.channel()?.unsafe()?.outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
+
+    /** Returns true when no request is being read or processed and every response has been written. */
+    fun isIdle(): Boolean = exchange == null && head == null && !hasUnsentBytes
 
     /** Returns true when no request is being read or processed and none has been for at least [quietMs]. */
     fun isQuietFor(quietMs: Long): Boolean = isIdle() && options.nowMs() - lastActiveMs >= quietMs
@@ -88,6 +92,11 @@
     /** True while the current request may run on a backend server. */
     val isRequestSent: Boolean get() = exchange?.isSent == true
 
+    /** Refuses the current request if it was not sent to a backend server and may not end before the process does. */
+    fun refuseUnsent() {
+        exchange?.onAdmissionRestricted()
+    }
+
     /** Ends the request that is being read or processed with an error. */
     fun failRequest() {
         val active = exchange
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressService.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressService.kt
@@ -27,6 +27,9 @@
     /** The caller closed its connection. */
     fun onCallerDisconnected()
 
+    /** The host stops and no longer accepts requests that may not end before the process does. */
+    fun onAdmissionRestricted()
+
     /** The process is about to end; the request must get its response now. */
     fun onProcessEnding()
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/OpenConnections.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/OpenConnections.kt
@@ -14,7 +14,10 @@
         channels.remove(handler)
     }
 
-    /** Returns true when a request is being read or processed on any connection. */
+    /** Returns true when a part of a response has not been written to the socket of its caller. */
+    fun hasUnsentBytes(): Boolean = channels.keys.any { it.hasUnsentBytes }
+
+    /** Returns true when a request is being read or processed on any connection, or its response written. */
     fun hasRequests(): Boolean = channels.keys.any { !it.isIdle() }
 
     /** Closes the connections on which no request has been read or processed for at least [quietMs]. */
@@ -22,6 +25,11 @@
         channels.filterKeys { it.isQuietFor(quietMs) }.values.forEach { it.close() }
     }
 
+    /** Refuses the requests that were not sent to a backend server and may not end before the process does. */
+    fun refuseUnsent() {
+        channels.keys.toList().forEach { it.refuseUnsent() }
+    }
+
     /**
      * Responds with an error to each request that is being read or processed, because the process is about to end.
      *
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/PlannedStop.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/PlannedStop.kt
@@ -13,6 +13,7 @@
     private val state: StopState,
     private val callerServer: IngressServer,
     private val drain: ConnectionDrain,
+    private val nowMs: () -> Long,
 ) {
     /**
      * Returns when no request is left, or at [endMs] on the monotonic clock; true if all requests have been completed.
@@ -20,10 +21,16 @@
      * [hostListLifetimeMs] is the time for which callers use a host that has left their lists, in milliseconds.
      */
     suspend fun await(hostListLifetimeMs: Long, endMs: Long, openExchanges: () -> Int): Boolean {
-        state.begin()
+        state.begin(nowMs() + hostListLifetimeMs, endMs)
         delay(hostListLifetimeMs)
-        state.restrict(endMs)
+        drain.refuseUnsent()
+        delay(LISTENER_CLOSE_DELAY_MS)
         callerServer.stop()
         return drain.await(endMs, openExchanges)
     }
+
+    private companion object {
+        /** Callers that connect late are refused with a response rather than by a closed port. */
+        const val LISTENER_CLOSE_DELAY_MS = 200L
+    }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/StopState.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/StopState.kt
@@ -1,25 +1,35 @@
 package org.arbutusrelay.relay.ingress
 
-/** Tells which requests a host still accepts while it stops; safe for use by several threads. */
-internal class StopState {
-    /** True from the beginning of a stop; connections are then closed after their current response. */
+/**
+ * Tells which requests a host still accepts while it stops; safe for use by several threads.
+ *
+ * Times are monotonic, in milliseconds. They decide by themselves: a starved host may run the steps of a stop late.
+ */
+internal class StopState(private val nowMs: () -> Long) {
     @Volatile
-    var isStopping: Boolean = false
-        private set
+    private var schedule: Schedule? = null
 
-    @Volatile
-    private var endMs = Long.MAX_VALUE
+    /** True from the beginning of a stop; connections are then closed after their current response. */
+    val isStopping: Boolean get() = schedule != null
+
+    /**
+     * Begins a stop; requests are still accepted until [restrictAtMs], because callers may have only this host on their
+     * lists. After that, only those are accepted that end by [endMs], when the process ends.
+     */
+    fun begin(restrictAtMs: Long, endMs: Long) {
+        schedule = Schedule(restrictAtMs, endMs)
+    }
 
-    /** Begins a stop; requests are still accepted, because callers may have only this host on their lists. */
-    fun begin() {
-        isStopping = true
+    /** Refuses all requests from now on, because nothing may start any more. */
+    fun refuseAll() {
+        schedule = Schedule(Long.MIN_VALUE, Long.MIN_VALUE)
     }
 
-    /** Accepts only requests whose wait ends by [endMs], on the monotonic clock, when the process ends. */
-    fun restrict(endMs: Long) {
-        this.endMs = endMs
+    /** Returns true if a request that may last until [deadlineMs] may be accepted now. */
+    fun mayAccept(deadlineMs: Long): Boolean {
+        val current = schedule ?: return true
+        return nowMs() < current.restrictAtMs || deadlineMs <= current.endMs
     }
 
-    /** Returns true if a request with a wait until [deadlineMs], on the monotonic clock, may be accepted. */
-    fun mayAccept(deadlineMs: Long): Boolean = deadlineMs <= endMs
+    private class Schedule(val restrictAtMs: Long, val endMs: Long)
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -89,7 +89,7 @@
     private val forwardTargets = ForwardTargets(settings.linkPort + 1)
     private val context = RelayContext(
         siteLinks.identity, clock, loop, pool, scheduler, dialect, forwardTargets,
-        RequestMetricsListener(metrics, RequestLogListener(log, clock::nowMs)), StopState(),
+        RequestMetricsListener(metrics, RequestLogListener(log, clock::nowMs)), StopState(clock::nowMs),
         Random(siteLinks.identity.epoch),
         ::reportLoad,
     )
@@ -130,15 +130,14 @@
     override fun reload(settings: SiteSettings): Unit = site.replaceSeeds(SiteLinks.seedNames(settings))
 
     override suspend fun stop() {
-        context.stopState.begin()
         val startMs = clock.nowMs()
         log.write(siteLinks.eventLine(Event.STOPPING).copy(openRequests = context.openExchanges.toLong()))
         site.updateSelf { it.copy(isLeaving = true) }
         val graceMs = (settings.bounds.graceSeconds * MS_PER_SECOND).toLong()
-        PlannedStop(context.stopState, callerServer, ConnectionDrain(loop, connections, clock::nowMs))
-            .await(minOf(graceMs / 2, HOST_LIST_LIFETIME_MS), startMs + graceMs - EXIT_MARGIN_MS) {
-                context.openExchanges
-            }
+        val endMs = startMs + graceMs - EXIT_MARGIN_MS
+        val drain = ConnectionDrain(loop, connections, context.stopState, clock::nowMs)
+        PlannedStop(context.stopState, callerServer, drain, clock::nowMs)
+            .await(minOf(graceMs / 2, HOST_LIST_LIFETIME_MS), endMs) { context.openExchanges }
         val durationMs = clock.nowMs() - startMs
         log.write(
             siteLinks.eventLine(Event.STOPPED).copy(
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
@@ -91,6 +91,54 @@
         String(caller.getInputStream().readAllBytes()).also { stop.join() }
     }
 
+    /** Guards against sending a request that has waited for a slot when the host can no longer wait for its response. */
+    @Test
+    fun `a request that waits for a slot when a stop gets close to its end is refused at once`() {
+        val mayEnd = CountDownLatch(1)
+        val lines = CopyOnWriteArrayList<EventLine>()
+        val server = ScriptedServer { socket, request, _ ->
+            mayEnd.await()
+            socket.write(signedResponse(request, "served"))
+        }
+        RelayFixture(server, log = { lines += it }, capacity = 1, timeoutMs = 60_000).use { relay ->
+            val running = relay.connect()
+            running.send("/once/running", "POST", body = "b")
+            while (lines.none { it.event == Event.REQUEST_PLACED }) Thread.sleep(POLL_MS)
+            val waiting = relay.connect()
+            waiting.send("/once/waiting", "POST", body = "b")
+            while (lines.none { it.event == Event.REQUEST_QUEUED }) Thread.sleep(POLL_MS)
+            val stop = thread { relay.stopGracefully() }
+            waiting.use { assertContains(it.readResponse(), "503") }
+            mayEnd.countDown()
+            running.use { assertContains(it.readResponse(), "served") }
+            stop.join()
+            assertEquals(1, server.requests.size)
+        }
+    }
+
+    /** Guards against cutting off a complete response that its caller has not read yet. */
+    @Test
+    fun `a stop waits for a caller that reads its response slowly`() {
+        val lines = CopyOnWriteArrayList<EventLine>()
+        val text = "x".repeat(LONG_RESPONSE_BYTES)
+        val server = ScriptedServer { socket, request, _ -> socket.write(signedResponse(request, text)) }
+        RelayFixture(server, log = { lines += it }).use { relay ->
+            relay.connect(receiveBufferBytes = 4_096).use { caller ->
+                caller.send("/once/x", "POST", body = "b")
+                while (lines.none { it.event == Event.REQUEST_ANSWERED }) Thread.sleep(POLL_MS)
+                val stop = thread { relay.stopGracefully(quietMs = 50) }
+                while (!relay.isDraining) Thread.sleep(POLL_MS)
+                // Long enough for several looks at quiet connections.
+                Thread.sleep(SLOW_READER_MS)
+                assertEquals(
+                    text.length,
+                    String(caller.getInputStream().readAllBytes()).substringAfter("\r\n\r\n").length,
+                )
+                stop.join()
+            }
+        }
+    }
+
     /** Guards against dropping a request that was read behind a stream whose head did not announce the close. */
     @Test
     fun `a request that is pipelined behind a stream is answered when a stop begins`() {
@@ -179,6 +227,10 @@
 
     private companion object {
         const val POLL_MS = 5L
+        const val SLOW_READER_MS = 600L
+
+        /** More than the socket buffers hold of a caller with a small receive buffer, less than a response may have. */
+        const val LONG_RESPONSE_BYTES = 4_000_000
         const val HEAD = "POST /once/x HTTP/1.1\r\nHost: a.example\r\nAttempt: a\r\nContent-Length: 1\r\n\r\n"
     }
 }
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -40,6 +40,7 @@
 import org.arbutusrelay.schema.message.ServiceSummary
 import java.io.BufferedInputStream
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
@@ -74,7 +75,7 @@
     )
     private val context = RelayContext(
         HostIdentity("host", "hue", "hue-a", 1), clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
-        ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), StopState(), Random(1),
+        ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), StopState(clock::nowMs), Random(1),
     ) { _, _ -> }
     private val profiles = ProfileBuilder("hue") { listOf("north") }
     private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
@@ -127,7 +128,11 @@
     }
 
     /** Opens a caller connection. */
-    fun connect(): Socket = Socket(InetAddress.getLoopbackAddress(), port).apply { soTimeout = TIMEOUT_MS }
+    fun connect(receiveBufferBytes: Int? = null): Socket = Socket().apply {
+        receiveBufferBytes?.let { receiveBufferSize = it }
+        connect(InetSocketAddress(InetAddress.getLoopbackAddress(), this@RelayFixture.port))
+        soTimeout = TIMEOUT_MS
+    }
 
     /** Sends one request on a new connection and returns everything received until the connection closes. */
     fun exchange(path: String, method: String = "GET", headers: String = "", body: String = ""): String =
@@ -147,7 +152,8 @@
 
     /** Stops as an entry host does, with a long quiet time for slow machines; returns true if no request was left. */
     fun stopGracefully(quietMs: Long = 1_500, graceMs: Long = 10_000): Boolean {
-        val stop = PlannedStop(context.stopState, server, ConnectionDrain(loop, connections, clock::nowMs, quietMs))
+        val drain = ConnectionDrain(loop, connections, context.stopState, clock::nowMs, quietMs)
+        val stop = PlannedStop(context.stopState, server, drain, clock::nowMs)
         return runBlocking { stop.await(0, clock.nowMs() + graceMs) { context.openExchanges } }
     }
 
