Exchange crash evidence between the hosts of a site

Cause: requests with one prompt part come at any host, so that each host alone sees too few of the crashes.

Change: SiteService carries crash evidence in reports and digests. An entry host reports crashes and the success of a suspected key at once and repeats them for three reports; state hosts pass on what is new with the next batch. Full digests hold all evidence; an entry host repeats keys that crashed twice to each state host that comes up, so that only the loss of all processes forgets. Lists are bounded, and keys of another form are ignored: a test with empty keys held back the empty key before.

Measured: CrashEvidenceReplicaTest (5 tests, among them restarts of a host and of all state hosts), SiteServiceTest and SiteGrowthTest pass.

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/PendingChanges.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/PendingChanges.kt
@@ -1,7 +1,9 @@
 package org.arbutusrelay.core.site
 
+import org.arbutusrelay.core.suspect.plus
 import org.arbutusrelay.schema.message.BackendDeparture
 import org.arbutusrelay.schema.message.BackendServerState
+import org.arbutusrelay.schema.message.CrashEvidence
 import org.arbutusrelay.schema.message.SiteDigest
 import org.arbutusrelay.schema.message.SiteHost
 
@@ -15,6 +17,7 @@
     private val hosts = LinkedHashMap<String, SiteHost>()
     private val servers = LinkedHashMap<String, BackendServerState>()
     private val departures = LinkedHashMap<String, BackendDeparture>()
+    private var crashEvidence: CrashEvidence? = null
 
     /** Adds [host]; it replaces an earlier change of the same host. */
     public fun add(host: SiteHost) {
@@ -31,16 +34,24 @@
         departures[departure.name] = departure
     }
 
+    /** Adds [evidence] to what was collected. */
+    public fun add(evidence: CrashEvidence) {
+        crashEvidence = crashEvidence?.plus(evidence) ?: evidence
+    }
+
     /** Removes and returns the collected changes, or null if there are none. */
     public fun take(stateIndex: Long): SiteDigest? {
-        if (hosts.isEmpty() && servers.isEmpty() && departures.isEmpty()) return null
+        val evidence = crashEvidence
+        if (hosts.isEmpty() && servers.isEmpty() && departures.isEmpty() && evidence == null) return null
         val digest = SiteDigest(
             stateIndex = stateIndex,
             isFull = false,
             hosts = hosts.values.toList(),
             backendServers = servers.values.toList(),
             departures = departures.values.toList(),
+            crashEvidence = evidence,
         )
+        crashEvidence = null
         hosts.clear()
         servers.clear()
         departures.clear()
--- a/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceTable.kt
@@ -130,7 +130,7 @@
         if (run.ageMs >= limits.lifetimeMs - FORGETTING_MS) return null
         val id = CrashId(run.backendServer, run.incarnation)
         val newKeys = run.keys.take(MAX_KEYS_PER_RUN).withIndex().filter { (index, key) ->
-            if (key.length > CrashKeys.MAX_LENGTH) return@filter false
+            if (!CrashKeys.isValid(key)) return@filter false
             val record = records.getOrPut(key) { CrashRecord(key) }
             record.position = maxOf(record.position, run.positions.getOrElse(index) { 0 })
             record.merge(id, nowMs - run.ageMs, run.runMs, run.isCleared, limits.maxCrashesPerKey)
@@ -143,7 +143,7 @@
     }
 
     private fun mergeProven(proven: ProvenKey, nowMs: Long): Boolean {
-        if (proven.ageMs >= limits.lifetimeMs - FORGETTING_MS || proven.key.length > CrashKeys.MAX_LENGTH) return false
+        if (proven.ageMs >= limits.lifetimeMs - FORGETTING_MS || !CrashKeys.isValid(proven.key)) return false
         return records.getOrPut(proven.key) { CrashRecord(proven.key) }.mergeProven(nowMs - proven.ageMs)
     }
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashKeys.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashKeys.kt
@@ -29,11 +29,15 @@
         return REQUEST_PREFIX + target.toULong().toString(HEX) + "-" + content.toULong().toString(HEX)
     }
 
+    /** Returns true if [key] of another host's message has the form of a key. */
+    internal fun isValid(key: String): Boolean =
+        key.length <= MAX_LENGTH && (isRequest(key) || !partOf(key).isNullOrEmpty())
+
     internal fun isRequest(key: String): Boolean = key.startsWith(REQUEST_PREFIX)
 
     /** Returns the prompt part of [key] without its service, or null for a whole request. */
     internal fun partOf(key: String): String? =
-        if (key.startsWith(PART_PREFIX)) key.removePrefix(PART_PREFIX).substringAfter(' ') else null
+        if (key.startsWith(PART_PREFIX)) key.removePrefix(PART_PREFIX).substringAfter(' ', "") else null
 
     private fun bounded(name: String): String =
         if (name.length <=
--- /dev/null
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/CrashEvidenceReplica.kt
@@ -0,0 +1,98 @@
+package org.arbutusrelay.daemon.site
+
+import org.arbutusrelay.core.suspect.CrashEvidenceTable
+import org.arbutusrelay.core.suspect.aged
+import org.arbutusrelay.core.suspect.isEmpty
+import org.arbutusrelay.core.suspect.plus
+import org.arbutusrelay.daemon.RelayClock
+import org.arbutusrelay.schema.message.CrashEvidence
+
+/**
+ * The crash evidence of this host, and the part of it that other hosts need to be told.
+ *
+ * [onUnsent] is called when there is something to send at once; it must not block. Thread-safe.
+ */
+public class CrashEvidenceReplica(private val clock: RelayClock, private val onUnsent: () -> Unit = {}) {
+    private val table = CrashEvidenceTable()
+    private val observed = ArrayDeque<Observation>()
+
+    /** Keys whose requests must not be sent; the same instance until it changes. */
+    public val heldBack: Set<String> get() = table.heldBack
+
+    /** True while the key of a whole request is worth computing for each request that was proven. */
+    public val hasRequestKeys: Boolean get() = table.hasRequestKeys
+
+    /** Records that the run of a request with [keys] on a backend server broke after [runMs] before it was proven. */
+    public fun recordCrash(backendServer: String, incarnation: Long, runMs: Long, keys: List<String>) {
+        val nowMs = clock.nowMs()
+        observe(table.recordCrash(backendServer, incarnation, runMs, keys, nowMs), nowMs)
+    }
+
+    /** Records that a run of a request with [keys] delivered a complete response, or the beginning of one. */
+    public fun recordProven(keys: List<String>) {
+        val nowMs = clock.nowMs()
+        table.recordProven(keys, nowMs)?.let { observe(it, nowMs) }
+    }
+
+    /** Merges the evidence of another host and returns what was new. */
+    internal fun merge(evidence: CrashEvidence): CrashEvidence {
+        val nowMs = clock.nowMs()
+        val news = table.merge(evidence, nowMs)
+        if (!news.isEmpty) observe(table.provenHereOf(news, nowMs), nowMs)
+        return news
+    }
+
+    /** Returns what this host observed and has not sent yet, or null. */
+    @Synchronized
+    internal fun takeUnsent(): CrashEvidence? {
+        val unsent = observed.filter { !it.isSent }
+        unsent.forEach { it.isSent = true }
+        return joined(unsent)
+    }
+
+    /** Returns what this host observed in the last [REPEAT_MS], which may have been lost, or null. */
+    @Synchronized
+    internal fun recent(): CrashEvidence? {
+        val nowMs = clock.nowMs()
+        observed.removeIf { nowMs - it.atMs > REPEAT_MS }
+        observed.forEach { it.isSent = true }
+        return joined(observed)
+    }
+
+    /** Returns the evidence about keys that crashed at least [minCrashes] times, or null if there is none. */
+    internal fun all(minCrashes: Int = 1): CrashEvidence? =
+        table.evidence(clock.nowMs(), minCrashes).takeUnless { it.isEmpty }
+
+    /** Forgets what has expired. */
+    internal fun tick(): Unit = table.tick(clock.nowMs())
+
+    private fun observe(evidence: CrashEvidence, atMs: Long) {
+        if (evidence.isEmpty) return
+        synchronized(this) {
+            observed += Observation(evidence, atMs)
+            if (observed.size > MAX_OBSERVED) observed.removeFirst()
+        }
+        onUnsent()
+    }
+
+    private fun joined(observations: Collection<Observation>): CrashEvidence? {
+        if (observations.isEmpty()) return null
+        val nowMs = clock.nowMs()
+        return observations.map { it.evidence.aged(nowMs - it.atMs) }.reduce { all, next -> all + next }
+    }
+
+    private class Observation(val evidence: CrashEvidence, val atMs: Long) {
+        var isSent = false
+    }
+
+    internal companion object {
+        /** Crashes of a key from which on hosts repeat it; one alone has little effect and is the bulk after a failure. */
+        const val MIN_REPEATED_CRASHES = 2
+
+        /** Covers three reports, in case a link or a state host fails. */
+        private const val REPEAT_MS = 3_000L
+
+        /** More than a host has requests in flight. */
+        private const val MAX_OBSERVED = 1_024
+    }
+}
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -8,12 +8,14 @@
 import org.arbutusrelay.core.site.PendingChanges
 import org.arbutusrelay.core.site.SitePulses
 import org.arbutusrelay.core.site.SiteStateMachine
+import org.arbutusrelay.core.suspect.isEmpty
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.FrameReceiver
 import org.arbutusrelay.daemon.link.HostIdentity
 import org.arbutusrelay.daemon.link.LinkNetwork
 import org.arbutusrelay.schema.message.BackendLoad
 import org.arbutusrelay.schema.message.BackendServerState
+import org.arbutusrelay.schema.message.CrashEvidence
 import org.arbutusrelay.schema.message.HostState
 import org.arbutusrelay.schema.message.LinkFrame
 import org.arbutusrelay.schema.message.SiteDigest
@@ -72,6 +74,9 @@
     private var publishedAtMs = Long.MIN_VALUE / 2
     private val currentView = AtomicReference(SiteView(SiteStateMachine.EMPTY, listOf(self), emptyList(), 0))
 
+    /** What is known about prompt parts and requests that crash backend servers. */
+    public val crashEvidence: CrashEvidenceReplica = CrashEvidenceReplica(clock, ::scheduleBatch)
+
     /** The current view of this host. */
     public val view: SiteView get() = currentView.get()
 
@@ -186,7 +191,8 @@
             if (isNew) changesForAll.add(SiteHost(report.host, 0))
             isNew || newDepartures.isNotEmpty()
         }
-        if (isChanged) scheduleBatch()
+        val hasNewEvidence = mergeEvidence(report.crashEvidence, changesForAll)
+        if (isChanged || hasNewEvidence) scheduleBatch()
         if (isNewSubscriber || report.needsDigest) sendDigest(fullDigest(nowMs), setOf(from.hostName))
         val latest = synchronized(this) { state }
         val isBehind = report.stateIndex < latest.index && subscriptions.isPushDue(from.hostName, latest.index, nowMs)
@@ -197,7 +203,11 @@
         // A newly started host needs the state of the site before the next periodic message is due.
         val nowMs = clock.nowMs()
         when {
-            !self.isStateHost -> sendReports(nowMs)
+            !self.isStateHost -> {
+                sendReports(nowMs)
+                repeatEvidence(host.hostName)
+            }
+
             host.hostName in stateHosts() -> sendDigest(fullDigest(nowMs), setOf(host.hostName))
         }
     }
@@ -226,7 +236,41 @@
             val isHostChangeUrgent = self.isStateHost && changedHosts.isNotEmpty()
             newDepartures.isNotEmpty() || changedServers.isNotEmpty() || isHostChangeUrgent
         }
-        if (isChanged) scheduleBatch()
+        val hasNewEvidence = mergeEvidence(digest.crashEvidence, changesForSubscribers)
+        if (isChanged || hasNewEvidence) scheduleBatch()
+    }
+
+    /** Merges evidence; adds what is new to [changes] on a state host, and returns true if there is any. */
+    private fun mergeEvidence(evidence: CrashEvidence?, changes: PendingChanges): Boolean {
+        val news = crashEvidence.merge(evidence ?: return false)
+        if (news.isEmpty) return false
+        if (self.isStateHost) synchronized(this) { changes.add(news) }
+        return true
+    }
+
+    /** Tells a state host what it may have forgotten with a restart. */
+    private fun repeatEvidence(hostName: String) {
+        val repeated = crashEvidence.all(CrashEvidenceReplica.MIN_REPEATED_CRASHES) ?: return
+        network.send(hostName, LinkFrame(siteReport = reportOf(repeated)))
+    }
+
+    private fun reportEvidence(evidence: CrashEvidence) {
+        val targets = links.reportTargets(otherStateHostRegions(), isAnnouncementMissing())
+        network.sendAll(targets, LinkFrame(siteReport = reportOf(evidence)))
+    }
+
+    private fun reportOf(evidence: CrashEvidence): SiteReport {
+        val primaryName = primaryName()
+        return synchronized(this) {
+            SiteReport(self, state.index, emptyList(), primaryName = primaryName, crashEvidence = evidence)
+        }
+    }
+
+    /** Returns the state host whose every pulse this host needs; empty if that is any of them. */
+    private fun primaryName(): String {
+        // The state host that heard of a missing announcement may be any of them.
+        if (isAnnouncementMissing()) return ""
+        return links.reportTargets(otherStateHostRegions(), false).firstOrNull().orEmpty()
     }
 
     /**
@@ -264,6 +308,7 @@
         }
         val (forAll, forSubscribers) =
             synchronized(this) { changesForAll.take(state.index) to changesForSubscribers.take(state.index) }
+        if (!self.isStateHost) crashEvidence.takeUnsent()?.let(::reportEvidence)
         forAll?.let { sendDigest(it, digestTargets()) }
         forSubscribers?.let { sendDigest(it, subscriptions.active(clock.nowMs())) }
     }
@@ -275,6 +320,7 @@
             hosts.tick(nowMs)
             servers.tick(nowMs)
         }
+        crashEvidence.tick()
         links.maintain(otherStateHostRegions(), isAnnouncementMissing())
         if (nowMs >= nextReportAtMs) {
             nextReportAtMs = nowMs + times.reportIntervalMs
@@ -294,16 +340,21 @@
     private fun otherStateHostRegions(): Map<String, String> = stateHostRegions() - self.hostName
 
     private fun sendReports(nowMs: Long) {
-        val isAnnouncementMissing = isAnnouncementMissing()
-        val targets = links.reportTargets(otherStateHostRegions(), isAnnouncementMissing)
-        // The state host that heard of a missing announcement may be any of them.
-        val primaryName = if (isAnnouncementMissing) "" else targets.firstOrNull().orEmpty()
+        val targets = links.reportTargets(otherStateHostRegions(), isAnnouncementMissing())
+        val primaryName = primaryName()
         val report = synchronized(this) {
             // Another thread may have observed a load after nowMs was read; a negative age is not a valid message.
             val loads = unreportedLoads.values.map { it.copy(ageMs = (nowMs - it.ageMs).coerceAtLeast(0)) }
             unreportedLoads.clear()
             val recent = servers.departures(nowMs).filter { it.ageMs <= times.departureReportMs }
-            SiteReport(self, state.index, loads, departures = recent, primaryName = primaryName)
+            SiteReport(
+                self,
+                state.index,
+                loads,
+                departures = recent,
+                primaryName = primaryName,
+                crashEvidence = crashEvidence.recent(),
+            )
         }
         network.sendAll(targets, LinkFrame(siteReport = report))
     }
@@ -315,10 +366,10 @@
         network.sendAll(subscribers + connectedStateHosts() - self.hostName, LinkFrame(sitePulse = pulse))
         if (nowMs < nextMeshDigestAtMs) return
         nextMeshDigestAtMs = nowMs + times.meshDigestIntervalMs
-        sendDigest(fullDigest(nowMs), connectedStateHosts())
+        sendDigest(fullDigest(nowMs, CrashEvidenceReplica.MIN_REPEATED_CRASHES), connectedStateHosts())
     }
 
-    private fun fullDigest(nowMs: Long): SiteDigest = synchronized(this) {
+    private fun fullDigest(nowMs: Long, minCrashes: Int = 1): SiteDigest = synchronized(this) {
         SiteDigest(
             stateIndex = state.index,
             isFull = true,
@@ -326,6 +377,7 @@
             backendServers = servers.states(nowMs),
             departures = servers.departures(nowMs),
             loads = servers.loads(nowMs, times.loadMaxAgeMs),
+            crashEvidence = crashEvidence.all(minCrashes),
         )
     }
 
@@ -341,7 +393,10 @@
     /** Builds a view and passes it to the listeners; the lock ensures that no listener receives an older view last. */
     private fun publish() = synchronized(publishLock) {
         val nowMs = clock.nowMs()
-        val next = synchronized(this) { SiteView(state, hosts.live(nowMs), servers.states(nowMs), nowMs) }
+        val next =
+            synchronized(this) {
+                SiteView(state, hosts.live(nowMs), servers.states(nowMs), nowMs, crashEvidence.heldBack)
+            }
         currentView.set(next)
         publishedAtMs = nowMs
         listeners.forEach { it(next) }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteView.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteView.kt
@@ -14,6 +14,8 @@
     val backendServers: List<BackendServerState>,
     /** Creation time of the view on the monotonic clock, in milliseconds. */
     val builtAtMs: Long,
+    /** Keys of prompt parts and requests that crash backend servers and are not sent to any. */
+    val heldBack: Set<String> = emptySet(),
 ) {
     /** Hosts that accept requests from callers and are not leaving. */
     val entryHosts: List<HostState> = hosts.filter { it.callerAddress.isNotEmpty() && !it.isLeaving }
