Refuse requests that crash backend servers, on the path of a site

Change: an exchange records runs whose connection broke before they were proven, and proven runs. A request with a key that is held back is refused (prompt_suspected, 503, Retry-After 30 s) at arrival, before each further attempt, while it is queued and when another region forwards it. Once an attempt of it may have run it ends as backend_failed, as before.

--- a/core/src/main/kotlin/org/arbutusrelay/core/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/error/ErrorKind.kt
@@ -28,6 +28,7 @@
     BODY_TOO_LARGE(413, Outcome.NOT_RUN, false, null, "the request body is too large"),
     IDEMPOTENCY_KEY_REUSED(409, Outcome.NOT_RUN, false, null, "the Idempotency-Key belongs to another request body"),
     REQUEST_SUSPECTED(422, Outcome.NOT_RUN, false, null, "the request crashed backend servers that ran it"),
+    PROMPT_SUSPECTED(503, Outcome.NOT_RUN, false, 30_000, "the request or a part of its prompt crashed servers"),
     CALLER_LIMIT(429, Outcome.NOT_RUN, true, 1_000, "the caller is over its limit"),
     DEADLINE_UNREACHABLE(503, Outcome.NOT_RUN, true, 5_000, "the request cannot be completed within its wait"),
     OVERLOADED(503, Outcome.NOT_RUN, true, 500, "the system has no capacity left"),
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -36,6 +36,12 @@
     var hasProgressed: Boolean = false
         private set
 
+    /** True once a complete response, or at least [PROVEN_EVENTS] events of a stream, have arrived. */
+    var isProven: Boolean = false
+        private set
+
+    private val startedMs = lastProgressMs
+    private var receivedEvents = 0
     private var hasReceivedBody = false
 
     /** True when the address now belongs to another backend server. */
@@ -51,10 +57,19 @@
         context.complete(placed, result)
     }
 
-    /** Records that a part of a complete response, or an event of a stream, has arrived. */
-    fun recordProgress() {
+    /** Records that a part of a complete response, or [events] events of a stream, have arrived. */
+    fun recordProgress(events: Int = 0) {
         lastProgressMs = context.clock.nowMs()
         hasProgressed = true
+        receivedEvents += events
+        if (receivedEvents >= PROVEN_EVENTS) recordProven()
+    }
+
+    /** Records that the backend server was able to respond to the request. */
+    fun recordProven() {
+        if (isProven) return
+        isProven = true
+        exchange.crashEvidence?.recordProven(this)
     }
 
     /** Closes the connection without a result; the exchange reports one. */
@@ -127,11 +142,14 @@
         val current = head ?: return
         if (isStream) return exchange.onStreamEnd(this, current)
         releaseBody()
+        // An error may come from a server that did not begin to run the request.
+        if (current.statusCode in SUCCESS_STATUSES) recordProven()
         exchange.onResponse(this, current, body.toByteArray(), current.statusCode >= MIN_SERVER_ERROR_STATUS)
     }
 
     override fun onFailure(failure: CallFailure) {
         releaseBody()
+        exchange.crashEvidence?.recordFailure(this, failure, context.clock.nowMs() - startedMs)
         val isSent = failure != CallFailure.NOT_CONNECTED
         fail(if (isSent) AttemptFailure.UNKNOWN else AttemptFailure.NOT_SENT, failure.name.lowercase())
     }
@@ -153,6 +171,8 @@
         head.headers["Retry-After"]?.toDoubleOrNull()?.let { (it * MS_PER_SECOND).toLong() }
 
     private companion object {
+        /** A request that crashes backend servers does so before its first event; one event may be an empty head. */
+        const val PROVEN_EVENTS = 2
         const val MISDIRECTED_STATUS = 421
         const val MIN_SERVER_ERROR_STATUS = 500
         const val MS_PER_SECOND = 1_000
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -48,6 +48,10 @@
     private var fallbackResponse: FullResponse? = null
     private val cursor by lazy { EventStreamCursor(resolved?.metadata?.lastEventId) }
 
+    /** Records how the attempts end; null until the request has a route. */
+    var crashEvidence: CrashEvidenceRecorder? = null
+        private set
+
     /** Description of the request for the scheduler; initialized before the request is submitted. */
     lateinit var profile: RequestProfile
         private set
@@ -79,6 +83,7 @@
         val service = ForwardHeaders.serviceOf(request.headers)?.takeIf { request.isForwarded }
             ?: matchedRoute.serviceFor(context.randomBelow(matchedRoute.totalWeight))
         resolved = ResolvedRequest(matchedRoute, metadata, service, request.receivedMs + waitMs, table.plan.number)
+        crashEvidence = CrashEvidenceRecorder(context.crashEvidence, request, service, metadata.promptParts)
         context.schedule(waitMs) { onDeadline() }
         profile = profiles.build(
             context.nextId(),
@@ -149,7 +154,17 @@
         context.schedule(STARTUP_POLL_MS) { if (phase == Phase.NEW || phase == Phase.WAITING) action() }
     }
 
-    private fun submit() = onPlacement(context.scheduler.submit(profile, context.clock.nowMs()))
+    private fun submit() {
+        if (crashEvidence?.isHeldBack == true) return failRequest(RelayError(ErrorKind.PROMPT_SUSPECTED))
+        onPlacement(context.scheduler.submit(profile, context.clock.nowMs()))
+    }
+
+    /** Refuses the request if it is queued and has become one that crashes backend servers. */
+    fun refuseIfHeldBack() {
+        if (phase != Phase.WAITING || crashEvidence?.isHeldBack != true) return
+        context.cancelQueued(this)
+        failRequest(RelayError(ErrorKind.PROMPT_SUSPECTED))
+    }
 
     private fun enqueue() {
         phase = Phase.WAITING
@@ -224,6 +239,7 @@
 
     /** Forwards the complete events in [bytes], the next part of a stream, to the caller. */
     fun onStreamBytes(source: Attempt, head: BackendHead, bytes: ByteArray) {
+        val knownEvents = cursor.eventCount
         val events = cursor.push(bytes)
         if (cursor.isEventTooLong) {
             source.abandon()
@@ -235,7 +251,7 @@
         }
         if (events.isEmpty()) return
         // Bytes that complete no event are no progress: a stalled server may still send one now and then.
-        source.recordProgress()
+        source.recordProgress(cursor.eventCount - knownEvents)
         response.writeEvents(head, events)
         if (!response.isWritable) {
             source.setAutoRead(false)
@@ -246,6 +262,7 @@
     /** A stream ended without a protocol error. */
     fun onStreamEnd(source: Attempt, head: BackendHead) {
         if (cursor.isInsideEvent) return onAttemptFailed(source, AttemptFailure.UNKNOWN, "ended inside an event")
+        source.recordProven()
         attempt = null
         context.complete(source.placed, AttemptResult.COMPLETE)
         context.eventListener.completed(this, head.statusCode)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
@@ -10,6 +10,7 @@
 import org.arbutusrelay.core.routing.QueuedPlacement
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.daemon.site.CrashEvidenceReplica
 import org.arbutusrelay.relay.backend.BackendPool
 import org.arbutusrelay.relay.dialect.HeaderDialect
 import org.arbutusrelay.relay.dialect.ReportedLoad
@@ -27,6 +28,7 @@
     val dialect: HeaderDialect,
     val forwardTargets: ForwardTargets,
     val eventListener: RequestEventListener,
+    val crashEvidence: CrashEvidenceReplica,
     private val random: Random,
     private val onLoadReported: (PlacedAttempt, ReportedLoad) -> Unit,
 ) {
@@ -39,6 +41,7 @@
     private val queuedExchanges = HashMap<RequestId, Exchange>()
     private var requestNumber = 0L
     private var isPolling = false
+    private var checkedHeldBack = emptySet<String>()
 
     private val startedMs = clock.nowMs()
 
@@ -72,10 +75,10 @@
     }
 
     /** Completes an attempt and places the queued requests that its capacity allows. */
-    fun complete(
-        attempt: PlacedAttempt,
-        result: AttemptResult,
-    ) = applyPlacements(scheduler.complete(attempt, result, clock.nowMs()))
+    fun complete(attempt: PlacedAttempt, result: AttemptResult) {
+        refuseHeldBack()
+        applyPlacements(scheduler.complete(attempt, result, clock.nowMs()))
+    }
 
     fun reportLoad(attempt: PlacedAttempt, load: ReportedLoad) {
         scheduler.recordLoad(attempt.backendServer, load.running, load.queued, clock.nowMs())
@@ -83,11 +86,20 @@
     }
 
     private fun poll() {
+        refuseHeldBack()
         applyPlacements(scheduler.poll(clock.nowMs()))
         isPolling = queuedExchanges.isNotEmpty()
         if (isPolling) schedule(POLL_MS, ::poll)
     }
 
+    /** Refuses the queued requests that are held back; must precede their placement. */
+    private fun refuseHeldBack() {
+        val heldBack = crashEvidence.heldBack
+        if (heldBack === checkedHeldBack) return
+        checkedHeldBack = heldBack
+        queuedExchanges.values.toList().forEach { it.refuseIfHeldBack() }
+    }
+
     private fun applyPlacements(placements: List<QueuedPlacement>) {
         for (queued in placements) queuedExchanges.remove(queued.profile.id)?.onPlacement(queued.placement)
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -88,8 +88,8 @@
     private val forwardTargets = ForwardTargets(settings.linkPort + 1)
     private val context = RelayContext(
         siteLinks.identity, clock, loop, pool, scheduler, dialect, forwardTargets,
-        RequestMetricsListener(metrics, RequestLogListener(log, clock::nowMs)), Random(siteLinks.identity.epoch),
-        ::reportLoad,
+        RequestMetricsListener(metrics, RequestLogListener(log, clock::nowMs)), site.crashEvidence,
+        Random(siteLinks.identity.epoch), ::reportLoad,
     )
     private val profiles = ProfileBuilder(settings.region) { otherRegions }
     private val loopLag = LoopLag()
@@ -124,6 +124,7 @@
         context.schedule(0, ::recordLoopRun)
         metrics.gauge("arbutus.requests.open") { context.openExchanges }
         metrics.gauge("arbutus.requests.queued") { scheduler.queuedRequests() }
+        metrics.gauge("arbutus.suspects.held") { site.crashEvidence.heldBack.size }
         metrics.gauge("arbutus.document.number") { context.routes.get()?.plan?.number ?: -1 }
         log.write(siteLinks.eventLine(Event.STARTED).copy(address = callerAddress))
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
@@ -14,7 +14,8 @@
 import org.arbutusrelay.schema.message.SiteState
 
 /**
- * Writes a log line for each change in this host's view of the site: state, hosts, backend servers and links.
+ * Writes a log line for each change in this host's view of the site: state, hosts, backend servers, links and what is
+ * held back.
  *
  * Views must be passed in the order in which they were built.
  */
@@ -22,6 +23,7 @@
     private var stateIndex = 0L
     private var hosts = emptyMap<String, HostState>()
     private var servers = emptyMap<String, BackendServerState>()
+    private var heldBack = emptySet<String>()
 
     /** Starts logging the changes of [site] and of the links of [network]. */
     fun attach(site: SiteService, network: LinkNetwork) {
@@ -35,6 +37,7 @@
         stateIndex = maxOf(stateIndex, view.state.index)
         logHosts(view.hosts.associateBy { it.hostName })
         logServers(view.backendServers.associateBy { it.name })
+        if (view.heldBack !== heldBack) logHeldBack(view.heldBack)
     }
 
     override fun onFrame(from: HostIdentity, frame: LinkFrame): Unit = Unit
@@ -93,6 +96,12 @@
         servers = latest
     }
 
+    private fun logHeldBack(latest: Set<String>) {
+        (latest - heldBack).forEach { log.write(EventLine(Event.SUSPECT_HELD_BACK, detail = it)) }
+        (heldBack - latest).forEach { log.write(EventLine(Event.SUSPECT_RELEASED, detail = it)) }
+        heldBack = latest
+    }
+
     /** The start of a cold phase counts as a change; its end does not, because it was announced with the start. */
     private fun hasChanged(old: BackendServerState?, new: BackendServerState): Boolean = old == null ||
         old.incarnation != new.incarnation || old.address != new.address || old.isLeaving != new.isLeaving ||
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -17,6 +17,7 @@
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.HostIdentity
 import org.arbutusrelay.daemon.observe.EventSink
+import org.arbutusrelay.daemon.site.CrashEvidenceReplica
 import org.arbutusrelay.relay.backend.BackendPool
 import org.arbutusrelay.relay.exchange.Exchange
 import org.arbutusrelay.relay.exchange.ForwardTargets
@@ -42,6 +43,7 @@
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
+import kotlin.time.TestTimeSource
 
 /**
  * The request path of an entry host on the loopback interface, with [servers] as its backend servers.
@@ -62,6 +64,12 @@
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
     private val clock = RelayClock()
+
+    /** Time of the crash evidence, which tests advance. */
+    val evidenceTime = TestTimeSource()
+
+    /** Crash evidence of the host. */
+    val crashEvidence = CrashEvidenceReplica(RelayClock(evidenceTime))
     private val scheduler = DefaultRequestScheduler(
         callerOf = { null },
         settings = SchedulerSettings(retryPermille = 1_000),
@@ -69,7 +77,8 @@
     )
     private val context = RelayContext(
         HostIdentity("host", "hue", "hue-a", 1), clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
-        ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), Random(1),
+        ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), crashEvidence,
+        Random(1),
     ) { _, _ -> }
     private val profiles = ProfileBuilder("hue") { listOf("north") }
     private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
@@ -93,17 +102,7 @@
 
     init {
         if (hasRoutes) applyRoutes()
-        scheduler.updateTable(
-            RoutingTable(
-                "hue",
-                "hue-a",
-                servers.mapIndexed { index, server ->
-                    state("s$index", server.address)
-                },
-                otherRegions = otherRegions(),
-                sentAwayPermille = 1_000,
-            ),
-        )
+        startServers(incarnation = 1)
         context.forwardTargets.update(listOf(host("127.0.0.1", "north")))
         server.start("127.0.0.1:$port")
     }
@@ -129,6 +128,17 @@
             String(it.getInputStream().readAllBytes())
         }
 
+    /** Puts all backend servers in the routing table as processes with [incarnation], as after a restart. */
+    fun startServers(incarnation: Long) = scheduler.updateTable(
+        RoutingTable(
+            "hue",
+            "hue-a",
+            servers.mapIndexed { index, server -> state("s$index", server.address, incarnation) },
+            otherRegions = otherRegions(),
+            sentAwayPermille = 1_000,
+        ),
+    )
+
     /** Removes all backend servers from the routing table, as when their leases expire. */
     fun forgetServers() {
         scheduler.updateTable(RoutingTable("hue", "hue-a", emptyList(), otherRegions(), sentAwayPermille = 1_000))
@@ -162,8 +172,9 @@
     private fun host(address: String, region: String) =
         HostState(address, region, "$region-a", 1, 1, "$address:1", "$address:2", 0, 0, false, false)
 
-    private fun state(name: String, address: String) = BackendServerState(
-        name, "svc", "hue", "hue-a", address, 1, 1, capacity, emptyList(), emptyList(), "", 0, 0, false, 3_000,
+    private fun state(name: String, address: String, incarnation: Long) = BackendServerState(
+        name, "svc", "hue", "hue-a", address, incarnation, 1, capacity, emptyList(), emptyList(), "", 0, 0, false,
+        3_000,
     )
 
     private inner class Service : IngressService {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/TestDialect.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/TestDialect.kt
@@ -8,6 +8,7 @@
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.relay.dialect.BackendRequestMetadata
 import org.arbutusrelay.relay.dialect.HeaderDialect
+import org.arbutusrelay.relay.dialect.PromptPart
 import org.arbutusrelay.relay.dialect.RequestMetadata
 import org.arbutusrelay.relay.dialect.ResponseMetadata
 
@@ -18,6 +19,7 @@
         return RequestMetadata(
             id,
             headers["Wait-Ms"]?.toLong(),
+            promptParts = headers["Parts"].orEmpty().split(',').filter { it.isNotEmpty() }.map { PromptPart(it, 100) },
             lastEventId = headers["Last-Event-Id"]?.toLong(),
         ).right()
     }
