Count the attempts of one request one by one and bound evidence by pairs

Cause: found on reading again. The attempts of one request follow each other within the margin of 200 ms for the times of different hosts, so that a whole request with three attempts counted once each time it came: over three retries after the third crash. A report or digest with much evidence could exceed a frame and be lost with the rest of the message. The age of a proven key could be negative and the run time of a message overflow.

Change: a crash names that of the attempt before, which a chain of a whole request takes as earlier; evidence in messages is limited by pairs of key and crash; ages and run times are bounded. The simulation sends each broken request once more, poison included.

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/PendingChanges.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/PendingChanges.kt
@@ -1,5 +1,6 @@
 package org.arbutusrelay.core.site
 
+import org.arbutusrelay.core.suspect.limitedTo
 import org.arbutusrelay.core.suspect.plus
 import org.arbutusrelay.schema.message.BackendDeparture
 import org.arbutusrelay.schema.message.BackendServerState
@@ -36,7 +37,7 @@
 
     /** Adds [evidence] to what was collected. */
     public fun add(evidence: CrashEvidence) {
-        crashEvidence = crashEvidence?.plus(evidence) ?: evidence
+        crashEvidence = (crashEvidence?.plus(evidence) ?: evidence).limitedTo(MAX_EVIDENCE_PAIRS)
     }
 
     /** Removes and returns the collected changes, or null if there are none. */
@@ -57,4 +58,9 @@
         departures.clear()
         return digest
     }
+
+    private companion object {
+        /** Keeps a digest below the size of a frame; regular digests between state hosts make up for the rest. */
+        const val MAX_EVIDENCE_PAIRS = 2_048
+    }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceTable.kt
@@ -18,7 +18,7 @@
     /** Runs or proven keys that are read from one message. */
     val maxMessageEntries: Int = 4_096,
     /** Pairs of a key and a crash that one message holds, the newest first; keeps it below the size of a frame. */
-    val maxMessagePairs: Int = 8_192,
+    val maxMessagePairs: Int = 4_096,
 )
 
 /**
@@ -38,7 +38,7 @@
     /** Keys whose requests must not be sent; the same instance until it changes. */
     public val heldBack: Set<String> get() = held.get()
 
-    /** True while a whole request is known to have crashed, so that its key is worth computing. */
+    /** True while a whole request is under suspicion, so that the key of a proven one is worth computing. */
     @Volatile
     public var hasRequestKeys: Boolean = false
         private set
@@ -48,7 +48,7 @@
 
     /**
      * Records that a run with [keys], the parts in the order of the prompt and the whole request last, broke after
-     * [runMs]; returns what other hosts need to know.
+     * [runMs]; returns what other hosts need to know. [after] is the crash of the attempt before, of the same request.
      */
     @Synchronized
     public fun recordCrash(
@@ -57,13 +57,21 @@
         runMs: Long,
         keys: List<String>,
         nowMs: Long,
+        after: CrashId? = null,
     ): CrashEvidence {
         val positions = keys.mapIndexed { index, key ->
             if (CrashKeys.isRequest(key)) CrashKeys.REQUEST_POSITION else index.toLong()
         }
-        val proven = keys.mapNotNull { key -> provenHere[key]?.let { ProvenKey(key, nowMs - it) } }
+        val proven = keys.mapNotNull { key -> provenHere[key]?.let { ProvenKey(key, (nowMs - it).coerceAtLeast(0)) } }
         val run = CrashedRun(backendServer, incarnation, 0, runMs.coerceAtLeast(0), keys, positions)
-        return merge(CrashEvidence(listOf(run), proven), nowMs)
+        val linked = if (after ==
+            null
+        ) {
+            run
+        } else {
+            run.copy(afterServer = after.backendServer, afterIncarnation = after.incarnation)
+        }
+        return merge(CrashEvidence(listOf(linked), proven), nowMs)
     }
 
     /** Records that a run with [keys] was proven; returns what other hosts need to know, or null if that is nothing. */
@@ -133,7 +141,9 @@
             if (!CrashKeys.isValid(key)) return@filter false
             val record = records.getOrPut(key) { CrashRecord(key) }
             record.position = maxOf(record.position, run.positions.getOrElse(index) { 0 })
-            record.merge(id, nowMs - run.ageMs, run.runMs, run.isCleared, limits.maxCrashesPerKey)
+            val crash = KeyCrash(id, nowMs - run.ageMs, minOf(run.runMs, limits.lifetimeMs), run.isCleared)
+            crash.after = CrashId(run.afterServer, run.afterIncarnation).takeIf { run.afterServer.isNotEmpty() }
+            record.merge(crash, limits.maxCrashesPerKey)
         }
         if (newKeys.isEmpty()) return null
         return run.copy(
@@ -159,7 +169,7 @@
     }
 
     private fun isSuspected(record: CrashRecord): Boolean =
-        CrashChain.of(record.openCrashes).length >= MIN_SUSPECTED_CHAIN
+        record.chainOf(record.openCrashes).length >= MIN_SUSPECTED_CHAIN
 
     private fun evictSurplus() {
         val surplus = records.size - limits.maxKeys
@@ -171,7 +181,7 @@
     private fun decide() {
         val next = SuspectFinder.find(records.values)
         if (next != held.get()) held.set(next)
-        hasRequestKeys = records.keys.any { CrashKeys.isRequest(it) }
+        hasRequestKeys = records.values.any { it.crashes.size >= MIN_SUSPECTED_CHAIN && CrashKeys.isRequest(it.key) }
     }
 
     private companion object {
--- a/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashRecord.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashRecord.kt
@@ -1,10 +1,17 @@
 package org.arbutusrelay.core.suspect
 
 /** A crash of one incarnation of a backend server. */
-internal data class CrashId(val backendServer: String, val incarnation: Long)
+public data class CrashId(val backendServer: String, val incarnation: Long) {
+    internal companion object {
+        val ORDER: Comparator<CrashId> = compareBy({ it.backendServer }, { it.incarnation })
+    }
+}
 
 /** A crash in which a run with a key was in flight; times are monotonic, in milliseconds. */
 internal class KeyCrash(val id: CrashId, var crashMs: Long, var runMs: Long, var isCleared: Boolean) {
+    /** Crash of the attempt before, of the same request; known to be earlier whatever the times say. */
+    var after: CrashId? = null
+
     /** Latest time at which a run with the key was sent that ended with the crash. */
     val sentMs: Long get() = crashMs - runMs
 }
@@ -23,17 +30,21 @@
         /**
          * Returns the longest chain in [crashes] in which each run was sent after the crash before it.
          *
-         * Many connections that break at once, as when a region is lost, are a chain of one.
+         * Many connections that break at once, as when a region is lost, are a chain of one. With [isLinked], the attempts
+         * of one request follow each other whatever their times say.
          */
-        fun of(crashes: Collection<KeyCrash>): CrashChain {
+        fun of(crashes: Collection<KeyCrash>, isLinked: Boolean): CrashChain {
             var length = 0
             var firstMs = 0L
             var lastMs = 0L
+            var lastId: CrashId? = null
             // Among intervals, taking the one that ends first gives the most that do not overlap.
             for (crash in crashes.sortedBy { it.crashMs }) {
-                if (length > 0 && crash.sentMs < lastMs + ORDER_MARGIN_MS) continue
+                val isLater = crash.sentMs >= lastMs + ORDER_MARGIN_MS || (isLinked && crash.after == lastId)
+                if (length > 0 && !isLater) continue
                 if (length == 0) firstMs = crash.crashMs
                 lastMs = crash.crashMs
+                lastId = crash.id
                 length++
             }
             return CrashChain(length, firstMs)
@@ -51,6 +62,12 @@
     /** Time of a recent proven run, or null. */
     var provenMs: Long? = null
 
+    /**
+     * True for a whole request, whose attempts may be all of its crashes; in simulated storms, a sound part reached a
+     * chain of four by two attempts of a request with poison and two of another request.
+     */
+    private val isLinked = CrashKeys.isRequest(key)
+
     val isHoldable: Boolean get() = crashes.size >= SuspectFinder.MIN_CHAIN
 
     val openCrashes: List<KeyCrash> get() = crashes.values.filter { !it.isCleared }
@@ -60,19 +77,24 @@
         provenMs ?: Long.MIN_VALUE,
     )
 
+    /** Returns the longest chain in [counted], crashes of this key. */
+    fun chainOf(counted: Collection<KeyCrash>): CrashChain = CrashChain.of(counted, isLinked)
+
     /** Merges a crash and returns true if it tells something new; only the newest [maxCrashes] are kept. */
-    fun merge(id: CrashId, crashMs: Long, runMs: Long, isCleared: Boolean, maxCrashes: Int): Boolean {
-        val known = crashes[id]
+    fun merge(crash: KeyCrash, maxCrashes: Int): Boolean {
+        val known = crashes[crash.id]
         if (known == null) {
-            crashes[id] = KeyCrash(id, crashMs, runMs, isCleared)
+            crashes[crash.id] = crash
             if (crashes.size > maxCrashes) crashes.remove(crashes.values.minBy { it.crashMs }.id)
-            return id in crashes
+            return crash.id in crashes
         }
-        val isNew = runMs < known.runMs || (isCleared && !known.isCleared)
+        val after = listOfNotNull(known.after, crash.after).maxWithOrNull(CrashId.ORDER)
+        val isNew = crash.runMs < known.runMs || (crash.isCleared && !known.isCleared) || after != known.after
+        known.after = after
         // The earliest time is kept, so that a crash does not become younger with each host that passes it on.
-        known.crashMs = minOf(known.crashMs, crashMs)
-        known.runMs = minOf(known.runMs, runMs)
-        known.isCleared = known.isCleared || isCleared
+        known.crashMs = minOf(known.crashMs, crash.crashMs)
+        known.runMs = minOf(known.runMs, crash.runMs)
+        known.isCleared = known.isCleared || crash.isCleared
         return isNew
     }
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/suspect/SuspectFinder.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/suspect/SuspectFinder.kt
@@ -46,7 +46,7 @@
 
     private fun candidate(record: CrashRecord, crashes: List<KeyCrash>): Candidate? {
         if (crashes.size < MIN_CHAIN) return null
-        val chain = CrashChain.of(crashes)
+        val chain = record.chainOf(crashes)
         val wasProven = record.provenMs.let { it != null && it >= chain.firstCrashMs - PROVEN_RECENTLY_MS }
         val minLength = if (wasProven) MIN_CHAIN_OF_PROVEN else MIN_CHAIN
         return if (chain.length < minLength) null else Candidate(record, wasProven, chain.length)
--- a/core/src/test/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceTableTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceTableTest.kt
@@ -84,6 +84,23 @@
         }
     }
 
+    /**
+     * Guards against a request that crashes as many backend servers as its route allows attempts, each time it comes, but
+     * counts once, because its attempts follow each other within the margin for the times of different hosts.
+     */
+    @Test
+    fun `attempts of one request count one by one and attempts of others at the same time do not`() {
+        for (isOneRequest in listOf(true, false)) {
+            val table = CrashEvidenceTable()
+            var last: CrashId? = null
+            for (attempt in 0..3) {
+                table.recordCrash("s$attempt", 1, 90, listOf(first, request(1)), attempt * 100L, last)
+                last = CrashId("s$attempt", 1).takeIf { isOneRequest }
+            }
+            assertEquals(if (isOneRequest) setOf(request(1)) else emptySet(), table.heldBack, "$isOneRequest")
+        }
+    }
+
     /** Guards against hosts that decide differently because messages were repeated or arrived in another order. */
     @Test
     fun `evidence merges in any order and any number of times`() {
--- a/core/src/test/kotlin/org/arbutusrelay/core/suspect/CrashStormTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/suspect/CrashStormTest.kt
@@ -61,6 +61,7 @@
 
     private class Run(val host: Int, val engine: Int, val keys: List<String>, val sentMs: Long, val isPoison: Boolean) {
         var isOver = false
+        var after: CrashId? = null
         var isProven = false
     }
 
@@ -117,14 +118,16 @@
             }
             val held = tables[host].heldBack
             soundHeld += held - poison
-            if (keys.none { it in held }) start(host, keys, isPoison, isRetry = false)
+            if (keys.none { it in held }) start(host, keys, isPoison)
         }
 
-        private fun start(host: Int, keys: List<String>, isPoison: Boolean, isRetry: Boolean) {
+        private fun start(host: Int, keys: List<String>, isPoison: Boolean, after: CrashId? = null) {
             val up = engines.indices.filter { engines[it].upAtMs <= nowMs }
             val index = up.randomOrNull(random) ?: return
             val run = Run(host, index, keys, nowMs, isPoison)
+            run.after = after
             engines[index].running += run
+            if (after == null) retries += run
             if (isPoison) {
                 if (nowMs > fifthCrashMs + CONTACT_MS) latePoison++
                 at(nowMs + random.nextLong(80, 120)) { if (!run.isOver) crash(index, 3_000, byPoison = true) }
@@ -140,10 +143,9 @@
                 run.isOver = true
                 engines[index].running -= run
             }
-            if (!isRetry) retries[run] = true
         }
 
-        private val retries = HashMap<Run, Boolean>()
+        private val retries = HashSet<Run>()
 
         private fun crash(index: Int, downMs: Long, byPoison: Boolean = false) {
             val engine = engines[index]
@@ -161,13 +163,15 @@
             for (run in broken) {
                 run.isOver = true
                 val table = tables[run.host]
+                val crash = CrashId("engine $index", engine.incarnation)
                 if (!run.isProven) {
+                    val runMs = nowMs - run.sentMs
                     val evidence =
-                        table.recordCrash("engine $index", engine.incarnation, nowMs - run.sentMs, run.keys, nowMs)
+                        table.recordCrash(crash.backendServer, crash.incarnation, runMs, run.keys, nowMs, run.after)
                     share(run.host, evidence)
                 }
                 val isHeld = run.keys.any { it in table.heldBack }
-                if (retries.remove(run) != null && !isHeld) start(run.host, run.keys, run.isPoison, isRetry = true)
+                if (retries.remove(run) && !isHeld) start(run.host, run.keys, run.isPoison, crash)
             }
         }
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/CrashEvidenceReplica.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/CrashEvidenceReplica.kt
@@ -1,8 +1,10 @@
 package org.arbutusrelay.daemon.site
 
 import org.arbutusrelay.core.suspect.CrashEvidenceTable
+import org.arbutusrelay.core.suspect.CrashId
 import org.arbutusrelay.core.suspect.aged
 import org.arbutusrelay.core.suspect.isEmpty
+import org.arbutusrelay.core.suspect.limitedTo
 import org.arbutusrelay.core.suspect.plus
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.schema.message.CrashEvidence
@@ -22,10 +24,19 @@
     /** True while the key of a whole request is worth computing for each request that was proven. */
     public val hasRequestKeys: Boolean get() = table.hasRequestKeys
 
-    /** Records that the run of a request with [keys] on a backend server broke after [runMs] before it was proven. */
-    public fun recordCrash(backendServer: String, incarnation: Long, runMs: Long, keys: List<String>) {
+    /**
+     * Records that the run of a request with [keys] on a backend server broke after [runMs] before it was proven; [after]
+     * is the crash of its attempt before.
+     */
+    public fun recordCrash(
+        backendServer: String,
+        incarnation: Long,
+        runMs: Long,
+        keys: List<String>,
+        after: CrashId? = null,
+    ) {
         val nowMs = clock.nowMs()
-        observe(table.recordCrash(backendServer, incarnation, runMs, keys, nowMs), nowMs)
+        observe(table.recordCrash(backendServer, incarnation, runMs, keys, nowMs, after), nowMs)
     }
 
     /** Records that a run of a request with [keys] delivered a complete response, or the beginning of one. */
@@ -79,6 +90,7 @@
         if (observations.isEmpty()) return null
         val nowMs = clock.nowMs()
         return observations.map { it.evidence.aged(nowMs - it.atMs) }.reduce { all, next -> all + next }
+            .limitedTo(MAX_PAIRS)
     }
 
     private class Observation(val evidence: CrashEvidence, val atMs: Long) {
@@ -94,5 +106,8 @@
 
         /** More than a host has requests in flight. */
         private const val MAX_OBSERVED = 1_024
+
+        /** Keeps a report below the size of a frame. */
+        private const val MAX_PAIRS = 2_048
     }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/CrashEvidenceRecorder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/CrashEvidenceRecorder.kt
@@ -1,5 +1,6 @@
 package org.arbutusrelay.relay.exchange
 
+import org.arbutusrelay.core.suspect.CrashId
 import org.arbutusrelay.core.suspect.CrashKeys
 import org.arbutusrelay.daemon.site.CrashEvidenceReplica
 import org.arbutusrelay.relay.backend.CallFailure
@@ -23,6 +24,7 @@
         parts.dropLast(1).take(MAX_PARTS).map { CrashKeys.ofPart(service, it.id) }.distinct()
     }
     private val requestKey by lazy { CrashKeys.ofRequest(request.authority, request.uri, request.body) }
+    private var lastCrash: CrashId? = null
     private val allKeys get() = partKeys + requestKey
 
     /** True when the request, or a part of its prompt, crashes backend servers and must not be sent to any. */
@@ -36,7 +38,8 @@
     fun recordFailure(attempt: Attempt, failure: CallFailure, runMs: Long) {
         val placed = attempt.placed
         if (failure != CallFailure.BROKEN || placed.backendServer.isEmpty() || attempt.isProven) return
-        evidence.recordCrash(placed.backendServer, placed.incarnation, runMs, allKeys)
+        evidence.recordCrash(placed.backendServer, placed.incarnation, runMs, allKeys, lastCrash)
+        lastCrash = CrashId(placed.backendServer, placed.incarnation)
     }
 
     /** Records that [attempt] delivered a complete response, or the beginning of one. */
