Reject requests that are received too slowly

The header timeout of a document was parsed but not applied: a caller that sent a byte of a head now and then kept its connection until the idle timeout, and was then cut off without a response, as was one that sent its body slowly. A connection on which nothing is received is closed as before.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
@@ -39,7 +40,20 @@
     private var lastActiveMs = options.nowMs()
     private var headReadMs = 0L
 
+    /** Time of the first byte of a head that is not complete, or null. */
+    private var headStartedMs: Long? = null
+    private var channelContext: ChannelHandlerContext? = null
+
+    /** Records the first byte of a head; it must precede the HTTP decoder, which passes on complete heads only. */
+    val byteListener: ChannelInboundHandlerAdapter = object : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            if (isIdle() && headStartedMs == null) headStartedMs = options.nowMs()
+            context.fireChannelRead(message)
+        }
+    }
+
     override fun channelActive(context: ChannelHandlerContext) {
+        channelContext = context
         service.onConnectionOpened(this, context.channel())
         context.fireChannelActive()
     }
@@ -81,7 +95,19 @@
     fun isQuietFor(quietMs: Long): Boolean = isIdle() && options.nowMs() - lastActiveMs >= quietMs
 
     /** Returns true when no request is processed and none has begun or ended for more than [idleMs]. */
-    fun isIdleLongerThan(idleMs: Long): Boolean = exchange == null && options.nowMs() - lastActiveMs > idleMs
+    fun isIdleLongerThan(idleMs: Long): Boolean =
+        exchange == null && !isClosing && options.nowMs() - lastActiveMs > idleMs
+
+    /** Rejects a request whose head takes longer than [headMs], or whose head and body take longer than [requestMs]. */
+    fun rejectIfSlow(headMs: Long, requestMs: Long) {
+        val context = channelContext ?: return
+        if (isClosing || exchange != null) return
+        val nowMs = options.nowMs() - options.lagMs()
+        val isHeadSlow = headStartedMs?.let { nowMs - it > headMs } == true
+        if (isHeadSlow || (head != null && nowMs - lastActiveMs > requestMs)) {
+            reject(context, HttpResponseStatus.REQUEST_TIMEOUT)
+        }
+    }
 
     private fun bufferPipelined(context: ChannelHandlerContext, message: HttpObject) {
         pipelined.addLast(message)
@@ -96,6 +122,7 @@
     }
 
     private fun onRequestHead(context: ChannelHandlerContext, request: HttpRequest) {
+        headStartedMs = null
         body = ByteArrayOutputStream()
         val headers = request.headers()
         val hasConflictingLengths = headers.contains(HttpHeaderNames.TRANSFER_ENCODING) &&
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressServer.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressServer.kt
@@ -22,7 +22,8 @@
     fun start(address: String) {
         channel = group.listen(address) { pipeline ->
             val codec = HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES)
-            pipeline.addLast(codec, IngressHandler(isForwarded, options, service))
+            val handler = IngressHandler(isForwarded, options, service)
+            pipeline.addLast(handler.byteListener, codec, handler)
         }
     }
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/OpenConnections.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/OpenConnections.kt
@@ -24,6 +24,11 @@
 
     fun isEmpty(): Boolean = channels.isEmpty()
 
+    /** Rejects the requests that are received too slowly; see [IngressHandler.rejectIfSlow]. */
+    fun rejectSlow(headMs: Long, requestMs: Long) {
+        channels.keys.toList().forEach { it.rejectIfSlow(headMs, requestMs) }
+    }
+
     /** Closes the connections on which nothing has begun or ended for more than [idleMs]. */
     fun closeIdleLongerThan(idleMs: Long) {
         channels.filterKeys { it.isIdleLongerThan(idleMs) }.values.forEach { it.close() }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -219,9 +219,11 @@
         )
     }
 
-    /** Closes connections that have been idle for longer than the idle timeout plus a margin. */
+    /** Rejects slow requests and closes connections that have been idle for longer than their timeout plus a margin. */
     private fun closeIdleConnections() {
-        val idleMs = (context.routes.get()?.plan?.limits?.idleTimeoutMs ?: DEFAULT_IDLE_TIMEOUT_MS) + IDLE_MARGIN_MS
+        val limits = context.routes.get()?.plan?.limits
+        val idleMs = (limits?.idleTimeoutMs ?: DEFAULT_IDLE_TIMEOUT_MS) + IDLE_MARGIN_MS
+        connections.rejectSlow((limits?.headerTimeoutMs ?: DEFAULT_IDLE_TIMEOUT_MS) + IDLE_MARGIN_MS, idleMs)
         connections.closeIdleLongerThan(idleMs)
         context.schedule(IDLE_SWEEP_INTERVAL_MS, ::closeIdleConnections)
     }
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -75,7 +75,7 @@
         ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), Random(1),
     ) { _, _ -> }
     private val profiles = ProfileBuilder("hue") { listOf("north") }
-    private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+    val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     private val options = IngressOptions(clock::nowMs, { lagMs }) { maxBodyBytes }
     private val connections = OpenConnections()
 
@@ -143,6 +143,11 @@
         scheduler.updateTable(RoutingTable("hue", "hue-a", states, otherRegions(), sentAwayPermille = 1_000))
     }
 
+    /** Applies the time limits of requests, as an entry host does every second. */
+    fun rejectSlow(headMs: Long, requestMs: Long) {
+        loop.submit { connections.rejectSlow(headMs, requestMs) }.sync()
+    }
+
     /** Stops as an entry host does, with a long quiet time for slow machines; returns true if no request was left. */
     fun stopGracefully(quietMs: Long = 1_500, graceMs: Long = 10_000): Boolean {
         isShuttingDown = true
