Split long test functions and merge a check of heads

The linter refused three nested test functions and the number of returns in Attempt.onHead, whose check that a head continues a stream that has begun now belongs to isUsable. No case of a test was changed.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -98,15 +98,9 @@
                 return false
             }
 
-            !exchange.canContinueWith(head) -> {
-                abandon()
-                fail(AttemptFailure.UNKNOWN, "status ${head.statusCode} after a stream has begun")
-                return false
-            }
-
             !isUsable(head, metadata) -> {
                 call?.cancel()
-                fail(AttemptFailure.UNKNOWN, "status ${head.statusCode} without a signature or with an encoding")
+                fail(AttemptFailure.UNKNOWN, "status ${head.statusCode} unsigned, encoded or in a begun stream")
                 return false
             }
         }
@@ -148,7 +142,7 @@
     }
 
     private fun isUsable(head: BackendHead, metadata: ResponseMetadata): Boolean =
-        metadata.attemptId != null && !head.headers.contains("Content-Encoding") &&
+        metadata.attemptId != null && !head.headers.contains("Content-Encoding") && exchange.canContinueWith(head) &&
             (metadata.isSigned || head.statusCode !in SUCCESS_STATUSES)
 
     private fun fail(failure: AttemptFailure, detail: String, retryAfterMs: Long? = null) {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/FaultyCallerTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/FaultyCallerTest.kt
@@ -32,19 +32,19 @@
     /** Guards against bytes without end that hold a connection and its memory. */
     @Test
     fun `a caller that sends without end is cut off and others are served`() {
-        class Case(val name: String, val start: String, val repeated: String)
+        class Endless(val name: String, val start: String, val repeated: String)
         val filler = "x".repeat(8_192)
         val chunked = "${head}Transfer-Encoding: chunked\r\n\r\n"
         val cases = listOf(
-            Case("request line", "POST /", filler),
-            Case("header line", "${head}Name: ", filler),
-            Case("headers", head, "Name: value\r\n".repeat(400)),
-            Case("chunks", chunked, "400\r\n${"x".repeat(1_024)}\r\n"),
-            Case("chunk size", chunked, "0".repeat(8_192)),
-            Case("chunk extension", "${chunked}1;name=", filler),
-            Case("trailers", "${chunked}1\r\nx\r\n0\r\n", "Name: value\r\n".repeat(400)),
-            Case("pipelined requests", "", "$head\r\n".repeat(100)),
-            Case("no request", "", "\u0000\u0001".repeat(4_096) + "x"),
+            Endless("request line", "POST /", filler),
+            Endless("header line", "${head}Name: ", filler),
+            Endless("headers", head, "Name: value\r\n".repeat(400)),
+            Endless("chunks", chunked, "400\r\n${"x".repeat(1_024)}\r\n"),
+            Endless("chunk size", chunked, "0".repeat(8_192)),
+            Endless("chunk extension", "${chunked}1;name=", filler),
+            Endless("trailers", "${chunked}1\r\nx\r\n0\r\n", "Name: value\r\n".repeat(400)),
+            Endless("pipelined requests", "", "$head\r\n".repeat(100)),
+            Endless("no request", "", "\u0000\u0001".repeat(4_096) + "x"),
         )
         val server = ScriptedServer { socket, request, _ ->
             if (request.header("Attempt") != "a") socket.write(signedResponse(request, "ok"))
@@ -64,7 +64,6 @@
     /** Guards against a caller that keeps a connection open with a byte now and then. */
     @Test
     fun `a request that is received too slowly is rejected`() {
-        data class Case(val sent: String, val headMs: Long, val requestMs: Long, val isRejected: Boolean)
         val cases = listOf(
             Case("P", 0, LONG_MS, true),
             Case("\r\n", 0, LONG_MS, true),
@@ -76,27 +75,32 @@
             Case("", 0, 0, false),
         )
         for (case in cases) {
-            val server = ScriptedServer { _, _, _ -> }
-            RelayFixture(server).use { relay ->
-                relay.connect().use { caller ->
-                    caller.write(case.sent)
-                    if (case.isRejected) {
-                        awaitTrue {
-                            relay.rejectSlow(case.headMs, case.requestMs)
-                            caller.getInputStream().available() > 0
-                        }
-                        assertTrue(caller.readResponse().startsWith("HTTP/1.1 408"), "$case")
-                        assertEquals(-1, caller.getInputStream().read(), "$case")
-                    } else {
-                        repeat(CHECKS) {
-                            Thread.sleep(CHECK_INTERVAL_MS)
-                            relay.rejectSlow(case.headMs, case.requestMs)
-                        }
-                        assertEquals(0, caller.getInputStream().available(), "$case")
-                    }
-                }
-            }
+            RelayFixture(ScriptedServer { _, _, _ -> }).use { relay -> relay.check(case) }
+        }
+    }
+
+    private fun RelayFixture.check(case: Case) = connect().use { caller ->
+        caller.write(case.sent)
+        if (case.isRejected) awaitRejection(caller, case) else checkAccepted(caller, case)
+    }
+
+    private data class Case(val sent: String, val headMs: Long, val requestMs: Long, val isRejected: Boolean)
+
+    private fun RelayFixture.awaitRejection(caller: Socket, case: Case) {
+        awaitTrue {
+            rejectSlow(case.headMs, case.requestMs)
+            caller.getInputStream().available() > 0
+        }
+        assertTrue(caller.readResponse().startsWith("HTTP/1.1 408"), "$case")
+        assertEquals(-1, caller.getInputStream().read(), "$case")
+    }
+
+    private fun RelayFixture.checkAccepted(caller: Socket, case: Case) {
+        repeat(CHECKS) {
+            Thread.sleep(CHECK_INTERVAL_MS)
+            rejectSlow(case.headMs, case.requestMs)
         }
+        assertEquals(0, caller.getInputStream().available(), "$case")
     }
 
     /** Guards against a kept connection whose second request is measured from the first one. */
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/UnframedResponseTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/UnframedResponseTest.kt
@@ -7,7 +7,6 @@
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
-import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
 /** Responses with neither a length nor chunks, which end with their connection, on longer ways. */
@@ -26,7 +25,6 @@
     /** Guards against an incomplete response that the host of another region passes on as complete. */
     @Test
     fun `a response keeps its end through the host of another region`() {
-        data class Case(val path: String, val body: String, val isReset: Boolean, val isComplete: Boolean)
         val events = event(1) + event(2)
         val cases = listOf(
             Case("/once/x", "a whole body", isReset = false, isComplete = true),
@@ -41,24 +39,27 @@
                 socket.end(case.isReset)
             }
             RelayFixture(server, isForwarded = true).use { second ->
-                RelayFixture(otherRegionPort = second.port).use { first ->
-                    val response = first.exchange(case.path, "POST", body = "b")
-                    assertEquals(1, server.requests.size, "$case")
-                    if (case.path == "/once/x") {
-                        assertTrue(
-                            response.startsWith(if (case.isComplete) "HTTP/1.1 200" else "HTTP/1.1 502"),
-                            response,
-                        )
-                        assertEquals(case.isComplete, response.endsWith("\r\n\r\na whole body"), "$case $response")
-                    } else {
-                        assertContains(response, event(2).trim(), message = "$case")
-                        assertEquals(case.isComplete, response.endsWith("0\r\n\r\n"), "$case $response")
-                    }
+                val response = RelayFixture(otherRegionPort = second.port).use {
+                    it.exchange(case.path, "POST", body = "b")
                 }
+                checkEnd(response, case)
+                assertEquals(1, server.requests.size, "$case")
             }
         }
     }
 
+    private data class Case(val path: String, val body: String, val isReset: Boolean, val isComplete: Boolean)
+
+    private fun checkEnd(response: String, case: Case) {
+        if (case.path == "/once/x") {
+            assertTrue(response.startsWith(if (case.isComplete) "HTTP/1.1 200" else "HTTP/1.1 502"), response)
+            assertEquals(case.isComplete, response.endsWith("\r\n\r\na whole body"), "$case $response")
+        } else {
+            assertContains(response, event(2).trim(), message = "$case")
+            assertEquals(case.isComplete, response.endsWith("0\r\n\r\n"), "$case $response")
+        }
+    }
+
     /** Guards against a response that is broken off, or taken for complete, while its caller reads slowly. */
     @Test
     fun `a response keeps its end while the caller reads slowly`() {
@@ -69,21 +70,20 @@
                 socket.end(isReset)
             }
             RelayFixture(server, timeoutMs = LONG_TIMEOUT_MS).use { relay ->
-                relay.connect().use { caller ->
-                    caller.send("/stream/x", "POST", "Connection: close\r\n", "b")
-                    Thread.sleep(PAUSE_MS)
-                    val response = String(caller.getInputStream().readAllBytes())
-                    if (isReset) {
-                        assertFalse(response.endsWith("0\r\n\r\n"))
-                    } else {
-                        assertTrue(response.endsWith("0\r\n\r\n"))
-                        assertEquals(EVENTS, Regex("id: \\d+\n").findAll(response).count())
-                    }
-                }
+                val response = relay.connect().use(::readSlowly)
+                assertEquals(!isReset, response.endsWith("0\r\n\r\n"), "isReset=$isReset")
+                val events = Regex("id: \\d+\n").findAll(response).count()
+                assertTrue(isReset || events == EVENTS, "$events events")
             }
         }
     }
 
+    private fun readSlowly(caller: Socket): String {
+        caller.send("/stream/x", "POST", "Connection: close\r\n", "b")
+        Thread.sleep(PAUSE_MS)
+        return String(caller.getInputStream().readAllBytes())
+    }
+
     private companion object {
         const val END_DELAY_MS = 50L
         const val EVENTS = 1_000
