--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -17,6 +17,7 @@
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.HostIdentity
 import org.arbutusrelay.daemon.observe.EventSink
+import org.arbutusrelay.daemon.site.CrashEvidenceReplica
 import org.arbutusrelay.relay.backend.BackendPool
 import org.arbutusrelay.relay.exchange.Exchange
 import org.arbutusrelay.relay.exchange.ForwardTargets
@@ -40,10 +41,12 @@
 import org.arbutusrelay.schema.message.ServiceSummary
 import java.io.BufferedInputStream
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
+import kotlin.time.TestTimeSource
 
 /**
  * The request path of an entry host on the loopback interface, with [servers] as its backend servers.
@@ -61,12 +64,18 @@
     private val targetPauseMs: Long = 0,
     isForwarded: Boolean = false,
     hasRoutes: Boolean = true,
-    oddServers: Map<String, String> = emptyMap(),
+    private val oddServers: Map<String, String> = emptyMap(),
     maxBodyBytes: Int = MAX_BODY_BYTES,
 ) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
     private val clock = RelayClock()
+
+    /** Time of the crash evidence, which tests advance. */
+    val evidenceTime = TestTimeSource()
+
+    /** Crash evidence of the host. */
+    val crashEvidence = CrashEvidenceReplica(RelayClock(evidenceTime))
     private val scheduler = DefaultRequestScheduler(
         callerOf = { null },
         settings = SchedulerSettings(retryPermille = 1_000),
@@ -74,7 +83,8 @@
     )
     private val context = RelayContext(
         HostIdentity("host", "hue", "hue-a", 1), clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
-        ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), StopState(), Random(1),
+        ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), StopState(clock::nowMs),
+        crashEvidence, Random(1),
     ) { _, _ -> }
     private val profiles = ProfileBuilder("hue") { listOf("north") }
     private val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
@@ -100,17 +110,7 @@
 
     init {
         if (hasRoutes) applyRoutes()
-        scheduler.updateTable(
-            RoutingTable(
-                "hue",
-                "hue-a",
-                servers.mapIndexed { index, server ->
-                    state("s$index", server.address)
-                } + oddServers.map { (name, address) -> state(name, address) },
-                otherRegions = otherRegions(),
-                sentAwayPermille = 1_000,
-            ),
-        )
+        startServers(incarnation = 1)
         context.forwardTargets.update(listOf(host("127.0.0.1", "north")))
         server.start("127.0.0.1:$port")
     }
@@ -127,7 +127,11 @@
     }
 
     /** Opens a caller connection. */
-    fun connect(): Socket = Socket(InetAddress.getLoopbackAddress(), port).apply { soTimeout = TIMEOUT_MS }
+    fun connect(receiveBufferBytes: Int? = null): Socket = Socket().apply {
+        receiveBufferBytes?.let { receiveBufferSize = it }
+        connect(InetSocketAddress(InetAddress.getLoopbackAddress(), this@RelayFixture.port))
+        soTimeout = TIMEOUT_MS
+    }
 
     /** Sends one request on a new connection and returns everything received until the connection closes. */
     fun exchange(path: String, method: String = "GET", headers: String = "", body: String = ""): String =
@@ -136,18 +140,31 @@
             String(it.getInputStream().readAllBytes())
         }
 
+    /** Puts all backend servers in the routing table as processes with [incarnation], as after a restart. */
+    fun startServers(incarnation: Long) = scheduler.updateTable(
+        RoutingTable(
+            "hue",
+            "hue-a",
+            servers.mapIndexed { index, server -> state("s$index", server.address, incarnation) } +
+                oddServers.map { (name, address) -> state(name, address, incarnation) },
+            otherRegions = otherRegions(),
+            sentAwayPermille = 1_000,
+        ),
+    )
+
     /** Removes all backend servers from the routing table, as when their leases expire. */
     fun forgetServers() = useServers(emptyMap())
 
     /** Replaces the backend servers in the routing table by [addresses], by name. */
     fun useServers(addresses: Map<String, String>) {
-        val states = addresses.map { (name, address) -> state(name, address) }
+        val states = addresses.map { (name, address) -> state(name, address, incarnation = 1) }
         scheduler.updateTable(RoutingTable("hue", "hue-a", states, otherRegions(), sentAwayPermille = 1_000))
     }
 
     /** Stops as an entry host does, with a long quiet time for slow machines; returns true if no request was left. */
     fun stopGracefully(quietMs: Long = 1_500, graceMs: Long = 10_000): Boolean {
-        val stop = PlannedStop(context.stopState, server, ConnectionDrain(loop, connections, clock::nowMs, quietMs))
+        val drain = ConnectionDrain(loop, connections, context.stopState, clock::nowMs, quietMs)
+        val stop = PlannedStop(context.stopState, server, drain, clock::nowMs)
         return runBlocking { stop.await(0, clock.nowMs() + graceMs) { context.openExchanges } }
     }
 
@@ -171,8 +188,9 @@
     private fun host(address: String, region: String) =
         HostState(address, region, "$region-a", 1, 1, "$address:1", "$address:2", 0, 0, false, false)
 
-    private fun state(name: String, address: String) = BackendServerState(
-        name, "svc", "hue", "hue-a", address, 1, 1, capacity, emptyList(), emptyList(), "", 0, 0, false, 3_000,
+    private fun state(name: String, address: String, incarnation: Long) = BackendServerState(
+        name, "svc", "hue", "hue-a", address, incarnation, 1, capacity, emptyList(), emptyList(), "", 0, 0, false,
+        3_000,
     )
 
     private inner class Service : IngressService {
