Send crash evidence with the regular reports

Read again, an entry host published a view for each batch of evidence, although only a change of what is held back concerns it.

Change: an entry host sends its regular report at once when it has observed something; a new link repeats known keys in the reports of the next 3 s. Merging is in CrashEvidenceReplica; an entry host publishes only when what is held back has changed.

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/PendingChanges.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/PendingChanges.kt
@@ -43,7 +43,8 @@
     /** Removes and returns the collected changes, or null if there are none. */
     public fun take(stateIndex: Long): SiteDigest? {
         val evidence = crashEvidence
-        if (hosts.isEmpty() && servers.isEmpty() && departures.isEmpty() && evidence == null) return null
+        val isUnchanged = hosts.isEmpty() && servers.isEmpty() && departures.isEmpty()
+        if (isUnchanged && evidence == null) return null
         val digest = SiteDigest(
             stateIndex = stateIndex,
             isFull = false,
--- a/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceMessages.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceMessages.kt
@@ -35,7 +35,7 @@
     return CrashEvidence(newest, provenKeys.sortedBy { it.ageMs }.take(maxPairs))
 }
 
-/** Returns one message per crash instead of one per key and crash, which would repeat the name of the backend server. */
+/** Returns one message per crash; one per key and crash would repeat the name of the backend server. */
 internal fun groupRuns(crashes: List<Pair<CrashRecord, KeyCrash>>, nowMs: Long): List<CrashedRun> =
     crashes.groupBy { (_, it) -> listOf(it.id, it.crashMs, it.runMs, it.isCleared, it.after) }.values.map { group ->
         val crash = group.first().second
--- a/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashRecord.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashRecord.kt
@@ -30,8 +30,8 @@
         /**
          * Returns the longest chain in [crashes] in which each run was sent after the crash before it.
          *
-         * Many connections that break at once, as when a region is lost, are a chain of one. With [isLinked], the attempts
-         * of one request follow each other whatever their times say.
+         * Many connections that break at once, as when a region is lost, are a chain of one. With [isLinked], the
+         * attempts of one request follow each other whatever their times say.
          */
         fun of(crashes: Collection<KeyCrash>, isLinked: Boolean): CrashChain {
             var length = 0
--- a/core/src/main/kotlin/org/arbutusrelay/core/suspect/SuspectFinder.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/suspect/SuspectFinder.kt
@@ -3,9 +3,9 @@
 /**
  * Finds the keys that crash backend servers among those that were only in flight with them.
  *
- * A key is held back after a chain of crashes without a proven run in between. A crash that a key explains which is held
- * back no longer counts for other keys: those only ran beside it. Keys that were proven before the chain come last, then
- * the longest chain wins, then the key that is later in the prompt, because fewer requests share it.
+ * A key is held back after a chain of crashes without a proven run in between. Its crashes no longer count for other
+ * keys, which only ran beside it. Keys that were proven before the chain come last, then the longest chain wins, then
+ * the key that is later in the prompt, because fewer requests share it.
  */
 internal object SuspectFinder {
     /** Crashes in a row after which a key is held back; three in a row also happen to sound requests beside others. */
--- a/core/src/test/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceTableTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceTableTest.kt
@@ -29,7 +29,7 @@
     @Test
     fun `a key is held back after a chain of crashes that nothing else explains`() {
         data class Case(val name: String, val steps: List<Step>, val held: Set<String>)
-        val poisoned = { it: Int -> listOf(first, poison, request(it)) }
+        val poisoned = { number: Int -> listOf(first, poison, request(number)) }
         val cases = listOf(
             Case("three crashes", crashes(3, poisoned), emptySet()),
             Case("four crashes, two keys with the same crashes", crashes(4, poisoned), setOf(poison)),
@@ -85,8 +85,8 @@
     }
 
     /**
-     * Guards against a request that crashes as many backend servers as its route allows attempts, each time it comes, but
-     * counts once, because its attempts follow each other within the margin for the times of different hosts.
+     * Guards against a request that crashes as many backend servers as its route allows attempts, each time it comes,
+     * but counts once, because its attempts follow each other within the margin for the times of different hosts.
      */
     @Test
     fun `attempts of one request count one by one and attempts of others at the same time do not`() {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/CrashEvidenceReplica.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/CrashEvidenceReplica.kt
@@ -17,6 +17,7 @@
 public class CrashEvidenceReplica(private val clock: RelayClock, private val onUnsent: () -> Unit = {}) {
     private val table = CrashEvidenceTable()
     private val observed = ArrayDeque<Observation>()
+    private var repeated: Observation? = null
 
     /** Keys whose requests must not be sent; the same instance until it changes. */
     public val heldBack: Set<String> get() = table.heldBack
@@ -25,8 +26,9 @@
     public val hasRequestKeys: Boolean get() = table.hasRequestKeys
 
     /**
-     * Records that the run of a request with [keys] on a backend server broke after [runMs] before it was proven; [after]
-     * is the crash of its attempt before.
+     * Records that the run of a request with [keys] on a backend server broke after [runMs] before it was proven.
+     *
+     * [after] is the crash of the attempt before, of the same request.
      */
     public fun recordCrash(
         backendServer: String,
@@ -45,29 +47,39 @@
         table.recordProven(keys, nowMs)?.let { observe(it, nowMs) }
     }
 
-    /** Merges the evidence of another host and returns what was new. */
-    internal fun merge(evidence: CrashEvidence): CrashEvidence {
+    /**
+     * Merges the evidence of another host and gives what was new to [passOn].
+     *
+     * Returns true if there is something to pass on or to publish.
+     */
+    internal fun merge(evidence: CrashEvidence?, passOn: ((CrashEvidence) -> Unit)?): Boolean {
+        if (evidence == null) return false
         val nowMs = clock.nowMs()
+        val oldHeldBack = heldBack
         val news = table.merge(evidence, nowMs)
-        if (!news.isEmpty) observe(table.provenHereOf(news, nowMs), nowMs)
-        return news
+        if (news.isEmpty) return false
+        passOn?.invoke(news)
+        observe(table.provenHereOf(news, nowMs), nowMs)
+        return passOn != null || heldBack !== oldHeldBack
     }
 
-    /** Returns what this host observed and has not sent yet, or null. */
+    /** Returns true if this host observed something that it has not sent yet. */
     @Synchronized
-    internal fun takeUnsent(): CrashEvidence? {
-        val unsent = observed.filter { !it.isSent }
-        unsent.forEach { it.isSent = true }
-        return joined(unsent)
+    internal fun hasUnsent(): Boolean = observed.any { !it.isSent }
+
+    /** Lets the next reports repeat the keys that crashed more than once, for a state host that may have restarted. */
+    internal fun repeatAll() {
+        val evidence = all(MIN_REPEATED_CRASHES) ?: return
+        synchronized(this) { repeated = Observation(evidence, clock.nowMs()) }
     }
 
-    /** Returns what this host observed in the last [REPEAT_MS], which may have been lost, or null. */
+    /** Returns what this host observed in the last [REPEAT_MS], or null; it counts as sent, but may have been lost. */
     @Synchronized
     internal fun recent(): CrashEvidence? {
         val nowMs = clock.nowMs()
         observed.removeIf { nowMs - it.atMs > REPEAT_MS }
         observed.forEach { it.isSent = true }
-        return joined(observed)
+        return joined(observed + listOfNotNull(repeated?.takeIf { nowMs - it.atMs <= REPEAT_MS }))
     }
 
     /** Returns the evidence about keys that crashed at least [minCrashes] times, or null if there is none. */
@@ -98,7 +110,7 @@
     }
 
     internal companion object {
-        /** Crashes of a key from which on hosts repeat it; one alone has little effect and is the bulk after a failure. */
+        /** Crashes of a key from which on hosts repeat it; single ones are the bulk after the loss of a region. */
         const val MIN_REPEATED_CRASHES = 2
 
         /** Covers three reports, in case a link or a state host fails. */
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -8,7 +8,6 @@
 import org.arbutusrelay.core.site.PendingChanges
 import org.arbutusrelay.core.site.SitePulses
 import org.arbutusrelay.core.site.SiteStateMachine
-import org.arbutusrelay.core.suspect.isEmpty
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.FrameReceiver
 import org.arbutusrelay.daemon.link.HostIdentity
@@ -191,7 +190,7 @@
             if (isNew) changesForAll.add(SiteHost(report.host, 0))
             isNew || newDepartures.isNotEmpty()
         }
-        val hasNewEvidence = mergeEvidence(report.crashEvidence, changesForAll)
+        val hasNewEvidence = crashEvidence.merge(report.crashEvidence) { synchronized(this) { changesForAll.add(it) } }
         if (isChanged || hasNewEvidence) scheduleBatch()
         if (isNewSubscriber || report.needsDigest) sendDigest(fullDigest(nowMs), setOf(from.hostName))
         val latest = synchronized(this) { state }
@@ -204,8 +203,8 @@
         val nowMs = clock.nowMs()
         when {
             !self.isStateHost -> {
+                crashEvidence.repeatAll()
                 sendReports(nowMs)
-                repeatEvidence(host.hostName)
             }
 
             host.hostName in stateHosts() -> sendDigest(fullDigest(nowMs), setOf(host.hostName))
@@ -236,43 +235,12 @@
             val isHostChangeUrgent = self.isStateHost && changedHosts.isNotEmpty()
             newDepartures.isNotEmpty() || changedServers.isNotEmpty() || isHostChangeUrgent
         }
-        val hasNewEvidence = mergeEvidence(digest.crashEvidence, changesForSubscribers)
+        val passOn: ((CrashEvidence) -> Unit)? =
+            if (self.isStateHost) { news -> synchronized(this) { changesForSubscribers.add(news) } } else null
+        val hasNewEvidence = crashEvidence.merge(digest.crashEvidence, passOn)
         if (isChanged || hasNewEvidence) scheduleBatch()
     }
 
-    /** Merges evidence; adds what is new to [changes] on a state host, and returns true if there is any. */
-    private fun mergeEvidence(evidence: CrashEvidence?, changes: PendingChanges): Boolean {
-        val news = crashEvidence.merge(evidence ?: return false)
-        if (news.isEmpty) return false
-        if (self.isStateHost) synchronized(this) { changes.add(news) }
-        return true
-    }
-
-    /** Tells a state host what it may have forgotten with a restart. */
-    private fun repeatEvidence(hostName: String) {
-        val repeated = crashEvidence.all(CrashEvidenceReplica.MIN_REPEATED_CRASHES) ?: return
-        network.send(hostName, LinkFrame(siteReport = reportOf(repeated)))
-    }
-
-    private fun reportEvidence(evidence: CrashEvidence) {
-        val targets = links.reportTargets(otherStateHostRegions(), isAnnouncementMissing())
-        network.sendAll(targets, LinkFrame(siteReport = reportOf(evidence)))
-    }
-
-    private fun reportOf(evidence: CrashEvidence): SiteReport {
-        val primaryName = primaryName()
-        return synchronized(this) {
-            SiteReport(self, state.index, emptyList(), primaryName = primaryName, crashEvidence = evidence)
-        }
-    }
-
-    /** Returns the state host whose every pulse this host needs; empty if that is any of them. */
-    private fun primaryName(): String {
-        // The state host that heard of a missing announcement may be any of them.
-        if (isAnnouncementMissing()) return ""
-        return links.reportTargets(otherStateHostRegions(), false).firstOrNull().orEmpty()
-    }
-
     /**
      * Applies renewals and loads, which are published with the next view, and requests what a pulse names and this host
      * does not know.
@@ -308,7 +276,7 @@
         }
         val (forAll, forSubscribers) =
             synchronized(this) { changesForAll.take(state.index) to changesForSubscribers.take(state.index) }
-        if (!self.isStateHost) crashEvidence.takeUnsent()?.let(::reportEvidence)
+        if (!self.isStateHost && crashEvidence.hasUnsent()) sendReports(clock.nowMs())
         forAll?.let { sendDigest(it, digestTargets()) }
         forSubscribers?.let { sendDigest(it, subscriptions.active(clock.nowMs())) }
     }
@@ -340,8 +308,10 @@
     private fun otherStateHostRegions(): Map<String, String> = stateHostRegions() - self.hostName
 
     private fun sendReports(nowMs: Long) {
-        val targets = links.reportTargets(otherStateHostRegions(), isAnnouncementMissing())
-        val primaryName = primaryName()
+        val isAnnouncementMissing = isAnnouncementMissing()
+        val targets = links.reportTargets(otherStateHostRegions(), isAnnouncementMissing)
+        // The state host that heard of a missing announcement may be any of them.
+        val primaryName = if (isAnnouncementMissing) "" else targets.firstOrNull().orEmpty()
         val report = synchronized(this) {
             // Another thread may have observed a load after nowMs was read; a negative age is not a valid message.
             val loads = unreportedLoads.values.map { it.copy(ageMs = (nowMs - it.ageMs).coerceAtLeast(0)) }
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/CrashSuspectTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/CrashSuspectTest.kt
@@ -102,7 +102,9 @@
         }
         RelayFixture(server, log = log, capacity = 1, timeoutMs = WAIT_MS).use { relay ->
             val callers = List(MAX_RUNNING) { relay.connect() }
-            callers.forEachIndexed { index, it -> it.send("/once/$index", "POST", "Parts: first,last\r\n", "b") }
+            callers.forEachIndexed { index, caller ->
+                caller.send("/once/$index", "POST", "Parts: first,last\r\n", "b")
+            }
             val suspect = relay.connect()
             suspect.send("/once/queued", "POST", "Parts: first,poison,last\r\n", "b")
             assertTrue(isQueued.await(WAIT_MS, TimeUnit.MILLISECONDS))
