Send Retry-After with the refusal of a partly read request

Change: the refusal has Retry-After: 0, as others of a stop. Measured: PlannedStopTest passes with the check of the header (8 tests).

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
@@ -127,7 +127,7 @@
         val context = handlerContext
         when {
             active != null -> active.onProcessEnding()
-            head != null && context != null -> reject(context, HttpResponseStatus.SERVICE_UNAVAILABLE)
+            head != null && context != null -> reject(context, HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfter = "0")
         }
     }
 
@@ -217,12 +217,13 @@
         reject(context, if (isTooLong) tooLargeStatus else HttpResponseStatus.BAD_REQUEST)
     }
 
-    private fun reject(context: ChannelHandlerContext, status: HttpResponseStatus) {
+    private fun reject(context: ChannelHandlerContext, status: HttpResponseStatus, retryAfter: String? = null) {
         isClosing = true
         head = null
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
         response.headers()[HttpHeaderNames.CONTENT_LENGTH] = 0
         response.headers()[HttpHeaderNames.CONNECTION] = "close"
+        retryAfter?.let { response.headers()[HttpHeaderNames.RETRY_AFTER] = it }
         context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
     }
 
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
@@ -185,7 +185,9 @@
             assertFalse(relay.stopGracefully(quietMs = 100, graceMs = 300))
             val expected = mapOf(running to "502", partlyRead to "503") + waiting.associateWith { "503" }
             for ((caller, status) in expected) {
-                caller.use { assertContains(String(it.getInputStream().readAllBytes()).lineSequence().first(), status) }
+                val response = caller.use { String(it.getInputStream().readAllBytes()) }
+                assertContains(response.lineSequence().first(), status)
+                assertEquals(status == "503", response.contains("Retry-After: 0", ignoreCase = true), response)
             }
         }
     }
