End the stop of an HTTP server beside idle connections

Change: idle connections end 100 ms after the stop begins, and requests that outlast the limit are logged in place of an exception. Measured: ControlRoutesTest, HttpServerStopTest (new: an idle connection) and ShutdownTest pass.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HttpServer.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/http/HttpServer.kt
@@ -49,6 +49,7 @@
                 host = bindAddress
                 port = bindPort
                 idleTimeout = idleTimeoutMs
+                shutdownIdleTimeout = STOP_IDLE_TIMEOUT_MS
             }
         }
         routeGroups.forEach { it.addTo(config.routes) }
@@ -77,7 +78,11 @@
 
     /** Refuses new requests with 503, waits a limited time for those in progress, and closes all connections. */
     public fun stop() {
-        javalin.stop()
+        try {
+            javalin.stop()
+        } catch (e: JavalinException) {
+            logger.warn("{}:{} stopped with requests in progress: {}", bindAddress, bindPort, e.message)
+        }
     }
 
     private fun configureHttp(http: HttpConfiguration) {
@@ -96,5 +101,8 @@
 
         /** Longer than a command of an operator may take at a state host. */
         private const val STOP_TIMEOUT_MS = 1_000L
+
+        /** Time for which a stop keeps a connection without a request. */
+        private const val STOP_IDLE_TIMEOUT_MS = 100L
     }
 }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/http/HttpServerStopTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/http/HttpServerStopTest.kt
@@ -37,6 +37,18 @@
         }
     }
 
+    /** Guards against a stop that fails, or waits out its time limit, because of a connection in keep-alive. */
+    @Test
+    fun `a stop ends although a connection is idle`() {
+        val server = HttpServer(LOOPBACK, 0, IDLE_TIMEOUT_MS, emptyList(), THREADS)
+        server.start()
+        Socket(InetAddress.getByName(LOOPBACK), server.port).use { socket ->
+            socket.getOutputStream().write("GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n".encodeToByteArray())
+            assertContains(socket.getInputStream().bufferedReader().readLine(), "404")
+            server.stop()
+        }
+    }
+
     private fun isListening(port: Int) = runCatching { Socket(InetAddress.getByName(LOOPBACK), port).close() }.isSuccess
 
     private companion object {
