Withdraw crashes of backend servers that go on announcing themselves

A stream without length that ended before its first event counted as proof.

Change: a crash no longer counts once the same incarnation has been announced 2 s or more after it; the key is released within the next tick. A stream proves its parts only if an event of it has arrived.

Conclusion: bounds a mistaken hold to a few seconds while servers announce themselves.

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
@@ -83,6 +83,10 @@
     public fun hasOverdue(overdueMs: Long, nowMs: Long): Boolean =
         entries.values.any { !it.state.isLeaving && nowMs - it.lastSeenMs >= overdueMs }
 
+    /** Returns the time of the last announcement of [incarnation] of [name], or null if it is not the current one. */
+    public fun lastSeenMs(name: String, incarnation: Long): Long? =
+        entries[name]?.takeIf { it.state.incarnation == incarnation }?.lastSeenMs
+
     /** Returns the key that stands for the current incarnation of [name] in a pulse, or null if it is unknown. */
     public fun keyOf(name: String): Long? = entries[name]?.key
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceTable.kt
@@ -134,6 +134,23 @@
         if (records.values.removeIf { nowMs - it.newestMs >= limits.lifetimeMs }) decide()
     }
 
+    /** Returns the crashes that count for any key. */
+    @Synchronized
+    public fun openCrashes(): Set<CrashId> = records.values.flatMapTo(HashSet()) { it.openCrashes.map(KeyCrash::id) }
+
+    /**
+     * Withdraws the crashes of backend servers that still run, which only lost connections.
+     *
+     * [lastSeenMs] holds the time of the last announcement of incarnations that are known.
+     */
+    @Synchronized
+    public fun withdrawCrashes(lastSeenMs: Map<CrashId, Long>) {
+        val survived = records.values.flatMap { it.openCrashes }
+            .filter { crash -> lastSeenMs[crash.id].let { it != null && it >= crash.crashMs + MIN_SURVIVAL_MS } }
+        survived.forEach { it.isCleared = true }
+        if (survived.isNotEmpty()) decide()
+    }
+
     private fun mergeRun(run: CrashedRun, nowMs: Long): CrashedRun? {
         if (run.ageMs >= limits.lifetimeMs - FORGETTING_MS) return null
         val id = CrashId(run.backendServer, run.incarnation)
@@ -189,6 +206,9 @@
         const val MIN_SUSPECTED_CHAIN = 2
         const val MAX_KEYS_PER_RUN = 64
 
+        /** An announcement that was sent before a crash arrives within this time, unless it is much delayed. */
+        const val MIN_SURVIVAL_MS = 2_000L
+
         /**
          * Evidence that is about to expire is no longer passed on: two hosts that forget it at slightly different times
          * would send it back and forth.
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/CrashEvidenceReplica.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/CrashEvidenceReplica.kt
@@ -86,8 +86,12 @@
     internal fun all(minCrashes: Int = 1): CrashEvidence? =
         table.evidence(clock.nowMs(), minCrashes).takeUnless { it.isEmpty }
 
-    /** Forgets what has expired. */
-    internal fun tick(): Unit = table.tick(clock.nowMs())
+    /** Forgets what has expired, and the crashes of servers that were announced since, by the times of [lastSeenMs]. */
+    internal fun tick(lastSeenMs: (Set<CrashId>) -> Map<CrashId, Long>) {
+        table.tick(clock.nowMs())
+        val crashes = table.openCrashes()
+        if (crashes.isNotEmpty()) table.withdrawCrashes(lastSeenMs(crashes))
+    }
 
     private fun observe(evidence: CrashEvidence, atMs: Long) {
         if (evidence.isEmpty) return
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -8,6 +8,7 @@
 import org.arbutusrelay.core.site.PendingChanges
 import org.arbutusrelay.core.site.SitePulses
 import org.arbutusrelay.core.site.SiteStateMachine
+import org.arbutusrelay.core.suspect.CrashId
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.FrameReceiver
 import org.arbutusrelay.daemon.link.HostIdentity
@@ -290,7 +291,7 @@
             hosts.tick(nowMs)
             servers.tick(nowMs)
         }
-        crashEvidence.tick()
+        crashEvidence.tick(::lastSeenMs)
         links.maintain(otherStateHostRegions(), isAnnouncementMissing())
         if (nowMs >= nextReportAtMs) {
             nextReportAtMs = nowMs + times.reportIntervalMs
@@ -299,6 +300,10 @@
         if (nowMs - publishedAtMs >= times.publishIntervalMs) publish()
     }
 
+    private fun lastSeenMs(crashes: Set<CrashId>): Map<CrashId, Long> = synchronized(this) {
+        crashes.mapNotNull { id -> servers.lastSeenMs(id.backendServer, id.incarnation)?.let { id to it } }.toMap()
+    }
+
     private fun isAnnouncementMissing(): Boolean =
         synchronized(this) { servers.hasOverdue(times.renewalOverdueMs, clock.nowMs()) }
 
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/CrashEvidenceReplicaTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/CrashEvidenceReplicaTest.kt
@@ -8,6 +8,7 @@
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.HostIdentity
 import org.arbutusrelay.daemon.link.InMemoryLinks
+import org.arbutusrelay.schema.message.BackendServerState
 import org.arbutusrelay.schema.message.CrashEvidence
 import org.arbutusrelay.schema.message.CrashedRun
 import org.arbutusrelay.schema.message.LinkFrame
@@ -91,6 +92,22 @@
         }
     }
 
+    /** Guards against holding a sound part back for minutes because connections to servers that run were lost. */
+    @Test
+    fun `broken connections to servers that go on announcing themselves are no crashes`() = site {
+        crash(1..4)
+        assertEquals(everywhere, held())
+        repeat(4) { round ->
+            (1..4).forEach { services.getValue(stateHosts[it % stateHosts.size]).announce(server("b$it", round)) }
+            delay(1_000)
+        }
+        assertEquals(nowhere, held())
+    }
+
+    private fun server(name: String, version: Int) = BackendServerState(
+        name, "svc", "1", "1-a", "$name:1", 1, version.toLong(), 8, emptyList(), emptyList(), "", 0, 0, false, 6_000,
+    )
+
     /** Guards against crashes that are counted late because a link was down when they happened. */
     @Test
     fun `evidence that was lost with a link is repeated`() = site {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -297,7 +297,8 @@
     /** A stream ended without a protocol error. */
     fun onStreamEnd(source: Attempt, head: BackendHead) {
         if (cursor.isInsideEvent) return onAttemptFailed(source, AttemptFailure.UNKNOWN, "ended inside an event")
-        source.recordProven()
+        // A server that crashes may end a response without length as if it were complete.
+        if (source.hasProgressed) source.recordProven()
         attempt = null
         context.complete(source.placed, AttemptResult.COMPLETE)
         context.eventListener.completed(this, head.statusCode)
