--- a/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
@@ -1,6 +1,7 @@
 package org.arbutusrelay.core.site
 
 import org.arbutusrelay.core.admission.HalfLife
+import org.arbutusrelay.core.suspect.CrashId
 import org.arbutusrelay.schema.message.BackendDeparture
 import org.arbutusrelay.schema.message.BackendLoad
 import org.arbutusrelay.schema.message.BackendServerState
@@ -83,9 +84,10 @@
     public fun hasOverdue(overdueMs: Long, nowMs: Long): Boolean =
         entries.values.any { !it.state.isLeaving && nowMs - it.lastSeenMs >= overdueMs }
 
-    /** Returns the time of the last announcement of [incarnation] of [name], or null if it is not the current one. */
-    public fun lastSeenMs(name: String, incarnation: Long): Long? =
-        entries[name]?.takeIf { it.state.incarnation == incarnation }?.lastSeenMs
+    /** Returns the time of the last announcement of those servers of [crashes] whose incarnation is the current one. */
+    public fun lastSeenMs(crashes: Set<CrashId>): Map<CrashId, Long> = crashes.mapNotNull { id ->
+        entries[id.backendServer]?.takeIf { it.state.incarnation == id.incarnation }?.let { id to it.lastSeenMs }
+    }.toMap()
 
     /** Returns the key that stands for the current incarnation of [name] in a pulse, or null if it is unknown. */
     public fun keyOf(name: String): Long? = entries[name]?.key
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -8,7 +8,6 @@
 import org.arbutusrelay.core.site.PendingChanges
 import org.arbutusrelay.core.site.SitePulses
 import org.arbutusrelay.core.site.SiteStateMachine
-import org.arbutusrelay.core.suspect.CrashId
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.FrameReceiver
 import org.arbutusrelay.daemon.link.HostIdentity
@@ -291,7 +290,7 @@
             hosts.tick(nowMs)
             servers.tick(nowMs)
         }
-        crashEvidence.tick(::lastSeenMs)
+        crashEvidence.tick { synchronized(this) { servers.lastSeenMs(it) } }
         links.maintain(otherStateHostRegions(), isAnnouncementMissing())
         if (nowMs >= nextReportAtMs) {
             nextReportAtMs = nowMs + times.reportIntervalMs
@@ -300,10 +299,6 @@
         if (nowMs - publishedAtMs >= times.publishIntervalMs) publish()
     }
 
-    private fun lastSeenMs(crashes: Set<CrashId>): Map<CrashId, Long> = synchronized(this) {
-        crashes.mapNotNull { id -> servers.lastSeenMs(id.backendServer, id.incarnation)?.let { id to it } }.toMap()
-    }
-
     private fun isAnnouncementMissing(): Boolean =
         synchronized(this) { servers.hasOverdue(times.renewalOverdueMs, clock.nowMs()) }
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -23,6 +23,7 @@
 import org.arbutusrelay.relay.ingress.IngressExchange
 import org.arbutusrelay.relay.ingress.IngressRequest
 import org.arbutusrelay.relay.ingress.ResponseWriter
+import org.arbutusrelay.relay.ingress.StopState
 
 /**
  * Handles one request from its arrival to its response.
@@ -82,7 +83,12 @@
             )
         val metadata = context.dialect.decodeRequest(request.headers).fold({ return sendError(it) }, { it })
         val waitMs = minOf(metadata.deadlineMs ?: matchedRoute.timeoutMs, matchedRoute.timeoutMs)
-        if (!mayRunUntil(request.receivedMs + waitMs)) return sendError(RelayError(ErrorKind.SHUTTING_DOWN))
+        if (!context.stopState.mayAccept(
+                request.receivedMs + waitMs,
+            )
+        ) {
+            return sendError(RelayError(ErrorKind.SHUTTING_DOWN))
+        }
         val service = ForwardHeaders.serviceOf(request.headers)?.takeIf { request.isForwarded }
             ?: matchedRoute.serviceFor(context.randomBelow(matchedRoute.totalWeight))
         resolved = ResolvedRequest(matchedRoute, metadata, service, request.receivedMs + waitMs, table.plan.number)
@@ -136,14 +142,11 @@
 
     override fun onAdmissionRestricted() {
         val call = resolved ?: return
-        if (phase == Phase.DONE || phase == Phase.SENT || mayRunUntil(call.deadlineMs)) return
+        if (phase == Phase.DONE || phase == Phase.SENT || context.stopState.mayAccept(call.deadlineMs)) return
         if (phase == Phase.WAITING) context.cancelQueued(this)
         failRequest(RelayError(ErrorKind.SHUTTING_DOWN))
     }
 
-    /** Returns false if this host stops and may end before a response that arrives at [deadlineMs]. */
-    private fun mayRunUntil(deadlineMs: Long) = context.stopState.mayAccept(deadlineMs + DEADLINE_GRACE_MS)
-
     override fun onProcessEnding() {
         if (phase == Phase.DONE) return
         if (phase == Phase.WAITING) context.cancelQueued(this)
@@ -207,7 +210,7 @@
 
     private fun send(placed: PlacedAttempt, address: String, backendServer: String?) {
         val call = resolved ?: return
-        if (!response.isStarted && !mayRunUntil(call.deadlineMs)) {
+        if (!response.isStarted && !context.stopState.mayAccept(call.deadlineMs)) {
             context.complete(placed, AttemptResult.CANCELLED)
             return failRequest(RelayError(ErrorKind.SHUTTING_DOWN))
         }
@@ -217,7 +220,7 @@
         attempt = newAttempt
         context.eventListener.placed(this, placed, address, if (attempts > 1) cursor.lastEventId else null)
         val headers = try {
-            headersFor(call, placed, backendServer)
+            call.backendHeaders(placed, backendServer)
         } catch (e: IllegalArgumentException) {
             // A value that another program announced, such as the name of the backend server, fits in no header.
             return onAttemptFailed(newAttempt, AttemptFailure.NOT_SENT, e.message.orEmpty())
@@ -227,18 +230,6 @@
         if (attempt === newAttempt && call.route.isRepeatable) checkResponseTimeout(newAttempt)
     }
 
-    private fun headersFor(call: ResolvedRequest, placed: PlacedAttempt, backendServer: String?): HttpHeaders {
-        val metadata = BackendRequestMetadata(
-            backendServer = backendServer,
-            remainingMs = (call.deadlineMs - context.clock.nowMs()).coerceAtLeast(1),
-            priority = call.route.priority,
-            lastEventId = if (call.route.kind == RouteKind.STREAM) cursor.lastEventId else null,
-            cacheSource = placed.cacheSourceAddress.ifEmpty { null },
-        )
-        val forwardedService = call.serviceName.takeIf { backendServer == null }
-        return BackendRequestHeaders.of(request, context.dialect, metadata, forwardedService, ageMs)
-    }
-
     /** Retries on another backend server when the response makes no progress within its timeout. */
     private fun checkResponseTimeout(checked: Attempt) {
         val call = resolved ?: return
@@ -324,7 +315,7 @@
         if (failure != AttemptFailure.NOT_SENT && failure != AttemptFailure.NOT_EXECUTED) possibleRuns++
         val isHostUnreachable = failure == AttemptFailure.NOT_SENT && source.placed.backendServer.isEmpty()
         if (isHostUnreachable) context.forwardTargets.recordUnreachable(source.address, context.clock.nowMs())
-        context.complete(source.placed, resultOf(failure, source))
+        context.complete(source.placed, failure.toResult(source.isMisdirected))
         if (phase != Phase.SENT) return
         cursor.dropPartial()
         val isExemptFromBudget = failure == AttemptFailure.NOT_SENT
@@ -356,14 +347,6 @@
         )
     }
 
-    private fun resultOf(failure: AttemptFailure, source: Attempt): AttemptResult = when (failure) {
-        AttemptFailure.NOT_SENT -> AttemptResult.UNREACHABLE
-        AttemptFailure.NOT_EXECUTED -> if (source.isMisdirected) AttemptResult.UNREACHABLE else AttemptResult.REFUSED
-        AttemptFailure.UNKNOWN -> AttemptResult.CONNECTION_LOST
-        AttemptFailure.RAN_AND_FAILED -> AttemptResult.SERVER_ERROR
-        AttemptFailure.SILENT -> AttemptResult.TIMED_OUT
-    }
-
     private fun onDeadline() {
         when (phase) {
             Phase.DONE -> return
@@ -374,7 +357,7 @@
             }
 
             // The backend server enforces the same deadline; its response may still be in flight.
-            Phase.SENT -> context.schedule(DEADLINE_GRACE_MS) {
+            Phase.SENT -> context.schedule(StopState.RESPONSE_GRACE_MS) {
                 if (phase == Phase.SENT) {
                     if (attempt != null) possibleRuns++
                     attempt?.cancel(AttemptResult.TIMED_OUT)
@@ -423,13 +406,26 @@
         context.openExchanges--
     }
 
-    private class ResolvedRequest(
+    private inner class ResolvedRequest(
         val route: Route,
         val metadata: RequestMetadata,
         val serviceName: String,
         val deadlineMs: Long,
         val documentNumber: Long,
-    )
+    ) {
+        /** Returns the headers for [backendServer], or for a host of another region if it is null. */
+        fun backendHeaders(placed: PlacedAttempt, backendServer: String?): HttpHeaders {
+            val metadata = BackendRequestMetadata(
+                backendServer = backendServer,
+                remainingMs = (deadlineMs - context.clock.nowMs()).coerceAtLeast(1),
+                priority = route.priority,
+                lastEventId = if (route.kind == RouteKind.STREAM) cursor.lastEventId else null,
+                cacheSource = placed.cacheSourceAddress.ifEmpty { null },
+            )
+            val forwardedService = serviceName.takeIf { backendServer == null }
+            return BackendRequestHeaders.of(request, context.dialect, metadata, forwardedService, ageMs)
+        }
+    }
 
     private enum class Phase { NEW, WAITING, SENT, DONE }
 
@@ -452,7 +448,6 @@
         /** During startup, a request waits for backend servers for at most its timeout divided by this value. */
         const val STARTUP_WAIT_DIVISOR = 4
         const val STARTUP_POLL_MS = 50L
-        const val DEADLINE_GRACE_MS = 150L
         const val DEFAULT_RETRY_AFTER_MS = 200L
     }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/PlannedStop.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/PlannedStop.kt
@@ -21,7 +21,7 @@
      * [hostListLifetimeMs] is the time for which callers use a host that has left their lists, in milliseconds.
      */
     suspend fun await(hostListLifetimeMs: Long, endMs: Long, openExchanges: () -> Int): Boolean {
-        state.begin(nowMs() + hostListLifetimeMs, endMs)
+        state.begin(nowMs() + hostListLifetimeMs, endMs - StopState.RESPONSE_GRACE_MS)
         delay(hostListLifetimeMs)
         drain.refuseUnsent()
         delay(LISTENER_CLOSE_DELAY_MS)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/StopState.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/StopState.kt
@@ -14,7 +14,7 @@
 
     /**
      * Begins a stop; requests are still accepted until [restrictAtMs], because callers may have only this host on their
-     * lists. After that, only those are accepted that end by [endMs], when the process ends.
+     * lists. After that, only those are accepted whose wait ends by [endMs].
      */
     fun begin(restrictAtMs: Long, endMs: Long) {
         schedule = Schedule(restrictAtMs, endMs)
@@ -31,5 +31,10 @@
         return nowMs() < current.restrictAtMs || deadlineMs <= current.endMs
     }
 
+    companion object {
+        /** A response may arrive this long after the deadline of its request, which the backend server enforces. */
+        const val RESPONSE_GRACE_MS: Long = 150
+    }
+
     private class Schedule(val restrictAtMs: Long, val endMs: Long)
 }
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
@@ -91,7 +91,7 @@
         String(caller.getInputStream().readAllBytes()).also { stop.join() }
     }
 
-    /** Guards against sending a request that has waited for a slot when the host can no longer wait for its response. */
+    /** Guards against sending a request that waited for a slot when the host can no longer wait for its response. */
     @Test
     fun `a request that waits for a slot when a stop gets close to its end is refused at once`() {
         val mayEnd = CountDownLatch(1)
