Simplify how a crash names the one before it

Cause: read as a newcomer, the formatter's wrapping of an if expression hides what it does. Change: the same value, written once. Behaviour is the same.

--- a/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/suspect/CrashEvidenceTable.kt
@@ -64,13 +64,8 @@
         }
         val proven = keys.mapNotNull { key -> provenHere[key]?.let { ProvenKey(key, (nowMs - it).coerceAtLeast(0)) } }
         val run = CrashedRun(backendServer, incarnation, 0, runMs.coerceAtLeast(0), keys, positions)
-        val linked = if (after ==
-            null
-        ) {
-            run
-        } else {
-            run.copy(afterServer = after.backendServer, afterIncarnation = after.incarnation)
-        }
+        val linked =
+            after?.let { run.copy(afterServer = it.backendServer, afterIncarnation = it.incarnation) } ?: run
         return merge(CrashEvidence(listOf(linked), proven), nowMs)
     }
 
