Let a replica that no leader contacts ask to be added to its group

Cause: a replica announced itself only if its own log did not name it. The leader sends nothing to a removed replica, so that its log names it for good.

Change: a replica that no leader has contacted for the longest election timeout announces itself as well. The leader ignores it if it is a voter. As announcements depend on the silence of the leader only, it holds for every way in which a voter is away. The replicas of the tests move to a fixture; their assertions are unchanged.

--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusNode.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusNode.kt
@@ -48,6 +48,12 @@
     /** Latest voter set in the log, committed or not. */
     public val voters: List<String> get() = state.log.voters
 
+    /**
+     * True while this replica cannot rely on being a voter: its log does not name it, or no leader contacts it. It must
+     * then ask the leader to be added, which has no effect if it is a voter.
+     */
+    public val isMembershipUncertain: Boolean get() = !state.isVoter || state.isLeaderSilent
+
     /** Returns the term of the entry at [index], or null when the entry is trimmed or does not exist. */
     public fun termAt(index: Long): Long? = state.log.termAt(index)
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/NodeState.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/NodeState.kt
@@ -42,6 +42,13 @@
 
     val isVoter: Boolean get() = config.self in log.voters
 
+    /**
+     * True while no leader contacts this replica. The group may have removed it then, as the leader that replicates a
+     * removal no longer sends anything to the removed replica.
+     */
+    val isLeaderSilent: Boolean
+        get() = role != ConsensusRole.LEADER && nowMs - leaderContactMs > config.electionTimeoutMaxMs
+
     fun quorum(): Int = log.voters.size / 2 + 1
 
     /** Returns true while a vote for another candidate could violate the lease of a leader. */
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReconfigurationPlanner.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReconfigurationPlanner.kt
@@ -9,7 +9,7 @@
     private val announcements = HashMap<String, Announcement>()
     private val lastUpMs = HashMap<String, Long>()
 
-    /** Records that the replica [identity] is running and is not a voter yet. */
+    /** Records that the replica [identity] is running and may not be a voter. */
     fun onAnnouncement(identity: String, nowMs: Long) {
         val host = ReplicaAddress.hostOf(identity)
         if (host in stateHosts()) announcements[host] = Announcement(identity, nowMs)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaAddress.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaAddress.kt
@@ -8,7 +8,7 @@
  * Replica identities and the addresses derived from them.
  *
  * The identity of a founding replica is its host name; that of a later replica is `host#` and a random hexadecimal
- * number. A replica that is not a voter announces itself to the address `host#?`, which is never an identity.
+ * number. A replica that may not be a voter announces itself to the address `host#?`, which is never an identity.
  */
 internal object ReplicaAddress {
     fun newIdentity(hostName: String, random: Random): String = "$hostName#" + random.nextLong().toULong().toString(16)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -40,8 +40,8 @@
  * Runs one replica: consensus in one coroutine, storage writes in another, messages over [network].
  *
  * Every committed entry is applied to the state machine, including no-ops and voter changes. A replica that is not a
- * voter announces itself to [stateHosts]; the leader adds it as a learner and, after it has caught up, as a voter that
- * replaces an earlier replica of the same host.
+ * voter, or that no leader contacts, announces itself to [stateHosts]; the leader adds it as a learner and, after it has
+ * caught up, as a voter that replaces an earlier replica of the same host.
  */
 public class ReplicaGroup<R>(
     override val name: String,
--- /dev/null
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupFixture.kt
@@ -0,0 +1,114 @@
+package org.arbutusrelay.daemon.consensus
+
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestScope
+import org.arbutusrelay.core.consensus.ConsensusConfig
+import org.arbutusrelay.core.consensus.StateMachine
+import org.arbutusrelay.daemon.link.FrameReceiver
+import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.daemon.link.LinkNetwork
+import org.arbutusrelay.daemon.storage.ConsensusStorage
+import org.arbutusrelay.schema.message.LinkFrame
+import org.arbutusrelay.schema.message.ManifestRecord
+import org.arbutusrelay.schema.message.ReplicatedCommand
+import kotlin.random.Random
+import kotlin.test.assertEquals
+
+/** Replicas of one group that run in virtual time on a network in memory. */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class ReplicaGroupFixture(private val stateHosts: List<String>) {
+    private val cutHosts = HashSet<String>()
+    private var startCount = 0
+    val networks = HashMap<String, FakeNetwork>()
+    val stateMachines = HashMap<String, SumStateMachine>()
+
+    fun startReplica(
+        scope: TestScope,
+        host: String,
+        storage: ConsensusStorage,
+        foundingVoters: List<String>?,
+        options: ReplicaGroupOptions = ReplicaGroupOptions(),
+        configure: (ConsensusConfig) -> ConsensusConfig = { it.copy(trailingEntries = 5) },
+    ): ReplicaGroup<Long> {
+        val dispatcher = StandardTestDispatcher(scope.testScheduler)
+        networks[host] = FakeNetwork(host)
+        stateMachines[host] = SumStateMachine()
+        val group = ReplicaGroup(
+            name = "manifest",
+            storage = storage,
+            stateMachine = stateMachines.getValue(host),
+            network = networks.getValue(host),
+            stateHosts = { stateHosts.toSet() },
+            // A host must not get the same identity again after it has lost its disk.
+            random = Random(host.hashCode() + startCount++),
+            foundingVoters = foundingVoters,
+            timeSource = scope.testScheduler.timeSource,
+            options = options,
+            driverDispatcher = dispatcher,
+            storageDispatcher = dispatcher,
+            configure = configure,
+        )
+        assertEquals(null, group.start().leftOrNull())
+        return group
+    }
+
+    /** Drops all messages to and from [host] until [reconnect]. */
+    fun cutOff(host: String) {
+        cutHosts += host
+    }
+
+    fun reconnect(host: String) {
+        cutHosts -= host
+    }
+
+    suspend fun awaitLeader(groups: Collection<ReplicaGroup<Long>>): ReplicaGroup<Long> {
+        repeat(1_000) {
+            groups.firstOrNull { it.isLeaseHeld() }?.let { return it }
+            delay(10)
+        }
+        error("no leader in 10 s: ${groups.map { it.term to it.failure }}")
+    }
+
+    fun command(number: Long) = ReplicatedCommand(manifest = ManifestRecord(number, "", ""))
+
+    internal class SumStateMachine : StateMachine<Long> {
+        var sum = 0L
+        var isFailing = false
+
+        override fun apply(index: Long, command: ReplicatedCommand): Long {
+            require(!isFailing) { "simulated failure" }
+            sum += command.manifest?.number ?: 0
+            return sum
+        }
+
+        override fun snapshot() = sum.toString().toByteArray()
+
+        override fun restore(snapshot: ByteArray) {
+            sum = snapshot.decodeToString().toLong()
+        }
+    }
+
+    internal inner class FakeNetwork(private val host: String) : LinkNetwork {
+        override val self = HostIdentity(host, "hue", "hue-1", 1)
+        private val receivers = ArrayList<FrameReceiver>()
+
+        override fun send(hostName: String, frame: LinkFrame): Boolean {
+            if (isCut(hostName)) return false
+            val target = networks[hostName] ?: return false
+            target.receivers.forEach { it.onFrame(self, frame) }
+            return true
+        }
+
+        override fun connected() = networks.filterKeys { !isCut(it) }.mapValues { it.value.self }
+
+        override fun connect(hostName: String, address: String) = Unit
+
+        override fun addReceiver(receiver: FrameReceiver) {
+            receivers += receiver
+        }
+
+        private fun isCut(other: String) = other != host && (host in cutHosts || other in cutHosts)
+    }
+}
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupTest.kt
@@ -5,20 +5,12 @@
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.test.StandardTestDispatcher
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.runTest
 import org.arbutusrelay.core.consensus.LostVoter
-import org.arbutusrelay.core.consensus.StateMachine
 import org.arbutusrelay.core.error.Outcome
-import org.arbutusrelay.daemon.link.FrameReceiver
-import org.arbutusrelay.daemon.link.HostIdentity
-import org.arbutusrelay.daemon.link.LinkNetwork
 import org.arbutusrelay.daemon.storage.ConsensusStorage
 import org.arbutusrelay.daemon.storage.MemoryConsensusStorage
-import org.arbutusrelay.schema.message.LinkFrame
-import org.arbutusrelay.schema.message.ManifestRecord
-import org.arbutusrelay.schema.message.ReplicatedCommand
 import kotlin.random.Random
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -28,8 +20,7 @@
 @OptIn(ExperimentalCoroutinesApi::class)
 class ReplicaGroupTest {
     private val names = listOf("a", "b", "c")
-    private val networks = HashMap<String, FakeNetwork>()
-    private val stateMachines = HashMap<String, SumStateMachine>()
+    private val fixture = ReplicaGroupFixture(names)
 
     /** Guards against proposals that are lost, applied twice or completed with the result of another one. */
     @Test
@@ -40,7 +31,7 @@
         val results = (1L..200L).map { async { leader.propose(command(it)).getOrNull() } }.awaitAll()
         assertEquals(200, results.filterNotNull().toSet().size)
         delay(500)
-        assertEquals(setOf(200L * 201 / 2), stateMachines.values.map { it.sum }.toSet())
+        assertEquals(setOf(200L * 201 / 2), fixture.stateMachines.values.map { it.sum }.toSet())
         assertTrue(storages.values.all { it.logSyncCount < 100 }, "syncs: ${storages.values.map { it.logSyncCount }}")
         val follower = groups.first { it !== leader }
         assertEquals(Outcome.NOT_RUN, follower.propose(command(1)).leftOrNull()?.kind?.outcome)
@@ -74,7 +65,7 @@
         val host = lost.name(groups)
         assertEquals(3, leader.voters.size, "${leader.voters}")
         assertTrue(leader.voters.any { it.startsWith("$host#") } && host !in leader.voters, "${leader.voters}")
-        assertEquals(50L * 51 / 2, stateMachines.getValue(host).sum)
+        assertEquals(50L * 51 / 2, fixture.stateMachines.getValue(host).sum)
         assertEquals(null, joined.failure)
         (groups - lost + joined).forEach { it.stop() }
     }
@@ -83,24 +74,25 @@
     @Test
     fun `a lost voter of two is removed once and its host is added again`() = runTest {
         val hosts = listOf("a", "b")
+        val pair = ReplicaGroupFixture(hosts)
         val storage = MemoryConsensusStorage()
         val first =
-            listOf(startReplica("a", storage, hosts, hosts), startReplica("b", MemoryConsensusStorage(), hosts, hosts))
+            listOf(startReplica("a", storage, hosts, pair), startReplica("b", MemoryConsensusStorage(), hosts, pair))
         val leader = awaitLeader(first)
         (1L..50L).forEach { leader.propose(command(it)) }
         first.reversed().forEach { it.stop() }
         val lost = LostVoter("b", first[0].term)
-        val survivor = startReplica("a", storage, null, hosts, lost)
-        val replacement = startReplica("b", MemoryConsensusStorage(), null, hosts)
+        val survivor = startReplica("a", storage, null, pair, lost)
+        val replacement = startReplica("b", MemoryConsensusStorage(), null, pair)
         delay(8_000)
         assertEquals(0, survivor.removedLostVoters)
         delay(12_000)
         assertEquals(1, survivor.removedLostVoters)
         assertEquals(listOf("a", "b#"), survivor.voters.map { it.take(2) })
         assertNotNull(survivor.propose(command(51)).getOrNull())
-        assertEquals(51L * 52 / 2, stateMachines.getValue("a").sum)
+        assertEquals(51L * 52 / 2, pair.stateMachines.getValue("a").sum)
         survivor.stop()
-        val restarted = startReplica("a", storage, null, hosts, lost)
+        val restarted = startReplica("a", storage, null, pair, lost)
         delay(20_000)
         assertEquals(listOf(0L, 1L), listOf(restarted.removedLostVoters, restarted.refusedLostVoters))
         assertEquals(2, restarted.voters.size)
@@ -112,7 +104,7 @@
     fun `a failing state machine stops the replica and fails proposals as unknown`() = runTest {
         val group = startReplica("a", MemoryConsensusStorage(), listOf("a"))
         val leader = awaitLeader(listOf(group))
-        stateMachines.getValue("a").isFailing = true
+        fixture.stateMachines.getValue("a").isFailing = true
         assertEquals(Outcome.UNKNOWN, leader.propose(command(1)).leftOrNull()?.kind?.outcome)
         assertNotNull(group.failure)
         assertEquals(false, group.isLeaseHeld())
@@ -123,12 +115,11 @@
     @Test
     fun `close stops the replica and closes its storage before it returns`() = runBlocking {
         val storage = CloseTrackingStorage()
-        networks["a"] = FakeNetwork("a", networks)
         val group = ReplicaGroup(
             name = "manifest",
             storage = storage,
-            stateMachine = SumStateMachine(),
-            network = networks.getValue("a"),
+            stateMachine = ReplicaGroupFixture.SumStateMachine(),
+            network = fixture.FakeNetwork("a"),
             stateHosts = { setOf("a") },
             random = Random(1),
             foundingVoters = listOf("a"),
@@ -157,73 +148,14 @@
         host: String,
         storage: ConsensusStorage,
         foundingVoters: List<String>?,
-        stateHosts: List<String> = names,
+        stateHosts: ReplicaGroupFixture = fixture,
         lost: LostVoter? = null,
     ): ReplicaGroup<Long> {
-        val dispatcher = StandardTestDispatcher(testScheduler)
-        networks[host] = FakeNetwork(host, networks)
-        stateMachines[host] = SumStateMachine()
-        val group = ReplicaGroup(
-            name = "manifest",
-            storage = storage,
-            stateMachine = stateMachines.getValue(host),
-            network = networks.getValue(host),
-            stateHosts = { stateHosts.toSet() },
-            random = Random(host.hashCode()),
-            foundingVoters = foundingVoters,
-            timeSource = testScheduler.timeSource,
-            options = ReplicaGroupOptions(snapshotEntries = 20, lostVoter = lost),
-            driverDispatcher = dispatcher,
-            storageDispatcher = dispatcher,
-            configure = { it.copy(trailingEntries = 5) },
-        )
-        assertEquals(null, group.start().leftOrNull())
-        return group
-    }
-
-    private suspend fun awaitLeader(groups: List<ReplicaGroup<Long>>): ReplicaGroup<Long> {
-        repeat(1_000) {
-            groups.firstOrNull { it.isLeaseHeld() }?.let { return it }
-            delay(10)
-        }
-        error("no leader in 10 s: ${groups.map { it.term to it.failure }}")
-    }
-
-    private fun command(number: Long) = ReplicatedCommand(manifest = ManifestRecord(number, "", ""))
-
-    private class SumStateMachine : StateMachine<Long> {
-        var sum = 0L
-        var isFailing = false
-
-        override fun apply(index: Long, command: ReplicatedCommand): Long {
-            require(!isFailing) { "simulated failure" }
-            sum += command.manifest?.number ?: 0
-            return sum
-        }
-
-        override fun snapshot() = sum.toString().toByteArray()
-
-        override fun restore(snapshot: ByteArray) {
-            sum = snapshot.decodeToString().toLong()
-        }
+        val options = ReplicaGroupOptions(snapshotEntries = 20, lostVoter = lost)
+        return stateHosts.startReplica(this, host, storage, foundingVoters, options)
     }
 
-    private class FakeNetwork(host: String, private val all: Map<String, FakeNetwork>) : LinkNetwork {
-        override val self = HostIdentity(host, "hue", "hue-1", 1)
-        private val receivers = ArrayList<FrameReceiver>()
+    private suspend fun awaitLeader(groups: List<ReplicaGroup<Long>>) = fixture.awaitLeader(groups)
 
-        override fun send(hostName: String, frame: LinkFrame): Boolean {
-            val target = all[hostName] ?: return false
-            target.receivers.forEach { it.onFrame(self, frame) }
-            return true
-        }
-
-        override fun connected() = all.mapValues { it.value.self }
-
-        override fun connect(hostName: String, address: String) = Unit
-
-        override fun addReceiver(receiver: FrameReceiver) {
-            receivers += receiver
-        }
-    }
+    private fun command(number: Long) = fixture.command(number)
 }
