Keep a voter that is away while another host replaces its disk

A new leader also judged voters by contacts of an earlier time as leader.

Cause: any new replica was taken for the replacement of each unreachable voter.

Change: an unreachable voter is removed from an odd number of voters only when a new replica is to take its place, which keeps the majority as large as it was, and from an even number only without one. So a group of six with a lost voter shrinks to five, which survives one loss more. Contacts count from the start of a leadership.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReconfigurationPlanner.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReconfigurationPlanner.kt
@@ -28,22 +28,31 @@
         return announcements.values.map { it.identity }.toSet() - voters.toSet()
     }
 
+    /** Forgets when voters were reachable; called while another replica leads, because only the leader records it. */
+    fun onFollower(): Unit = lastUpMs.clear()
+
     /**
      * Returns the voters after the next single change, or null when no change is needed.
      *
      * The old identity of a host that announces a new one is removed first: its disk is lost, so it only raises the
-     * number of replicas that a majority requires. The same applies to a voter that stays unreachable while a new
-     * replica is available; when it is reachable again, it announces itself and is added again.
+     * number of replicas that a majority requires. A voter that stays unreachable is removed only where that does not
+     * lower the number of losses that the group survives: from an odd number of voters when a new replica takes its
+     * place, and from an even number when none is available. A removed replica announces itself when it is back.
      */
     fun nextVoters(voters: List<String>, nowMs: Long): List<String>? {
         val learners = learners(voters, nowMs)
-        if (learners.isEmpty()) return null
-        val hosts = learners.map(ReplicaAddress::hostOf).toSet()
-        val removable = voters.firstOrNull { ReplicaAddress.hostOf(it) in hosts } ?: firstUnreachable(voters, nowMs)
+        val learnerHosts = learners.map(ReplicaAddress::hostOf).toSet()
+        val replaced = voters.firstOrNull { ReplicaAddress.hostOf(it) in learnerHosts }
+        val removable = replaced ?: firstUnreachable(voters, nowMs)?.takeIf { mayRemove(voters.size, learners.size) }
         if (removable != null) return (voters - removable).takeIf { it.isNotEmpty() }
         return learners.minOrNull()?.takeIf { voters.size < maxVoters }?.let { voters + it }
     }
 
+    private fun mayRemove(voterCount: Int, learnerCount: Int): Boolean {
+        val isEven = voterCount % 2 == 0
+        return if (learnerCount == 0) isEven else !isEven || voterCount >= maxVoters
+    }
+
     private fun firstUnreachable(voters: List<String>, nowMs: Long): String? {
         val timeoutMs = replaceAfterMs ?: return null
         return voters.firstOrNull { nowMs - (lastUpMs[it] ?: nowMs) > timeoutMs }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
@@ -213,6 +213,7 @@
         nextMaintenanceMs = now + MAINTENANCE_INTERVAL_MS
         lostVoterRemoval.pollDue(now)?.let { step(ConsensusEvent.RemoveLostVoter(it)) }
         if (node.role == ConsensusRole.LEADER) return updateVoters(now)
+        planner.onFollower()
         if (!node.isMembershipUncertain) return
         for (host in otherHosts()) {
             val message = ReplicaAddress.announcement(node.config.group, node.config.self, host)
