Limit the replicated log in memory by bytes

Each entry holds a whole document, and the heap of a state host holds some 170 of them. As all replicas hold the same log, they run out of memory together.

The limits hold for each group, so for the manifest and the ledger of arbutusd as well.

--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusConfig.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusConfig.kt
@@ -27,6 +27,8 @@
     val snapshotChunkBytes: Int = 256 * 1024,
     /** Entries retained before the latest snapshot, so that a slightly lagging follower needs no snapshot. */
     val trailingEntries: Int = 1_000,
+    /** Maximum size of these entries, as the sum of [commandBytes]; the log is kept in memory. */
+    val trailingBytes: Long = 4L * 1024 * 1024,
     /** Maximum number of committed entries that a learner may lag behind when it becomes a voter. */
     val catchUpEntries: Int = 64,
     /**
--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusNode.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusNode.kt
@@ -45,6 +45,9 @@
     /** Last index that the latest snapshot includes. */
     public val snapshotIndex: Long get() = state.log.snapshot.lastIndex
 
+    /** Size of the latest snapshot in bytes. */
+    public val snapshotBytes: Int get() = state.log.snapshot.state.size
+
     /** Latest voter set in the log, committed or not. */
     public val voters: List<String> get() = state.log.voters
 
@@ -57,6 +60,9 @@
     /** Returns the term of the entry at [index], or null when the entry is trimmed or does not exist. */
     public fun termAt(index: Long): Long? = state.log.termAt(index)
 
+    /** Returns the size of the command at [index] in bytes, or 0 when the entry is trimmed or does not exist. */
+    public fun bytesAt(index: Long): Int = state.log.bytesAt(index)
+
     /** Returns true while this replica is a leader with a committed entry of its term and no other can be elected. */
     public fun isLeaseHeld(nowMs: Long): Boolean = nowMs < leaseUntilMs(nowMs)
 
@@ -151,7 +157,7 @@
         if (event.index <= state.log.snapshot.lastIndex || event.index > state.commitIndex) return
         val term = state.log.termAt(event.index) ?: return
         val snapshot = ConsensusSnapshot(event.index, term, state.log.votersAt(event.index), event.state)
-        val trimTo = maxOf(state.log.baseIndex, event.index - config.trailingEntries)
+        val trimTo = state.log.trimIndex(event.index)
         state.log.compact(snapshot, trimTo)
         state.outbox.writeSnapshot(snapshot, trimTo)
     }
--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/ReplicatedLog.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/ReplicatedLog.kt
@@ -64,6 +64,22 @@
         return entries.subList(first, position).toList()
     }
 
+    /** Returns the size of the entry at [index] in bytes, or 0 when the entry is trimmed. */
+    fun bytesAt(index: Long): Int = if (index in baseIndex + 1..lastIndex) entryBytes[(index - baseIndex - 1).toInt()] else 0
+
+    /** Returns the last index to trim once a snapshot ends at [snapshotIndex], within the limits on trailing entries. */
+    fun trimIndex(snapshotIndex: Long): Long {
+        val firstKept = maxOf(baseIndex, snapshotIndex - config.trailingEntries)
+        var index = snapshotIndex
+        var bytes = 0L
+        while (index > firstKept) {
+            bytes += bytesAt(index)
+            if (bytes > config.trailingBytes) break
+            index--
+        }
+        return index
+    }
+
     /** Returns the last index before the entries of the term at [index], as a hint where the logs may match. */
     fun indexBeforeTermAt(index: Long): Long {
         val term = termAt(index) ?: return baseIndex
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/PendingProposals.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/PendingProposals.kt
@@ -15,21 +15,30 @@
 
 /** Appended proposals whose entries are not applied yet, by log index. Confined to the driver coroutine. */
 internal class PendingProposals<R> {
-    private val byIndex = HashMap<Long, Pair<Long, Proposal<R>>>()
+    private val byIndex = HashMap<Long, Appended<R>>()
     val size: Int get() = byIndex.size
 
-    fun add(index: Long, term: Long, proposal: Proposal<R>) {
-        byIndex[index] = term to proposal
+    /** Size of the pending commands in bytes. */
+    var sizeBytes: Long = 0
+        private set
+
+    fun add(index: Long, term: Long, proposal: Proposal<R>, bytes: Int) {
+        byIndex[index] = Appended(term, proposal, bytes)
+        sizeBytes += bytes
     }
 
     /** Completes the proposal at the index of [entry], with [replacedError] if another leader's entry replaced it. */
     fun onApplied(entry: LogEntry, result: R, replacedError: RelayError) {
-        val (term, proposal) = byIndex.remove(entry.index) ?: return
-        proposal.result.complete(if (term == entry.term) result.right() else replacedError.left())
+        val appended = byIndex.remove(entry.index) ?: return
+        sizeBytes -= appended.bytes
+        appended.proposal.result.complete(if (appended.term == entry.term) result.right() else replacedError.left())
     }
 
     fun failAll(error: RelayError) {
-        byIndex.values.forEach { (_, proposal) -> proposal.result.complete(error.left()) }
+        byIndex.values.forEach { it.proposal.result.complete(error.left()) }
         byIndex.clear()
+        sizeBytes = 0
     }
+
+    private class Appended<R>(val term: Long, val proposal: Proposal<R>, val bytes: Int)
 }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
@@ -42,6 +42,9 @@
     private val pending = PendingProposals<R>()
     private var proposedBatch: List<Proposal<R>> = emptyList()
     private var appliedIndex = node.snapshotIndex
+
+    /** Size of the commands that were applied since the latest snapshot. */
+    private var appliedBytes = 0L
     private var nextMaintenanceMs = 0L
     val storageWriter = StorageWriter(
         storage,
@@ -142,7 +145,7 @@
     }
 
     private fun propose(batch: List<Proposal<R>>) {
-        if (pending.size + batch.size > options.maxPending) {
+        if (pending.size + batch.size > options.maxPending || pending.sizeBytes >= options.maxPendingBytes) {
             val error = RelayError(ErrorKind.OVERLOADED, "too many commands wait for ${node.config.group}")
             return batch.forEach { it.result.complete(error.left()) }
         }
@@ -172,6 +175,7 @@
             is ConsensusEffect.Restore -> {
                 stateMachine.restore(effect.snapshot.state)
                 appliedIndex = effect.snapshot.lastIndex
+                appliedBytes = 0
             }
 
             is ConsensusEffect.RoleChange -> if (effect.role != ConsensusRole.LEADER) pending.failAll(outcomeUnknown())
@@ -186,7 +190,8 @@
         val refusal = effect.refusal
         proposedBatch.forEachIndexed { position, proposal ->
             if (refusal == null) {
-                pending.add(effect.firstIndex + position, effect.term, proposal)
+                val index = effect.firstIndex + position
+                pending.add(index, effect.term, proposal, node.bytesAt(index))
             } else {
                 val detail = "${node.config.group}: ${refusal.name.lowercase()}"
                 proposal.result.complete(RelayError(options.unavailableKind, detail).left())
@@ -199,13 +204,15 @@
         for (entry in entries) {
             val result = stateMachine.apply(entry.index, entry.command)
             appliedIndex = entry.index
+            appliedBytes += node.bytesAt(entry.index)
             onApplied(entry.index, result)
             pending.onApplied(entry, result, outcomeUnknown())
         }
     }
 
     private fun maintain(otherHosts: () -> Set<String>) {
-        if (appliedIndex - node.snapshotIndex >= options.snapshotEntries) {
+        if (isSnapshotDue()) {
+            appliedBytes = 0
             step(ConsensusEvent.SnapshotTaken(appliedIndex, stateMachine.snapshot()))
         }
         val now = nowMs()
@@ -221,6 +228,9 @@
         }
     }
 
+    private fun isSnapshotDue(): Boolean = appliedIndex - node.snapshotIndex >= options.snapshotEntries ||
+        appliedBytes >= maxOf(options.snapshotBytes, node.snapshotBytes.toLong())
+
     private fun updateVoters(now: Long) {
         planner.onReachable(network.connected().keys + network.self.hostName, node.voters, now)
         step(ConsensusEvent.SetLearners(planner.learners(node.voters, now)))
