Repeat writes that a full disk refuses

After three such disks no configuration could be changed or read.

Cause: the storage returned its first error for ever, and the writer and the driver of the replica ended with it.

The storage truncates what a failed append may have left, writes the record again to a new segment, and repeats a batch without doubling the entries that were written. Files that a failed step left (a new segment, a segment to delete) no longer block the next try. A leader whose disk fails accepts no commands, as not run, and transfers leadership.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
@@ -47,11 +47,15 @@
     private var appliedBytes = 0L
     private var nextMaintenanceMs = 0L
     val storageWriter = StorageWriter(
+        node.config.group,
         storage,
-        onSynced = { controlQueue.trySend(Input.Event(ConsensusEvent.Persisted(it))) },
-        onFailure = { controlQueue.trySend(Input.Stop("storage: $it")) },
+        onSynced = { controlQueue.trySend(Input.Synced(it)) },
+        onFailing = { controlQueue.trySend(Input.StorageFailing) },
     )
 
+    /** True while writes to storage fail. */
+    private var isStorageFailing = false
+
     fun submit(proposal: Proposal<R>): Boolean = queue.trySend(Input.Propose(proposal)).isSuccess
 
     fun requestTransfer() {
@@ -76,7 +80,7 @@
         }
     }
 
-    /** Runs until a stop is requested, storage fails or an invariant is violated. */
+    /** Runs until a stop is requested or an invariant is violated. */
     suspend fun run(otherHosts: () -> Set<String>) {
         var reason: String? = "unexpected error"
         try {
@@ -119,12 +123,27 @@
     private fun handle(input: Input<R>) {
         when (input) {
             is Input.Event -> step(input.event)
+
+            is Input.Synced -> onSynced(input.id)
+
+            is Input.StorageFailing -> onStorageFailing()
             is Input.Message -> onMessage(input.message)
             is Input.Propose -> proposeBatch(input)
             is Input.Stop -> Unit
         }
     }
 
+    private fun onSynced(id: Long) {
+        isStorageFailing = false
+        step(ConsensusEvent.Persisted(id))
+    }
+
+    /** Lets a voter with a sound disk lead; until then, this replica accepts no commands that it could not store. */
+    private fun onStorageFailing() {
+        isStorageFailing = true
+        step(ConsensusEvent.TransferLeadership())
+    }
+
     private fun onMessage(message: ConsensusMessage) {
         if (ReplicaAddress.isAnnouncement(message)) planner.onAnnouncement(message.from, nowMs())
         step(ConsensusEvent.Receive(message))
@@ -149,6 +168,10 @@
             val error = RelayError(ErrorKind.OVERLOADED, "too many commands wait for ${node.config.group}")
             return batch.forEach { it.result.complete(error.left()) }
         }
+        if (isStorageFailing) {
+            val error = RelayError(options.unavailableKind, "${node.config.group}: storage cannot be written")
+            return batch.forEach { it.result.complete(error.left()) }
+        }
         proposedBatch = batch
         step(ConsensusEvent.Propose(batch.map { it.command }))
         proposedBatch = emptyList()
@@ -159,7 +182,8 @@
         val effects = node.step(event, now)
         // Published before the effects run: a message that ends the lease must not be sent while other threads can
         // still see the lease as held.
-        status.value = ReplicaStatus(node.role, node.leader, node.term, node.voters, node.leaseUntilMs(now))
+        val leaseUntilMs = node.leaseUntilMs(now)
+        status.value = ReplicaStatus(node.role, node.leader, node.term, node.voters, leaseUntilMs, isStorageFailing)
         effects.forEach(::execute)
     }
 
@@ -244,6 +268,10 @@
     private sealed interface Input<out R> {
         class Event(val event: ConsensusEvent) : Input<Nothing>
 
+        class Synced(val id: Long) : Input<Nothing>
+
+        data object StorageFailing : Input<Nothing>
+
         class Message(val message: ConsensusMessage) : Input<Nothing>
 
         class Propose<R>(val proposal: Proposal<R>) : Input<R>
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -82,6 +82,9 @@
     /** Hosts of the current voters as known to this replica. */
     public val voterHosts: Set<String> get() = voters.map(ReplicaAddress::hostOf).toSet()
 
+    /** True while this replica cannot write to its storage and takes no part in decisions. */
+    public val isStorageFailing: Boolean get() = status.value.isStorageFailing
+
     /** Cause of a stop that was not requested, or null. */
     public val failure: String? get() = status.value.failure
 
@@ -200,5 +203,6 @@
     val term: Long = 0,
     val voters: List<String> = emptyList(),
     val leaseUntilMs: Long = Long.MIN_VALUE,
+    val isStorageFailing: Boolean = false,
     val failure: String? = null,
 )
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/storage/ConsensusStorage.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/storage/ConsensusStorage.kt
@@ -18,7 +18,8 @@
     /**
      * Performs [writes] in order and returns when all of them are synced.
      *
-     * After an error the state on disk is undefined, and each further call returns the same error.
+     * After an error nothing of [writes] counts as written. The next call must begin with the same writes, and succeeds
+     * once the disk accepts them.
      */
     public fun write(writes: List<ConsensusEffect.Persist>): Either<StorageError, Unit>
 }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/storage/DataFolder.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/storage/DataFolder.kt
@@ -1,18 +1,16 @@
 package org.arbutusrelay.daemon.storage
 
 import java.nio.ByteBuffer
-import java.nio.channels.FileChannel
 import java.nio.file.Files
 import java.nio.file.Path
-import java.nio.file.StandardCopyOption
 import java.nio.file.StandardOpenOption
 
 /** The data folder of one replica. */
-internal class DataFolder(val path: Path) {
+internal class DataFolder(val path: Path, val operations: FileOperations = SystemFiles) {
     init {
         Files.createDirectories(path)
         path.toAbsolutePath().parent?.let(::syncFolder)
-        files().filter { it.endsWith(TEMPORARY_SUFFIX) }.forEach { Files.delete(file(it)) }
+        files().filter { it.endsWith(TEMPORARY_SUFFIX) }.forEach { operations.delete(file(it)) }
     }
 
     fun file(name: String): Path = path.resolve(name)
@@ -23,11 +21,11 @@
     fun replace(name: String, content: ByteBuffer) {
         val temporaryFile = file(name + TEMPORARY_SUFFIX)
         val options = arrayOf(StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)
-        FileChannel.open(temporaryFile, *options).use { channel ->
-            while (content.hasRemaining()) channel.write(content)
-            channel.force(true)
+        operations.open(temporaryFile, *options).use { channel ->
+            operations.write(channel, content)
+            operations.sync(channel)
         }
-        Files.move(temporaryFile, file(name), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING)
+        operations.replace(temporaryFile, file(name))
         sync()
     }
 
@@ -35,7 +33,7 @@
     fun sync(): Unit = syncFolder(path)
 
     private fun syncFolder(folder: Path) {
-        FileChannel.open(folder, StandardOpenOption.READ).use { it.force(true) }
+        operations.open(folder, StandardOpenOption.READ).use(operations::sync)
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/storage/FileConsensusStorage.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/storage/FileConsensusStorage.kt
@@ -16,16 +16,23 @@
  * The log changes of all writes of one call share a sync. A torn last record is truncated, because it was never
  * acknowledged; other corruption of the last record cannot be distinguished from it. Corruption elsewhere is an error.
  */
-public class FileConsensusStorage(private val path: Path, private val segmentBytes: Long = 8L * 1024 * 1024) :
-    ConsensusStorage {
+public class FileConsensusStorage internal constructor(
+    private val path: Path,
+    private val segmentBytes: Long,
+    private val operations: FileOperations,
+) : ConsensusStorage {
     private var openReplica: OpenReplica? = null
-    private var failure: StorageError? = null
+
+    /** True while a part of the writes of the last call may be on disk. */
+    private var isWriteUncertain = false
+
+    public constructor(path: Path, segmentBytes: Long = 8L * 1024 * 1024) : this(path, segmentBytes, SystemFiles)
 
     override val logSyncCount: Long get() = openReplica?.segments?.syncCount ?: 0
 
-    override fun load(): Either<StorageError, StoredReplica?> = unlessFailed {
+    override fun load(): Either<StorageError, StoredReplica?> = catchErrors {
         close()
-        val folder = DataFolder(path)
+        val folder = DataFolder(path, operations)
         val files = folder.files()
         val segments = LogSegments(folder, segmentBytes)
         openReplica = OpenReplica(folder, segments)
@@ -43,7 +50,7 @@
         }
     }
 
-    override fun create(replica: StoredReplica): Either<StorageError, Unit> = unlessFailed {
+    override fun create(replica: StoredReplica): Either<StorageError, Unit> = catchErrors {
         val target = checkNotNull(openReplica) { "create() was called before load()" }
         check(target.identity == null) { "${target.identity} is already stored" }
         // The vote file is written last, because a folder without it counts as empty.
@@ -53,10 +60,13 @@
         writeVote(target, replica.state.term, replica.state.votedFor)
     }
 
-    override fun write(writes: List<ConsensusEffect.Persist>): Either<StorageError, Unit> = unlessFailed {
+    override fun write(writes: List<ConsensusEffect.Persist>): Either<StorageError, Unit> = catchErrors {
         val target = checkNotNull(openReplica) { "write() was called before load()" }
         writes.lastOrNull { it.vote != null }?.vote?.let { writeVote(target, it.term, it.votedFor) }
         val changes = ArrayList<LogChange>()
+        // The log must not contain an entry twice.
+        if (isWriteUncertain) firstChangedIndex(writes)?.let { changes += LogChange(truncateFrom = it) }
+        isWriteUncertain = true
         for (write in writes) {
             write.truncateFrom?.let { changes += LogChange(truncateFrom = it) }
             write.entries.mapTo(changes) { LogChange(entry = it) }
@@ -67,6 +77,7 @@
             target.segments.trim(snapshot.lastIndex)
         }
         flush(target, changes)
+        isWriteUncertain = false
     }
 
     override fun close() {
@@ -80,6 +91,11 @@
         changes.clear()
     }
 
+    /** Returns the first log index that [writes] change. Entries from there on are replaced or removed by them. */
+    private fun firstChangedIndex(writes: List<ConsensusEffect.Persist>): Long? =
+        writes.mapNotNull { write -> listOfNotNull(write.truncateFrom, write.entries.firstOrNull()?.index).minOrNull() }
+            .minOrNull()
+
     private fun readSnapshot(folder: DataFolder): ConsensusSnapshot {
         val file = folder.file(SNAPSHOT)
         val record = RecordFormat.decodeSingle<SnapshotRecord>(file, Files.readAllBytes(file))
@@ -96,15 +112,12 @@
         target.folder.replace(VOTE, RecordFormat.encode(VoteRecord(identity, term, votedFor)))
     }
 
-    private inline fun <T> unlessFailed(action: () -> T): Either<StorageError, T> {
-        failure?.let { return it.left() }
-        return try {
-            action().right()
-        } catch (e: StorageException) {
-            e.error.also { failure = it }.left()
-        } catch (e: IOException) {
-            StorageError.Unavailable(path, e.toString()).also { failure = it }.left()
-        }
+    private inline fun <T> catchErrors(action: () -> T): Either<StorageError, T> = try {
+        action().right()
+    } catch (e: StorageException) {
+        e.error.left()
+    } catch (e: IOException) {
+        StorageError.Unavailable(path, e.toString()).left()
     }
 
     private class OpenReplica(val folder: DataFolder, val segments: LogSegments, var identity: String? = null)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/storage/LogSegments.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/storage/LogSegments.kt
@@ -11,6 +11,9 @@
     private val closedSegments = ArrayDeque<Segment>()
     private var activeSegment: Segment? = null
     private var channel: FileChannel? = null
+
+    /** True while the active segment may end with bytes of a record that was not written or synced. */
+    private var isTailUncertain = false
     var syncCount = 0L
         private set
 
@@ -34,14 +37,18 @@
         return retained
     }
 
-    /** Appends [changes] as one record and syncs it. */
+    /** Appends [changes] as one record and syncs it; after an error nothing of it counts as written. */
     fun append(changes: List<LogChange>) {
+        removeUncertainTail()
         val segment = activeSegment?.takeIf { it.sizeBytes < segmentBytes } ?: rollSegment()
         val record = RecordFormat.encode(LogBatch(changes))
-        segment.sizeBytes += record.remaining()
+        val recordBytes = record.remaining()
         val out = checkNotNull(channel)
-        while (record.hasRemaining()) out.write(record)
-        out.force(false)
+        isTailUncertain = true
+        folder.operations.write(out, record)
+        folder.operations.sync(out)
+        isTailUncertain = false
+        segment.sizeBytes += recordBytes
         syncCount++
         changes.forEach { change -> change.entry?.let { segment.lastIndex = maxOf(segment.lastIndex, it.index) } }
     }
@@ -49,9 +56,10 @@
     /** Deletes the segments whose entries are all covered by a synced snapshot. */
     fun trim(snapshotIndex: Long) {
         while (closedSegments.isNotEmpty() && closedSegments.first().lastIndex <= snapshotIndex) {
-            Files.delete(closedSegments.removeFirst().path)
+            folder.operations.delete(closedSegments.first().path)
             // Synced after each deletion, so that a crash cannot leave a gap between the remaining segments.
             folder.sync()
+            closedSegments.removeFirst()
         }
     }
 
@@ -98,18 +106,38 @@
     }
 
     private fun truncateFile(path: Path, sizeBytes: Long) {
-        FileChannel.open(path, StandardOpenOption.WRITE).use {
-            it.truncate(sizeBytes)
-            it.force(true)
+        folder.operations.open(path, StandardOpenOption.WRITE).use {
+            folder.operations.truncate(it, sizeBytes)
+            folder.operations.sync(it)
         }
     }
 
-    private fun rollSegment(): Segment {
+    /**
+     * Removes what a failed append may have left, and continues in a new segment.
+     *
+     * A sync after a failed one may succeed although the data of the failed one never reached the disk, so the record
+     * is written again to another file.
+     */
+    private fun removeUncertainTail() {
+        if (!isTailUncertain) return
+        close()
+        activeSegment?.let { truncateFile(it.path, it.sizeBytes) }
+        isTailUncertain = false
+        closeActiveSegment()
+    }
+
+    private fun closeActiveSegment() {
         close()
         activeSegment?.let { closedSegments += it }
+        activeSegment = null
+    }
+
+    private fun rollSegment(): Segment {
+        closeActiveSegment()
         val number = (closedSegments.lastOrNull()?.number ?: 0) + 1
         val segment = Segment(number, folder.file(NAME_PREFIX + number.toString().padStart(NUMBER_DIGITS, '0')))
-        channel = FileChannel.open(segment.path, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE)
+        // The file may exist already if the sync of the folder has failed before.
+        channel = folder.operations.open(segment.path, *NEW_FILE)
         folder.sync()
         activeSegment = segment
         return segment
@@ -120,5 +148,7 @@
     private companion object {
         const val NAME_PREFIX = "log-"
         const val NUMBER_DIGITS = 12
+        val NEW_FILE =
+            arrayOf(StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)
     }
 }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/storage/FileConsensusStorageTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/storage/FileConsensusStorageTest.kt
@@ -17,6 +17,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
 import kotlin.test.assertNull
+import kotlin.test.assertTrue
 
 class FileConsensusStorageTest {
     @TempDir
@@ -130,6 +131,69 @@
         }
     }
 
+    /** Guards against a failed write after which the storage refuses all others, or its folder cannot be loaded. */
+    @Test
+    fun `writes that failed at any operation are repeated with the same result`() {
+        val calls = listOf(
+            listOf(Persist(1, TermAndVote(1, "a"), null, null, null, listOf(entry(1), entry(2)))),
+            listOf(append(3), Persist(2, null, snapshot(2), null, 2, emptyList()), append(4)),
+            listOf(Persist(3, TermAndVote(2, null), null, 4, null, listOf(entry(4, 2), entry(5, 2)))),
+            listOf(Persist(4, null, snapshot(9), 10, 9, emptyList()), append(10)),
+            listOf(append(11), append(12)),
+        )
+        for (count in 1..calls.size) {
+            val memory = MemoryConsensusStorage().also { create(it) }
+            calls.take(count).forEach { memory.write(it) }
+            val expected = comparableState(load(memory))
+            var failAt = 0
+            do {
+                val path = root.resolve("$count-calls-fail-at-$failAt")
+                val errors = writeWithRepeats(path, calls.take(count), FaultyDisk(failAt))
+                assertTrue(errors <= 1, "$path: $errors failed calls")
+                assertEquals(expected, comparableState(FileConsensusStorage(path).use { load(it) }), "$path")
+                failAt++
+            } while (errors > 0)
+            assertTrue(failAt > 8, "$count calls: only $failAt operations were tried")
+        }
+    }
+
+    /** Writes [calls] like the daemon, which adds the writes of a failed call to the next one; returns the failures. */
+    private fun writeWithRepeats(path: Path, calls: List<List<Persist>>, disk: FaultyDisk): Int {
+        create(FileConsensusStorage(path))
+        var errors = 0
+        FileConsensusStorage(path, segmentBytes = 100, disk).use { storage ->
+            while (storage.load().isLeft()) errors++
+            val pending = ArrayList<Persist>()
+            for (call in calls) {
+                pending += call
+                if (storage.write(pending).isRight()) pending.clear() else errors++
+            }
+            while (pending.isNotEmpty()) if (storage.write(pending).isRight()) pending.clear() else errors++
+        }
+        return errors
+    }
+
+    /** Guards against a disk that was full for a time and whose replica does not write again. */
+    @Test
+    fun `a disk that was full accepts the writes that it refused`() {
+        create(FileConsensusStorage(root))
+        val disk = FaultyDisk()
+        FileConsensusStorage(root, segmentBytes = 100, disk).use { storage ->
+            load(storage)
+            storage.write(listOf(append(1)))
+            disk.isFull = true
+            val pending = ArrayList<Persist>()
+            for (index in 2L..20L) {
+                pending += append(index)
+                assertIs<StorageError.Unavailable>(storage.write(pending).leftOrNull())
+            }
+            disk.isFull = false
+            assertNull(storage.write(pending).leftOrNull())
+            assertNull(storage.write(listOf(append(21))).leftOrNull())
+        }
+        assertEquals((1L..21L).toList(), FileConsensusStorage(root).use { load(it) }.state.entries.map { it.index })
+    }
+
     private fun writeTwoRecords(): Path {
         FileConsensusStorage(root).use { storage ->
             create(storage)
