Go on dialling a host after a try that threw an exception

A state host could be cut off from another one for good.

Change: each try is guarded like the receivers of frames.

SocketLinkNetworkTest (dialled again) times out without the change.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetwork.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetwork.kt
@@ -51,7 +51,7 @@
     private val receivers = CopyOnWriteArrayList<FrameReceiver>()
     private val closures = AtomicLongArray(LinkClosure.entries.size)
     private val serverSockets = CopyOnWriteArrayList<ServerSocket>()
-    private val failures = FailureGuard("a receiver of link frames")
+    private val failures = FailureGuard("a connection or a receiver of link frames")
 
     /** Listens on [bindAddress] and returns the bound port; [port] 0 selects a free one. Throws if it is in use. */
     public suspend fun listen(bindAddress: String, port: Int): Int {
@@ -111,7 +111,7 @@
     private suspend fun maintainConnection(hostName: String) {
         var delayMs = options.minReconnectDelayMs
         while (coroutineContext.isActive) {
-            if (table[hostName] == null && dial(hostName)) delayMs = options.minReconnectDelayMs
+            if (table[hostName] == null && tryDial(hostName)) delayMs = options.minReconnectDelayMs
             delay((delayMs * (MIN_JITTER_FACTOR + random.nextDouble())).toLong())
             delayMs = when (table[hostName]) {
                 null -> minOf(delayMs * 2, options.maxReconnectDelayMs)
@@ -120,6 +120,17 @@
         }
     }
 
+    /** Dials once; whatever a try throws, the tries that follow must go on, or the host would stay cut off for good. */
+    @Suppress("TooGenericExceptionCaught")
+    private suspend fun tryDial(hostName: String): Boolean = try {
+        dial(hostName)
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: RuntimeException) {
+        failures.record(e)
+        false
+    }
+
     /** Dials once and runs the connection until it is closed; returns true if a link was established. */
     private suspend fun dial(hostName: String): Boolean {
         val (ip, port) = addresses[hostName]?.let(::parseAddress) ?: return false
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/FailureGuard.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/FailureGuard.kt
@@ -23,11 +23,16 @@
         } catch (e: CancellationException) {
             throw e
         } catch (e: RuntimeException) {
-            val suppressedLines = synchronized(limiter) { limiter.tryAcquire(clock.nowMs()) } ?: return
-            logger.error("{} failed, {} more failures were not logged", name, suppressedLines, e)
+            record(e)
         }
     }
 
+    /** Logs the failure of a step that was caught elsewhere. */
+    fun record(failure: RuntimeException) {
+        val suppressedLines = synchronized(limiter) { limiter.tryAcquire(clock.nowMs()) } ?: return
+        logger.error("{} failed, {} more failures were not logged", name, suppressedLines, failure)
+    }
+
     private companion object {
         const val MAX_LINES = 5
         const val WINDOW_MS = 60_000L
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetworkTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/link/SocketLinkNetworkTest.kt
@@ -18,6 +18,7 @@
 import org.arbutusrelay.schema.message.LinkFrame
 import org.arbutusrelay.schema.message.ManifestSynced
 import java.util.concurrent.ConcurrentLinkedQueue
+import kotlin.random.Random
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -58,6 +59,26 @@
         }
     }
 
+    /** Guards against a host that stays cut off because one try to connect failed in an unexpected way. */
+    @Test
+    fun `a host is dialled again after a try that threw an exception`() = runBlocking {
+        var tries = 0
+        val random = object : Random() {
+            override fun nextBits(bitCount: Int): Int = Default.nextBits(bitCount)
+
+            override fun nextBytes(size: Int): ByteArray {
+                check(++tries > 2) { "simulated failure" }
+                return super.nextBytes(size)
+            }
+        }
+        val identity = HostIdentity("a", "r", "z", 1)
+        val host = SocketLinkNetwork(identity, "s".toByteArray(), scope, random = random).also { networks += it }
+        val peer = network("b")
+        host.connect("b", peer.address())
+        awaitUntil { "b" in host.connected() && "a" in peer.connected() }
+        assertEquals(3, tries)
+    }
+
     @Test
     fun `a peer with a wrong secret or version is rejected on both sides`() = runBlocking {
         val cases = listOf(
