End the process when a replica or the event loop has ended by an error

An error in the storage writer was even forgotten at the next step of the replica, which went on as a voter or a leader without storing anything.

Cause: errors that end a part of the process were noted at most, and nothing looked at the note.

Change: ProcessFailure is the one policy.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
@@ -63,7 +63,7 @@
     }
 
     fun requestStop() {
-        controlQueue.trySend(Input.Stop(null))
+        controlQueue.trySend(Input.Stop)
     }
 
     override fun onFrame(from: HostIdentity, frame: LinkFrame) {
@@ -80,35 +80,28 @@
         }
     }
 
-    /** Runs until a stop is requested or an invariant is violated. */
+    /** Runs until a stop is requested; throws if an invariant is violated. */
     suspend fun run(otherHosts: () -> Set<String>) {
-        var reason: String? = "unexpected error"
         try {
             while (true) {
                 val input = select {
                     controlQueue.onReceive { it }
                     queue.onReceive { it }
                 }
-                if (input is Input.Stop) {
-                    reason = input.reason
-                    break
-                }
+                if (input is Input.Stop) break
                 handle(input)
                 maintain(otherHosts)
             }
-        } catch (e: IllegalStateException) {
-            reason = e.message ?: e.toString()
         } finally {
-            shutdown(reason)
+            shutdown()
         }
     }
 
-    private fun shutdown(reason: String?) {
+    private fun shutdown() {
         status.value = status.value.copy(
             role = ConsensusRole.FOLLOWER,
             leader = null,
             leaseUntilMs = Long.MIN_VALUE,
-            failure = reason,
         )
         pending.failAll(outcomeUnknown())
         proposedBatch.forEach { it.result.complete(outcomeUnknown().left()) }
@@ -276,7 +269,7 @@
 
         class Propose<R>(val proposal: Proposal<R>) : Input<R>
 
-        class Stop(val reason: String?) : Input<Nothing>
+        data object Stop : Input<Nothing>
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -11,7 +11,6 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
-import kotlinx.coroutines.flow.update
 import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -33,6 +32,7 @@
 import org.arbutusrelay.daemon.storage.storageCbor
 import org.arbutusrelay.schema.message.ReplicatedCommand
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
 import kotlin.time.TimeSource
 
@@ -61,13 +61,16 @@
     private val invariants: Invariants = Invariants(),
     private val driverDispatcher: CoroutineDispatcher = Dispatchers.Default,
     private val storageDispatcher: CoroutineDispatcher = Dispatchers.IO,
+    /** Called with the cause when the replica ends although no stop was requested. */
+    private val onFailure: (String) -> Unit = {},
     /** Adjusts timeouts and limits of the replica; it must not change the group or the identity. */
     private val configure: (ConsensusConfig) -> ConsensusConfig = { it },
 ) : ConsensusGroup<R> {
     private val startMark = timeSource.markNow()
     private val listeners = CopyOnWriteArrayList<(Long, R) -> Unit>()
     private val status = MutableStateFlow(ReplicaStatus())
-    private val errorHandler = CoroutineExceptionHandler { _, error -> status.update { it.copy(failure = "$error") } }
+    private val failureCause = AtomicReference<String?>(null)
+    private val errorHandler = CoroutineExceptionHandler { _, error -> fail("$error") }
     private val scope = CoroutineScope(SupervisorJob() + errorHandler)
     private var driver: ReplicaDriver<R>? = null
     private var lostVoterRemoval: LostVoterRemoval? = null
@@ -86,7 +89,7 @@
     public val isStorageFailing: Boolean get() = status.value.isStorageFailing
 
     /** Cause of a stop that was not requested, or null. */
-    public val failure: String? get() = status.value.failure
+    public val failure: String? get() = failureCause.get()
 
     /** Number of lost voters removed by this process. */
     public val removedLostVoters: Long get() = lostVoterRemoval?.removedCount ?: 0
@@ -168,6 +171,13 @@
         runBlocking { jobs.joinAll() }
     }
 
+    /** Ends the whole replica: without its storage it could promise what it does not keep. */
+    private fun fail(cause: String) {
+        if (!failureCause.compareAndSet(null, cause)) return
+        driver?.requestStop()
+        onFailure(cause)
+    }
+
     private fun loadOrCreate(): Either<StorageError, StoredReplica> = storage.load().fold(
         { it.left() },
         { stored ->
@@ -204,5 +214,4 @@
     val voters: List<String> = emptyList(),
     val leaseUntilMs: Long = Long.MIN_VALUE,
     val isStorageFailing: Boolean = false,
-    val failure: String? = null,
 )
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/Node.kt
@@ -16,6 +16,7 @@
 import org.arbutusrelay.core.routing.DefaultRequestScheduler
 import org.arbutusrelay.daemon.Daemon
 import org.arbutusrelay.daemon.DaemonComponents
+import org.arbutusrelay.daemon.ProcessFailure
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.backend.BackendClient
 import org.arbutusrelay.daemon.ledger.LedgerService
@@ -58,7 +59,7 @@
     private val network = SocketLinkNetwork(identity, settings.sharedSecret.toByteArray(), scope)
     private val dataFolder = settings.dataFolder?.let(Path::of)
     private val manifestStore = dataFolder?.let { FileManifestStore(it.resolve("manifest")) }
-    private val state = dataFolder?.let { ReplicatedState(settings, it, network, invariants) }
+    private val state = dataFolder?.let { ReplicatedState(settings, it, network, invariants, ProcessFailure(halt)) }
     private val orderClient = BackendClient(metrics::countResponseDrop)
 
     @Volatile
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/ReplicatedState.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/node/ReplicatedState.kt
@@ -10,6 +10,7 @@
 import org.arbutusrelay.core.invariant.Invariants
 import org.arbutusrelay.core.ledger.LedgerStateMachine
 import org.arbutusrelay.core.manifest.ManifestLog
+import org.arbutusrelay.daemon.ProcessFailure
 import org.arbutusrelay.daemon.consensus.ReplicaGroup
 import org.arbutusrelay.daemon.consensus.ReplicaGroupOptions
 import org.arbutusrelay.daemon.link.LinkNetwork
@@ -26,6 +27,7 @@
     dataFolder: Path,
     private val network: LinkNetwork,
     private val invariants: Invariants,
+    private val processFailure: ProcessFailure,
 ) {
     val manifestLog: ManifestLog = ManifestLog(TomlManifestParser())
     val ledgerMachine: LedgerStateMachine = LedgerStateMachine(invariants = invariants)
@@ -89,6 +91,7 @@
         foundingVoters = voters.takeIf { settings.isFounding },
         options = options.copy(lostVoter = lostVoter(name).takeIf { voters.size == 2 }),
         invariants = invariants,
+        onFailure = { processFailure.onPartEnded("the replica of $name", it) },
     )
 
     private companion object {
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupFixture.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupFixture.kt
@@ -30,6 +30,7 @@
         storage: ConsensusStorage,
         foundingVoters: List<String>?,
         options: ReplicaGroupOptions = ReplicaGroupOptions(),
+        onFailure: (String) -> Unit = {},
         configure: (ConsensusConfig) -> ConsensusConfig = { it.copy(trailingEntries = 5) },
     ): ReplicaGroup<Long> {
         val dispatcher = StandardTestDispatcher(scope.testScheduler)
@@ -48,6 +49,7 @@
             options = options,
             driverDispatcher = dispatcher,
             storageDispatcher = dispatcher,
+            onFailure = onFailure,
             configure = configure,
         )
         assertEquals(null, group.start().leftOrNull())
@@ -75,10 +77,10 @@
 
     internal class SumStateMachine : StateMachine<Long> {
         var sum = 0L
-        var isFailing = false
+        var error: Throwable? = null
 
         override fun apply(index: Long, command: ReplicatedCommand): Long {
-            require(!isFailing) { "simulated failure" }
+            error?.let { throw it }
             sum += command.manifest?.number ?: 0
             return sum
         }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupTest.kt
@@ -104,7 +104,7 @@
     fun `a failing state machine stops the replica and fails proposals as unknown`() = runTest {
         val group = startReplica("a", MemoryConsensusStorage(), listOf("a"))
         val leader = awaitLeader(listOf(group))
-        fixture.stateMachines.getValue("a").isFailing = true
+        fixture.stateMachines.getValue("a").error = IllegalArgumentException("simulated failure")
         assertEquals(Outcome.UNKNOWN, leader.propose(command(1)).leftOrNull()?.kind?.outcome)
         assertNotNull(group.failure)
         assertEquals(false, group.isLeaseHeld())
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -18,6 +18,7 @@
 import org.arbutusrelay.core.routing.FirstByteServerSelector
 import org.arbutusrelay.core.routing.PlacedAttempt
 import org.arbutusrelay.core.routing.SchedulerSettings
+import org.arbutusrelay.daemon.ProcessFailure
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.observe.EventLog
 import org.arbutusrelay.daemon.observe.RelayMetrics
@@ -60,6 +61,7 @@
     private val dialect: HeaderDialect,
     private val parser: RoutePlanParser,
     private val readyPath: String,
+    processFailure: ProcessFailure = ProcessFailure(),
 ) : SiteNode {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val clock = RelayClock()
@@ -69,6 +71,7 @@
     private val siteLinks = SiteLinks(settings, scope)
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
+    private val loopWatch = EventLoopWatch(loop, processFailure)
     private val callerAddress = requireNotNull(settings.callerAddress) { "an entry host requires callerAddress" }
     private val site = siteLinks.siteService(clock)
     private val routing = RoutingTableBuilder(siteLinks.identity, settings.bounds)
@@ -118,6 +121,7 @@
         forwardServer.start("${settings.bindAddress}:${settings.linkPort + 1}")
         statusServers.forEach { it.start() }
         site.start(scope)
+        loopWatch.start()
         context.schedule(IDLE_SWEEP_INTERVAL_MS, ::closeIdleConnections)
         context.schedule(0, ::recordLoopRun)
         metrics.gauge("arbutus.requests.open") { context.openExchanges }
@@ -150,6 +154,7 @@
 
     /** Stops without waiting for open requests. */
     internal fun close() {
+        loopWatch.stop()
         callerServer.stop()
         forwardServer.stop()
         statusServers.forEach { it.stop() }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -7,6 +7,7 @@
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.route.RoutePlanParser
 import org.arbutusrelay.core.site.SiteStateMachine
+import org.arbutusrelay.daemon.ProcessFailure
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.consensus.ReplicaGroup
 import org.arbutusrelay.daemon.consensus.ReplicaGroupOptions
@@ -36,6 +37,7 @@
     parser: RoutePlanParser,
     controlRoutes: (StateNode) -> List<RouteGroup>,
     directoryRoutes: (StateNode) -> List<RouteGroup>,
+    processFailure: ProcessFailure = ProcessFailure(),
 ) : SiteNode {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val clock = RelayClock()
@@ -54,6 +56,7 @@
         random = SecureRandom().asKotlinRandom(),
         foundingVoters = SiteLinks.seedNames(settings).takeIf { settings.isFounding },
         options = REPLICA_GROUP_OPTIONS,
+        onFailure = { processFailure.onPartEnded("the replica of the site", it) },
         // Reads go through the log instead of the lease, so the lease can be as short as the links allow.
         configure = {
             it.copy(
@@ -87,6 +90,8 @@
         site.start(scope)
         httpServers.forEach { it.start() }
         metrics.gauge("arbutus.site.term") { group.term }
+        metrics.gauge("arbutus.site.voters") { group.voters.size }
+        metrics.gauge("arbutus.site.storage.failing") { if (group.isStorageFailing) 1 else 0 }
         metrics.gauge("arbutus.site.index") { stateMachine.current.index }
         metrics.gauge("arbutus.site.backend.servers") { site.view.backendServers.size }
         metrics.gauge("arbutus.site.entry.hosts") { site.view.entryHosts.size }
