Send a request to an address again on another connection, whoever sends it

Cause: responses are matched by the identifier of the request, which a late copy of an earlier rejection carries too. A new connection for a repeated send prevented that only for the sends of one exchange. When a host of another region, or the caller, sends the request again, it is a new exchange, and the pool gave it the connection of the first send.

Change: the pool itself remembers which requests were sent to an address and whose callers may still wait, and no connection carries a request twice. That replaces the flag that each exchange computed.

LateCopyTest (forwarded again on three kinds of routes, sent again by the caller) fails without it: the copy is returned. RecentSendsTest: expiry and bounded memory.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
@@ -8,12 +8,10 @@
     val uri: String,
     val headers: HttpHeaders,
     val body: ByteArray,
-    /**
-     * True if the same request was sent to the address before.
-     *
-     * It is then sent on a new connection: on the earlier one, a late copy of the earlier response has its identifier.
-     */
-    val isRepeated: Boolean = false,
+    /** Identifier that responses to the request carry; the same for each send of the request, and on each host. */
+    val requestId: String,
+    /** Time until which the caller waits, on the monotonic clock, in milliseconds. */
+    val deadlineMs: Long,
 )
 
 /** Status and headers of a response. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.util.NetUtil
 import jdk.net.ExtendedSocketOptions
+import org.arbutusrelay.core.relay.RecentSends
 import java.net.InetAddress
 import java.net.InetSocketAddress
 
@@ -18,14 +19,16 @@
  * Pool of connections to backend servers and to hosts of other regions.
  *
  * Confined to the event loop [loop]. Idle connections are reused in last-in, first-out order so that surplus ones time
- * out.
+ * out. No connection carries the same request twice.
  */
 internal class BackendPool(private val loop: EventLoop, private val nowMs: () -> Long) {
     private val idle = HashMap<String, ArrayDeque<BackendConnection>>()
+    private val recentSends = RecentSends()
 
     /** Sends [request] to [address] on an idle connection, or on a new one. */
     fun call(address: String, request: BackendRequest, listener: BackendListener): BackendCall {
-        val pooled = if (request.isRepeated) null else acquireIdle(address)
+        val isRepeated = recentSends.record(request.requestId, address, request.deadlineMs, nowMs())
+        val pooled = if (isRepeated) null else acquireIdle(address)
         if (pooled != null) {
             pooled.send(request, listener)
             return pooled
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -225,8 +225,16 @@
             // A value that another program announced, such as the name of the backend server, fits in no header.
             return onAttemptFailed(newAttempt, AttemptFailure.NOT_SENT, e.message.orEmpty())
         }
-        val isRepeated = address in tried
-        newAttempt.start(BackendRequest(request.method, request.uri, headers, request.body, isRepeated))
+        newAttempt.start(
+            BackendRequest(
+                request.method,
+                request.uri,
+                headers,
+                request.body,
+                call.metadata.attemptId,
+                call.deadlineMs,
+            ),
+        )
         if (attempt === newAttempt && call.route.isRepeatable) checkResponseTimeout(newAttempt)
     }
 
