Match an answer of another host to the send that it answers

Change: a forwarded request names its send, and the other host repeats the name in each of its responses. A response that names another send is skipped. One without a name on a connection that was in use before is not believed when it says that the request has not run. The headers between hosts are removed from what backend servers send.

LateCopyTest: its two new tests fail without the change (the refusal of another send led to a second run; the outcome that a backend server stated was believed).

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -41,6 +41,8 @@
         private set
 
     private val startedMs = lastProgressMs
+    private val sendId = exchange.sendId
+    private val isToHost get() = placed.backendServer.isEmpty()
     private var receivedEvents = 0
     private var hasReceivedBody = false
 
@@ -85,18 +87,21 @@
     override fun matchesRequest(head: BackendHead, isReused: Boolean): Boolean {
         val decoded = context.dialect.decodeResponse(head.statusCode, head.headers)
         metadata = decoded
-        isOwnResponse = decoded.attemptId != null || !isReused
+        val answeredSendId = ForwardHeaders.sendIdOf(head.headers)?.takeIf { isToHost }
+        isOwnResponse = decoded.attemptId != null || answeredSendId != null || !isReused
+        if (answeredSendId != null && answeredSendId != sendId) return false
         return decoded.attemptId == null || decoded.attemptId == exchange.attemptId
     }
 
     override fun onHead(head: BackendHead): Boolean {
         val metadata = checkNotNull(metadata) { "onHead was called before matchesRequest" }
         lastProgressMs = context.clock.nowMs()
-        metadata.load?.takeIf { placed.backendServer.isNotEmpty() }?.let { context.reportLoad(placed, it) }
-        val outcome = ForwardHeaders.outcomeOf(head.headers)
+        metadata.load?.takeUnless { isToHost }?.let { context.reportLoad(placed, it) }
+        // Only a host states an outcome; a backend server could state one for another.
+        val outcome = ForwardHeaders.outcomeOf(head.headers)?.takeIf { isToHost }
         when {
             // Without an identifier it may be the late copy of a response to an earlier request on the connection.
-            metadata.isNotExecuted && !isOwnResponse -> {
+            (metadata.isNotExecuted || outcome == Outcome.NOT_RUN) && !isOwnResponse -> {
                 abandon()
                 fail(AttemptFailure.UNKNOWN, "status ${head.statusCode} without an identifier")
                 return false
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/BackendRequestHeaders.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/BackendRequestHeaders.kt
@@ -11,20 +11,18 @@
     /**
      * Returns the caller's end-to-end headers together with those that the relay sets.
      *
-     * The headers for the service and for [ageMs], the time since the request arrived in milliseconds, are set only
-     * when [forwardedService] is not null, that is for a host of another region.
+     * Those between relay hosts are set only when [forward] is not null, that is for a host of another region.
      */
     fun of(
         request: IngressRequest,
         dialect: HeaderDialect,
         metadata: BackendRequestMetadata,
-        forwardedService: String?,
-        ageMs: Long,
+        forward: ForwardMetadata?,
     ): HttpHeaders {
         val headers = HopByHopHeaders.strip(request.headers.copy())
         ForwardHeaders.removeFrom(headers)
         dialect.encodeRequest(headers, metadata)
-        forwardedService?.let { ForwardHeaders.put(headers, it, ageMs) }
+        forward?.let { ForwardHeaders.put(headers, it) }
         // No Content-Length is added to a request that has neither a body nor that header.
         if (request.body.isNotEmpty() || request.headers.contains("Content-Length")) {
             headers["Content-Length"] = request.body.size
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/CallerResponse.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/CallerResponse.kt
@@ -32,6 +32,7 @@
         val headers = DefaultHttpHeaders()
         error.retryAfterMs?.let { headers["Retry-After"] = "%.3f".format(Locale.ROOT, it / MS_PER_SECOND) }
         if (request.isForwarded) ForwardHeaders.putOutcome(headers, error.kind.outcome)
+        putSendId(headers)
         headers["Content-Type"] = "text/plain"
         writer.sendFull(error.kind.statusCode, headers, "${error.kind.id}: ${error.detail}\n".encodeToByteArray())
     }
@@ -64,7 +65,12 @@
     fun abort(): Unit = writer.abort()
 
     private fun endToEndHeaders(head: BackendHead): HttpHeaders =
-        head.headers.copy().also { if (!request.isForwarded) ForwardHeaders.removeFrom(it) }
+        head.headers.copy().also(ForwardHeaders::removeFrom).also(::putSendId)
+
+    private fun putSendId(headers: HttpHeaders) {
+        val sendId = ForwardHeaders.sendIdOf(request.headers)?.takeIf { request.isForwarded } ?: return
+        ForwardHeaders.putSendId(headers, sendId)
+    }
 
     private companion object {
         const val MS_PER_SECOND = 1_000.0
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -65,6 +65,9 @@
     val isForwarded: Boolean get() = request.isForwarded
     val attemptCount: Int get() = attempts
 
+    /** Identifies the latest send of the request among all sends of all hosts. */
+    val sendId: String get() = "${profile.id}.$attempts"
+
     /** Number of the route document that was applied to the request. */
     val documentNumber: Long? get() = resolved?.documentNumber
 
@@ -430,8 +433,8 @@
                 lastEventId = if (route.kind == RouteKind.STREAM) cursor.lastEventId else null,
                 cacheSource = placed.cacheSourceAddress.ifEmpty { null },
             )
-            val forwardedService = serviceName.takeIf { backendServer == null }
-            return BackendRequestHeaders.of(request, context.dialect, metadata, forwardedService, ageMs)
+            val forward = ForwardMetadata(serviceName, ageMs, sendId).takeIf { backendServer == null }
+            return BackendRequestHeaders.of(request, context.dialect, metadata, forward)
         }
     }
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ForwardHeaders.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ForwardHeaders.kt
@@ -3,16 +3,27 @@
 import io.netty.handler.codec.http.HttpHeaders
 import org.arbutusrelay.core.error.Outcome
 
-/** Headers used between relay hosts; they are removed from requests and responses of callers. */
+/** What a host tells the host of another region about a request. */
+internal data class ForwardMetadata(
+    val serviceName: String,
+    /** Time since the first host received the request, in milliseconds. */
+    val ageMs: Long,
+    /** Identifies this send of the request; the other host repeats it in its response. */
+    val sendId: String,
+)
+
+/** Headers used between relay hosts; they are removed from requests of callers and from responses to them. */
 internal object ForwardHeaders {
     private const val SERVICE = "Arbutus-Service"
     private const val AGE = "Arbutus-Age-Ms"
+    private const val SEND = "Arbutus-Send"
     private const val OUTCOME = "Arbutus-Outcome"
 
     /** Removes the headers that only relay hosts may set. */
     fun removeFrom(headers: HttpHeaders) {
         headers.remove(SERVICE)
         headers.remove(AGE)
+        headers.remove(SEND)
         headers.remove(OUTCOME)
     }
 
@@ -21,9 +32,17 @@
     /** Returns the time since the first host received the request, in milliseconds; 0 when not specified. */
     fun ageMsOf(headers: HttpHeaders): Long = headers[AGE]?.toLongOrNull()?.coerceAtLeast(0) ?: 0
 
-    fun put(headers: HttpHeaders, serviceName: String, ageMs: Long) {
-        headers[SERVICE] = serviceName
-        headers[AGE] = ageMs
+    /** Returns the send that a request or a response names; null for a backend server or an older version. */
+    fun sendIdOf(headers: HttpHeaders): String? = headers[SEND]
+
+    fun put(headers: HttpHeaders, metadata: ForwardMetadata) {
+        headers[SERVICE] = metadata.serviceName
+        headers[AGE] = metadata.ageMs
+        headers[SEND] = metadata.sendId
+    }
+
+    fun putSendId(headers: HttpHeaders, sendId: String) {
+        headers[SEND] = sendId
     }
 
     fun putOutcome(headers: HttpHeaders, outcome: Outcome) {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/LateCopyTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/LateCopyTest.kt
@@ -11,6 +11,8 @@
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
 class LateCopyTest {
     /** Guards against the late copy of a response that is taken for the response to the next send of its request. */
@@ -52,4 +54,50 @@
             }
         }
     }
+
+    /** Guards against an answer of another host that is matched to its connection in place of the send that it answers. */
+    @Test
+    fun `an answer of another host counts for the send that it names only`() {
+        data class Case(val name: String, val copy: (RawRequest) -> String, val expected: String)
+        val refusal = "HTTP/1.1 503 Busy\r\nArbutus-Outcome: not_run\r\nContent-Length: 0\r\n"
+        val ran = { request: RawRequest ->
+            signedResponse(request, "ran").replace("Attempt:", "Arbutus-Send: ${request.header("Arbutus-Send")}\r\nAttempt:")
+        }
+        val cases = listOf(
+            Case("a refusal of another send", { "${refusal}Arbutus-Send: other.1\r\n\r\n" }, "HTTP/1.1 200"),
+            Case("an answer to another send", { request -> ran(request).replace("Send: ", "Send: x") }, "HTTP/1.1 200"),
+            // It does not tell which request was not run; the second one has run.
+            Case("a refusal without a send", { "$refusal\r\n" }, "HTTP/1.1 502"),
+        )
+        for (case in cases) {
+            val host = ScriptedServer { socket, request, number ->
+                socket.write((if (number > 1) case.copy(request) else "") + ran(request))
+            }
+            RelayFixture(otherRegionPort = host.address.substringAfter(':').toInt()).use { relay ->
+                assertContains(relay.exchange("/once/1", "POST"), "ran", message = case.name)
+                val response = relay.exchange("/once/2", "POST")
+                assertTrue(response.startsWith(case.expected), "${case.name}: $response")
+                assertEquals(1, host.sockets.size, case.name)
+            }
+            host.close()
+        }
+    }
+
+    /** Guards against a backend server whose headers are taken for those of a host of the relay. */
+    @Test
+    fun `a backend server states no outcome for another`() {
+        for (isForwarded in listOf(false, true)) {
+            val server = ScriptedServer { socket, request, _ ->
+                val response = signedResponse(request, "ran")
+                socket.write(response.replace("Attempt:", "Arbutus-Outcome: not_run\r\nArbutus-Send: x\r\nAttempt:"))
+            }
+            RelayFixture(server, isForwarded = isForwarded).use { relay ->
+                val response = relay.exchange("/once/1", "POST", "Arbutus-Send: a.1\r\n")
+                assertContains(response, "ran")
+                assertFalse("Arbutus-Outcome" in response, response)
+                assertEquals(isForwarded, "arbutus-send: a.1" in response.lowercase(), response)
+                assertEquals(1, server.requests.size)
+            }
+        }
+    }
 }
