Recognize a crash however its stream is framed

Cause: for the HTTP client, a response with neither a length nor chunks is complete whenever its connection closes, and crash evidence was recorded for responses only that the client found incomplete.

Change: the end of a stream is judged in one place: one that ends inside an event, or without any event where only the connection marks its end, has broken off like any other, and so is evidence of a crash.

CrashSuspectTest (eleven cases of framing and place) fails without the change at its first case: the stream looked complete.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
@@ -15,7 +15,12 @@
 )
 
 /** Status and headers of a response. */
-internal class BackendHead(val statusCode: Int, val headers: HttpHeaders)
+internal class BackendHead(
+    val statusCode: Int,
+    val headers: HttpHeaders,
+    /** True if a length or chunks mark the end of the body; otherwise it ends with the connection. */
+    val isSelfDelimited: Boolean,
+)
 
 /** Reason why a call ended without a complete response. */
 internal enum class CallFailure {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
@@ -114,7 +114,7 @@
 
     private fun onHead(response: HttpResponse) {
         val activeListener = listener ?: return close()
-        val head = BackendHead(response.status().code(), response.headers())
+        val head = BackendHead(response.status().code(), response.headers(), isSelfDelimited(response))
         val isInterim = head.statusCode < MIN_FINAL_STATUS
         if (isInterim || !activeListener.matchesRequest(head, isReused)) {
             if (++skippedResponses > MAX_SKIPPED_RESPONSES) return fail(CallFailure.MALFORMED)
@@ -122,7 +122,7 @@
             phase = if (isInterim) Phase.INTERIM else Phase.SKIPPED
             return
         }
-        isReusable = HttpUtil.isKeepAlive(response) && isSelfDelimited(response) && !isDesynchronized
+        isReusable = HttpUtil.isKeepAlive(response) && head.isSelfDelimited && !isDesynchronized
         keepAliveMs = parseKeepAliveMs(response) ?: keepAliveMs
         val isWanted = activeListener.onHead(head)
         when {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -145,6 +145,8 @@
 
     override fun onComplete() {
         val current = head ?: return
+        // For the HTTP client, a response with neither a length nor chunks is complete whenever its connection closes.
+        if (isStream && isBrokenOff(current)) return onFailure(CallFailure.BROKEN)
         if (isStream) return exchange.onStreamEnd(this, current)
         releaseBody()
         // An error may come from a server that did not begin to run the request.
@@ -159,6 +161,10 @@
         fail(if (isSent) AttemptFailure.UNKNOWN else AttemptFailure.NOT_SENT, failure.name.lowercase())
     }
 
+    /** Returns true if the stream ended inside an event, or without any where only the connection marks its end. */
+    private fun isBrokenOff(head: BackendHead): Boolean =
+        exchange.isInsideEvent || (!hasProgressed && !head.isSelfDelimited)
+
     private fun releaseBody() {
         context.responseBuffers.release(reservedBytes)
         reservedBytes = 0
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -296,9 +296,11 @@
         }
     }
 
-    /** A stream ended without a protocol error. */
+    /** True while the stream has sent a part of an event. */
+    val isInsideEvent: Boolean get() = cursor.isInsideEvent
+
+    /** A stream ended after its last event. */
     fun onStreamEnd(source: Attempt, head: BackendHead) {
-        if (cursor.isInsideEvent) return onAttemptFailed(source, AttemptFailure.UNKNOWN, "ended inside an event")
         // A server that crashes may end a response without length as if it were complete.
         if (source.hasProgressed) source.recordProven()
         attempt = null
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/CrashSuspectTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/CrashSuspectTest.kt
@@ -18,6 +18,7 @@
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.seconds
 
@@ -144,6 +145,46 @@
         }
     }
 
+    /** Guards against a crash that is not recognized because of how the response is framed or where it breaks off. */
+    @Test
+    fun `a crash is recognized in each framing and at each place before the second event`() {
+        data class Case(val framing: String, val body: String, val isReset: Boolean)
+        val unframed = ""
+        val length = "Content-Length: 100\r\n"
+        val chunked = "Transfer-Encoding: chunked\r\n"
+        val cases = listOf(
+            Case(unframed, "", isReset = false),
+            Case(unframed, "id: 1\nda", isReset = false),
+            Case(unframed, "id: 1\nda", isReset = true),
+            Case(unframed, "id: 1\ndata: a\n\nid: 2", isReset = false),
+            Case(length, "", isReset = false),
+            Case(length, "id: 1\nda", isReset = false),
+            Case(length, "id: 1\ndata: a\n\nid: 2", isReset = true),
+            Case(chunked, "", isReset = false),
+            Case(chunked, "c\r\nid: 1\nda", isReset = false),
+            Case(chunked, "8\r\nid: 1\nda\r\n", isReset = false),
+            // The body ends in order, but inside an event.
+            Case(chunked + "Connection: close\r\n", "8\r\nid: 1\nda\r\n0\r\n\r\n", isReset = false),
+        )
+        for (case in cases) {
+            val server = ScriptedServer { socket, request, _ ->
+                val head = "HTTP/1.1 200 OK\r\nAttempt: ${request.header("Attempt")}\r\nSignature: s\r\n"
+                socket.write("$head${case.framing}\r\n${case.body}")
+                Thread.sleep(POLL_MS)
+                if (case.isReset) socket.reset() else socket.close()
+            }
+            RelayFixture(server).use { relay ->
+                for (round in 1..6) {
+                    val response = relay.exchange("/stream/p$round", "POST", "Parts: first,poison,last $round\r\n", "b")
+                    assertFalse(response.endsWith("\r\n0\r\n\r\n"), "$case: the stream looks complete: $response")
+                    relay.restart(round + 1)
+                }
+                assertEquals(4, server.requests.size, "$case")
+                assertTrue(poisonKey in relay.crashEvidence.heldBack, "$case")
+            }
+        }
+    }
+
     /** Guards against sound requests that are refused because a server refuses, fails, is slow or stops midway. */
     @Test
     fun `only a connection that breaks before the response has begun is evidence`() {
