--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/ReplicatedLog.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/ReplicatedLog.kt
@@ -65,9 +65,12 @@
     }
 
     /** Returns the size of the entry at [index] in bytes, or 0 when the entry is trimmed. */
-    fun bytesAt(index: Long): Int = if (index in baseIndex + 1..lastIndex) entryBytes[(index - baseIndex - 1).toInt()] else 0
+    fun bytesAt(index: Long): Int {
+        val position = (index - baseIndex - 1).toInt()
+        return if (index in baseIndex + 1..lastIndex) entryBytes[position] else 0
+    }
 
-    /** Returns the last index to trim once a snapshot ends at [snapshotIndex], within the limits on trailing entries. */
+    /** Returns the last index to trim when a snapshot ends at [snapshotIndex], by the limits on trailing entries. */
     fun trimIndex(snapshotIndex: Long): Long {
         val firstKept = maxOf(baseIndex, snapshotIndex - config.trailingEntries)
         var index = snapshotIndex
--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/RecentSends.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/RecentSends.kt
@@ -25,7 +25,7 @@
         return previousMs != null && previousMs > nowMs
     }
 
-    /** Removes what has expired. Its work is constant for each record, as the size must double before the next sweep. */
+    /** Removes what has expired; constant work for each record, as the size must double before the next sweep. */
     private fun sweep(nowMs: Long) {
         expiryMs.values.removeIf { it <= nowMs }
         sweepSize = maxOf(MIN_SWEEP_SIZE, 2 * expiryMs.size)
@@ -36,7 +36,7 @@
     private companion object {
         const val MIN_SWEEP_SIZE = 1_024
 
-        /** A request that another host sends again shortly before its deadline arrives after it by the time of the link. */
+        /** A request that another host sends again just before its deadline arrives here after the deadline. */
         const val EXPIRY_MARGIN_MS = 1_000L
     }
 }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
@@ -116,9 +116,7 @@
     private fun handle(input: Input<R>) {
         when (input) {
             is Input.Event -> step(input.event)
-
             is Input.Synced -> onSynced(input.id)
-
             is Input.StorageFailing -> onStorageFailing()
             is Input.Message -> onMessage(input.message)
             is Input.Propose -> proposeBatch(input)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -40,8 +40,8 @@
  * Runs one replica: consensus in one coroutine, storage writes in another, messages over [network].
  *
  * Every committed entry is applied to the state machine, including no-ops and voter changes. A replica that is not a
- * voter, or that no leader contacts, announces itself to [stateHosts]; the leader adds it as a learner and, after it has
- * caught up, as a voter that replaces an earlier replica of the same host.
+ * voter, or that no leader contacts, announces itself to [stateHosts]; the leader adds it as a learner and, after it
+ * has caught up, as a voter that replaces an earlier replica of the same host.
  */
 public class ReplicaGroup<R>(
     override val name: String,
@@ -59,8 +59,7 @@
     private val timeSource: TimeSource = TimeSource.Monotonic,
     private val options: ReplicaGroupOptions = ReplicaGroupOptions(),
     private val invariants: Invariants = Invariants(),
-    private val driverDispatcher: CoroutineDispatcher = Dispatchers.Default,
-    private val storageDispatcher: CoroutineDispatcher = Dispatchers.IO,
+    private val dispatchers: ReplicaDispatchers = ReplicaDispatchers(),
     /** Called with the cause when the replica ends although no stop was requested. */
     private val onFailure: (String) -> Unit = {},
     /** Adjusts timeouts and limits of the replica; it must not change the group or the identity. */
@@ -127,10 +126,10 @@
         driver = newDriver
         network.addReceiver(newDriver)
         jobs = listOf(
-            scope.launch(driverDispatcher) { newDriver.run { stateHosts() - network.self.hostName } },
-            scope.launch(storageDispatcher) { newDriver.storageWriter.run() },
+            scope.launch(dispatchers.driver) { newDriver.run { stateHosts() - network.self.hostName } },
+            scope.launch(dispatchers.storage) { newDriver.storageWriter.run() },
         )
-        scope.launch(driverDispatcher) { newDriver.runTicker() }
+        scope.launch(dispatchers.driver) { newDriver.runTicker() }
     }
 
     override fun isLeaseHeld(): Boolean = nowMs() < status.value.leaseUntilMs
@@ -206,6 +205,12 @@
     private fun nowMs(): Long = startMark.elapsedNow().inWholeMilliseconds
 }
 
+/** Dispatchers of a replica; writes to [storage] block their thread. */
+public data class ReplicaDispatchers(
+    val driver: CoroutineDispatcher = Dispatchers.Default,
+    val storage: CoroutineDispatcher = Dispatchers.IO,
+)
+
 /** Replica state that is published to other threads. */
 internal data class ReplicaStatus(
     val role: ConsensusRole = ConsensusRole.FOLLOWER,
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/StorageWriter.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/StorageWriter.kt
@@ -10,8 +10,8 @@
 /**
  * Writes to storage outside the driver coroutine; all queued writes share one sync.
  *
- * Writes that fail are repeated until the disk accepts them: a full disk is usually sound again later, and a replica that
- * ended would remain a voter. [onFailing] is called after each failed try, and [onSynced] ends the failure.
+ * Writes that fail are repeated until the disk accepts them: a full disk is usually sound again later, and a replica
+ * that ended would remain a voter. [onFailing] is called after each failed try, and [onSynced] ends the failure.
  */
 internal class StorageWriter(
     private val name: String,
@@ -37,17 +37,20 @@
 
     /** Runs until [shutdown], then closes the storage; writes that fail at that time are given up. */
     suspend fun run() = storage.use {
-        for (first in queue) {
-            val writes = mutableListOf(first)
-            var failedTries = 0
-            while (!isWritten(writes, failedTries)) {
-                if (isStopping) return@use
-                failedTries++
-                delay(RETRY_INTERVAL_MS)
-            }
-            if (failedTries > 0) logger.warn("{}: storage is written again after {} failed tries", name, failedTries)
-            onSynced(writes.last().id)
+        for (first in queue) if (!writeRepeatedly(mutableListOf(first))) break
+    }
+
+    /** Returns false if the writes were given up because of a stop. */
+    private suspend fun writeRepeatedly(writes: MutableList<ConsensusEffect.Persist>): Boolean {
+        var failedTries = 0
+        while (!isWritten(writes, failedTries)) {
+            if (isStopping) return false
+            failedTries++
+            delay(RETRY_INTERVAL_MS)
         }
+        if (failedTries > 0) logger.warn("{}: storage is written again after {} failed tries", name, failedTries)
+        onSynced(writes.last().id)
+        return true
     }
 
     /** Adds all queued writes to [writes] and returns true if they are written and synced. */
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/ProcessFailureTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/ProcessFailureTest.kt
@@ -4,7 +4,7 @@
 import kotlin.test.assertEquals
 
 class ProcessFailureTest {
-    /** Guards against a process that runs on after an error of the virtual machine, and against one that a request ends. */
+    /** Guards against a process that runs on after an error of the virtual machine, or that a request ends. */
     @Test
     fun `only an error of the virtual machine in a thread ends the process`() {
         val cases = listOf(
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/FullDiskTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/FullDiskTest.kt
@@ -23,7 +23,13 @@
     /** Guards against a replica that ends with a failed write while its process runs on as a voter. */
     @Test
     fun `a group works on after disks were full for a time`() = runTest {
-        data class Case(val name: String, val isLeader: Boolean, val rounds: Int, val disksAtOnce: Int, val fullMs: Long)
+        data class Case(
+            val name: String,
+            val isLeader: Boolean,
+            val rounds: Int,
+            val disksAtOnce: Int,
+            val fullMs: Long,
+        )
 
         val cases = listOf(
             Case("the leader, three times", isLeader = true, rounds = 3, disksAtOnce = 1, fullMs = 4_500),
@@ -86,6 +92,13 @@
         var isFull = false
 
         override fun write(writes: List<ConsensusEffect.Persist>): Either<StorageError, Unit> =
-            if (isFull) StorageError.Unavailable(Path.of("log"), "No space left on device").left() else inner.write(writes)
+            if (isFull) {
+                StorageError.Unavailable(
+                    Path.of("log"),
+                    "No space left on device",
+                ).left()
+            } else {
+                inner.write(writes)
+            }
     }
 }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaEndTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaEndTest.kt
@@ -32,7 +32,12 @@
             val replica = fixture.startReplica(this, "a", storage, listOf("a"), onFailure = { reports += it })
             try {
                 fixture.awaitLeader(listOf(replica))
-                if (case.isInStorage) storage.error = case.error else fixture.stateMachines.getValue("a").error = case.error
+                if (case.isInStorage) {
+                    storage.error = case.error
+                } else {
+                    fixture.stateMachines.getValue("a").error =
+                        case.error
+                }
                 withTimeoutOrNull(1_000) { replica.propose(fixture.command(1)) }
                 delay(1_000)
                 assertEquals(case.reports, reports.size, "$case: $reports")
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupFixture.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupFixture.kt
@@ -47,8 +47,7 @@
             foundingVoters = foundingVoters,
             timeSource = scope.testScheduler.timeSource,
             options = options,
-            driverDispatcher = dispatcher,
-            storageDispatcher = dispatcher,
+            dispatchers = ReplicaDispatchers(dispatcher, dispatcher),
             onFailure = onFailure,
             configure = configure,
         )
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/LateCopyTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/LateCopyTest.kt
@@ -55,13 +55,16 @@
         }
     }
 
-    /** Guards against an answer of another host that is matched to its connection in place of the send that it answers. */
+    /** Guards against an answer of another host that is matched to its connection in place of one send. */
     @Test
     fun `an answer of another host counts for the send that it names only`() {
         data class Case(val name: String, val copy: (RawRequest) -> String, val expected: String)
         val refusal = "HTTP/1.1 503 Busy\r\nArbutus-Outcome: not_run\r\nContent-Length: 0\r\n"
         val ran = { request: RawRequest ->
-            signedResponse(request, "ran").replace("Attempt:", "Arbutus-Send: ${request.header("Arbutus-Send")}\r\nAttempt:")
+            signedResponse(
+                request,
+                "ran",
+            ).replace("Attempt:", "Arbutus-Send: ${request.header("Arbutus-Send")}\r\nAttempt:")
         }
         val cases = listOf(
             Case("a refusal of another send", { "${refusal}Arbutus-Send: other.1\r\n\r\n" }, "HTTP/1.1 200"),
