Keep connections only to servers that name the request of their responses

The late copy of an earlier response would have been delivered to the next caller, and a resumed stream could have gone on with a late copy of another one.

Change: a response without an identifier on a connection that was used before fails the attempt, and a server that has sent one gets each further request on a new connection. Streams are resumed on a new connection.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendClient.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendClient.kt
@@ -21,13 +21,15 @@
 import org.arbutusrelay.schema.api.EngineOrderReply
 import java.io.IOException
 import java.net.Proxy
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 
 /**
  * HTTP client for backend servers.
  *
  * Each call is sent at most once: OkHttp's retries and redirects are disabled. A non-idempotent request uses a new
- * connection, because its outcome would be unknown if the backend server closed a pooled connection during the send.
+ * connection, because its outcome would be unknown if the backend server closed a pooled connection during the send. So
+ * does each request to a server whose responses do not name their request: a late copy of one would answer the next.
  * [onDrop] is called for each dropped part of a response.
  */
 public class BackendClient(
@@ -57,6 +59,9 @@
     private val unpooled: OkHttpClient =
         pooled.newBuilder().connectionPool(ConnectionPool(0, 1, TimeUnit.SECONDS)).build()
 
+    /** Addresses of servers that have sent a response without a request identifier. */
+    private val anonymousAddresses = ConcurrentHashMap.newKeySet<String>()
+
     /** Creates an exchange; nothing is sent until [BackendExchange.run] is called. */
     public fun exchange(request: BackendRequest): BackendExchange =
         BackendExchange(this, request, resumeAttempts, onDrop)
@@ -80,6 +85,14 @@
         pooled.connectionPool.evictAll()
     }
 
+    internal fun mayReuseConnections(address: String): Boolean = address !in anonymousAddresses
+
+    internal fun recordAnonymousResponse(address: String) {
+        // Servers that have left are forgotten together with the others, which are then learned again.
+        if (anonymousAddresses.size >= MAX_ANONYMOUS_ADDRESSES) anonymousAddresses.clear()
+        anonymousAddresses += address
+    }
+
     internal fun newCall(request: Request, isPooled: Boolean, timeoutMs: Long): Call {
         val call = (if (isPooled) pooled else unpooled).newCall(request)
         call.timeout().timeout(timeoutMs.coerceAtLeast(1), TimeUnit.MILLISECONDS)
@@ -111,6 +124,7 @@
         private val JSON_TYPE = "application/json".toMediaType()
         private const val MAX_IDLE_CONNECTIONS = 256
         private const val KEEP_ALIVE_S = 30L
+        private const val MAX_ANONYMOUS_ADDRESSES = 10_000
         private const val MAX_CONCURRENT_CANCELS = 16
         private const val CANCEL_TIMEOUT_MS = 2_000L
         private const val MAX_ORDER_REPLY_BYTES = 65_536L
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
@@ -26,7 +26,8 @@
 
     /** Sends the request and blocks until the response ends; may be called only once. */
     public fun run(listener: ResponseListener): AttemptEnd = try {
-        val call = activate(request.toHttpRequest(trace), isPooled = request.isIdempotent)
+        val isPooled = request.isIdempotent && client.mayReuseConnections(request.address)
+        val call = activate(request.toHttpRequest(trace), isPooled)
         call.execute().use { receive(it, listener) }
     } catch (_: CallerDisconnectedException) {
         cancel()
@@ -59,6 +60,14 @@
             onDrop(DropReason.FOREIGN)
             return failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "the response names another request")
         }
+        if (responseRequestId == null) {
+            client.recordAnonymousResponse(request.address)
+            if (trace.isConnectionReused) {
+                onDrop(DropReason.FOREIGN)
+                val detail = "the response on a connection that was used before names no request"
+                return failed(ErrorKind.BACKEND_FAILED, AttemptResult.CONNECTION_LOST, detail)
+            }
+        }
         if (response.header(OUTCOME_HEADER) == NOT_RUN) return refused("status ${response.code}")
         if (response.code >= SERVER_ERROR) {
             return failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "status ${response.code}")
@@ -86,7 +95,8 @@
         if (copyEvents(first, sequence, listener)) return AttemptEnd.Complete(head.statusCode)
         repeat(resumeAttempts) {
             val position = sequence.lastPosition ?: return streamBroken("it has no positions to resume from")
-            val call = activate(request.toResumeRequest(position), isPooled = true)
+            // On a connection that was used before, a late copy of another response could continue the stream.
+            val call = activate(request.toResumeRequest(position), isPooled = false)
             if (resume(call, sequence, listener)) return AttemptEnd.Complete(head.statusCode)
         }
         return streamBroken("it could not be resumed after position ${sequence.lastPosition}")
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/SendTrace.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/SendTrace.kt
@@ -5,10 +5,12 @@
 import okhttp3.Interceptor
 import okhttp3.Response
 import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.Proxy
 import java.util.concurrent.atomic.AtomicBoolean
 
 /**
- * Records whether any byte of a call may have reached the backend server.
+ * Records whether any byte of a call may have reached the backend server, and whether its connection was used before.
  *
  * OkHttp reports `requestHeadersStart` before it writes the first byte of a request to the connection. Before that it
  * only resolves the address and connects, so a call that failed without this event was not sent. The outcome of a call
@@ -16,10 +18,18 @@
  */
 internal class SendTrace : EventListener() {
     private val isWriteStarted = AtomicBoolean(false)
+    private val isConnectStarted = AtomicBoolean(false)
     private val isClaimed = AtomicBoolean(false)
 
     val mayHaveBeenSent: Boolean get() = isWriteStarted.get()
 
+    /** True if the call used a connection that an earlier call had opened. */
+    val isConnectionReused: Boolean get() = !isConnectStarted.get()
+
+    override fun connectStart(call: Call, inetSocketAddress: InetSocketAddress, proxy: Proxy) {
+        isConnectStarted.set(true)
+    }
+
     override fun requestHeadersStart(call: Call) {
         isWriteStarted.set(true)
     }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/StubBackendServer.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/StubBackendServer.kt
@@ -46,6 +46,9 @@
         val headers: Map<String, String>,
         val body: String,
     ) {
+        /** Port of the caller's side of the connection. */
+        val peerPort: Int get() = socket.port
+
         fun respond(status: Int, body: String, vararg fields: String) =
             write("HTTP/1.1 $status X\r\nContent-Length: ${body.length}\r\n${lines(fields)}\r\n$body")
 
