--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupFixture.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupFixture.kt
@@ -74,20 +74,24 @@
 
     fun command(number: Long) = ReplicatedCommand(manifest = ManifestRecord(number, "", ""))
 
+    /** Keeps the numbers of all applied commands. */
     internal class SumStateMachine : StateMachine<Long> {
-        var sum = 0L
+        private val applied = ArrayList<Long>()
         var error: Throwable? = null
+        val numbers: Set<Long> get() = applied.toSet()
+        val sum: Long get() = applied.sum()
 
         override fun apply(index: Long, command: ReplicatedCommand): Long {
             error?.let { throw it }
-            sum += command.manifest?.number ?: 0
+            command.manifest?.let { applied += it.number }
             return sum
         }
 
-        override fun snapshot() = sum.toString().toByteArray()
+        override fun snapshot() = applied.joinToString(",").toByteArray()
 
         override fun restore(snapshot: ByteArray) {
-            sum = snapshot.decodeToString().toLong()
+            applied.clear()
+            snapshot.decodeToString().split(',').filter { it.isNotEmpty() }.mapTo(applied) { it.toLong() }
         }
     }
 
