Read what has arrived after a pause before connections are closed at a stop

Cause: after a pause of the process a timer may run before the sockets are read. The connection then looks quiet.

Change: a timer that comes late waits for another pass of the loop, three times at most, before quiet connections are closed.

PlannedStopTest (arrives while the event loop pauses) fails without it at its first case.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
@@ -29,8 +29,8 @@
     suspend fun await(endMs: Long, openExchanges: () -> Int): Boolean = withContext(loop.asCoroutineDispatcher()) {
         delay(quietMs)
         while (nowMs() < endMs && !(connections.isEmpty() && openExchanges() == 0)) {
+            awaitRead()
             connections.closeQuiet(quietMs)
-            delay(POLL_MS)
         }
         val isDrained = !connections.hasRequests() && openExchanges() == 0
         state.refuseAll()
@@ -40,9 +40,28 @@
         isDrained
     }
 
+    /**
+     * Returns after a pass of the event loop that has read what had arrived.
+     *
+     * After a pause of the process the timer may run before the sockets are read, and a connection on which a request
+     * has waited for the whole pause looks quiet. So a late timer waits once more; a starved loop is always late, so
+     * the number of times is limited.
+     */
+    private suspend fun awaitRead() {
+        repeat(MAX_LATE_PASSES) {
+            val startMs = nowMs()
+            delay(POLL_MS)
+            if (nowMs() - startMs <= MAX_PASS_MS) return
+        }
+    }
+
     private companion object {
         const val POLL_MS = 20L
 
+        /** A pass of a loop that is not late takes a few milliseconds more than [POLL_MS]. */
+        const val MAX_PASS_MS = 2 * POLL_MS
+        const val MAX_LATE_PASSES = 3
+
         /** Less than the margin between the end of the drain and the end of the grace period. */
         const val MAX_FLUSH_MS = 200L
     }
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
@@ -192,6 +192,32 @@
         }
     }
 
+    /** Guards against a request that waited for a suspended host and whose connection looked quiet at its return. */
+    @Test
+    fun `a request that arrives while the event loop pauses is answered`() {
+        for (pausedCall in 1..3) {
+            RelayFixture(server(0)).use { relay ->
+                val caller = relay.connect()
+                caller.send("/once/1", "POST", body = "b")
+                assertContains(caller.readResponse(), "served")
+                var calls = 0
+                var clockMs = 0L
+                assertTrue(
+                    relay.drain(quietMs = 100, endMs = 5_000) {
+                        if (++calls == pausedCall) {
+                            caller.send("/once/2", "POST", body = "b")
+                            Thread.sleep(PAUSE_MS)
+                            clockMs += 600
+                        }
+                        clockMs++
+                    },
+                )
+                assertContains(caller.readResponse(), "served", message = "pause at call $pausedCall")
+                caller.close()
+            }
+        }
+    }
+
     /** Guards against giving up, or running again elsewhere, what a server runs that was only silent for a while. */
     @Test
     fun `a server that falls out of the table keeps its running requests`() {
@@ -231,6 +257,9 @@
         const val POLL_MS = 5L
         const val SLOW_READER_MS = 600L
 
+        /** Long enough for the request to arrive in the socket of the host. */
+        const val PAUSE_MS = 100L
+
         /** More than the socket buffers hold of a caller with a small receive buffer, less than a response may have. */
         const val LONG_RESPONSE_BYTES = 4_000_000
         const val HEAD = "POST /once/x HTTP/1.1\r\nHost: a.example\r\nAttempt: a\r\nContent-Length: 1\r\n\r\n"
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -173,6 +173,11 @@
         return runBlocking { stop.await(0, clock.nowMs() + graceMs) { context.openExchanges } }
     }
 
+    /** Drains the connections by a clock of the test, which runs on the event loop. */
+    fun drain(quietMs: Long, endMs: Long, nowMs: () -> Long): Boolean = runBlocking {
+        ConnectionDrain(loop, connections, context.stopState, nowMs, quietMs).await(endMs) { context.openExchanges }
+    }
+
     override fun close() {
         server.stop()
         group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS)
