Handle the requests of a connection in their order

Callers saw, where they send requests without waiting for responses, the answer of a later request in the place of an earlier one, or a request that waits for the end of a body that had arrived.

Cause: after the end of a response the queued messages of the connection are handled by a scheduled task, and a message that arrives before that task was handled at once. Evidence: PipelinedOrderTest failed on and on (the third request was handled before the second). Change: while messages wait, those that arrive are queued behind them, and the connection is not idle.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
@@ -61,12 +61,9 @@
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         // A body that arrives piece by piece does not extend the time that the request has.
         if (message is HttpRequest) lastActiveMs = options.nowMs()
-        if (exchange != null) return bufferPipelined(context, message)
-        try {
-            handle(context, message)
-        } finally {
-            ReferenceCountUtil.release(message)
-        }
+        // Messages that wait for the end of a response are handled first, also when it has just ended.
+        if (exchange != null || pipelined.isNotEmpty()) return bufferPipelined(context, message)
+        handleAndRelease(context, message)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
@@ -93,7 +90,7 @@
         get() = (handlerContext?.channel()?.unsafe()?.outboundBuffer()?.totalPendingWriteBytes() ?: 0) > 0
 
     /** Returns true when no request is being read or processed and every response has been written. */
-    fun isIdle(): Boolean = exchange == null && head == null && !hasUnsentBytes
+    fun isIdle(): Boolean = exchange == null && head == null && pipelined.isEmpty() && !hasUnsentBytes
 
     /** Returns true when no request is being read or processed and none has been for at least [quietMs]. */
     fun isQuietFor(quietMs: Long): Boolean = isIdle() && options.nowMs() - lastActiveMs >= quietMs
@@ -136,6 +133,14 @@
         if (pipelined.size > MAX_PIPELINED_MESSAGES) context.close()
     }
 
+    private fun handleAndRelease(context: ChannelHandlerContext, message: HttpObject) {
+        try {
+            handle(context, message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
     private fun handle(context: ChannelHandlerContext, message: HttpObject) {
         if (isClosing) return
         if (message.decoderResult().isFailure) return rejectMalformed(context, message)
@@ -205,8 +210,7 @@
 
     private fun processPipelined(context: ChannelHandlerContext) {
         while (exchange == null) {
-            val message = pipelined.removeFirstOrNull() ?: return
-            channelRead0(context, message)
+            handleAndRelease(context, pipelined.removeFirstOrNull() ?: return)
         }
     }
 
