Limit the memory of request bodies

Cause: nothing limited the memory of bodies that are read or kept for another send, as ResponseBuffers does for responses. Without room the connection is not read; after a quarter of the caller's time, 800 ms at most, the request is refused with 503 and Retry-After. A rejected connection is closed only after what its caller still sends was read, since a reset could destroy the refusal. The heap of a real process was not measured.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -417,6 +417,7 @@
     private fun finish() {
         phase = Phase.DONE
         context.openExchanges--
+        request.releaseBody()
     }
 
     private inner class ResolvedRequest(
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
@@ -17,14 +17,15 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
-import java.io.ByteArrayOutputStream
+import java.util.concurrent.TimeUnit
 
 /**
  * Reads requests from one connection, one at a time, and detects when the caller disconnects.
  *
  * Reading continues while a response is pending, because only a read reveals that the caller has closed the connection.
  * Pipelined messages are buffered until the response is complete; the connection is closed when the buffer limit is
- * exceeded.
+ * exceeded. While there is no memory for a body, the connection is not read; a request that cannot be read within its
+ * caller's time is refused.
  */
 internal class IngressHandler(
     private val isForwarded: Boolean,
@@ -32,7 +33,11 @@
     private val service: IngressService,
 ) : SimpleChannelInboundHandler<HttpObject>(false) {
     private var head: HttpRequest? = null
-    private var body = ByteArrayOutputStream()
+    private var body: RequestBody? = null
+
+    /** Number of the wait for memory that goes on, or null; the connection is not read meanwhile. */
+    private var waitNumber: Int? = null
+    private var waitCount = 0
     private var exchange: IngressExchange? = null
     private var writer: ResponseWriter? = null
     private var isClosing = false
@@ -63,12 +68,11 @@
         if (message is HttpRequest) lastActiveMs = options.nowMs()
         // Messages that wait for the end of a response are handled first, also when it has just ended.
         if (exchange != null || pipelined.isNotEmpty()) return bufferPipelined(context, message)
-        handleAndRelease(context, message)
+        handleOrWait(context, message)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        pipelined.forEach(ReferenceCountUtil::release)
-        pipelined.clear()
+        discardUnread()
         val active = exchange
         exchange = null
         active?.onCallerDisconnected()
@@ -128,12 +132,28 @@
         }
     }
 
+    /** Reads on if there is memory for the body that waits. */
+    fun resumeIfRoom() {
+        val context = handlerContext ?: return
+        val next = pipelined.firstOrNull()
+        if (waitNumber == null || (next is HttpContent && !hasRoomFor(next))) return
+        endWait(context)
+        processPipelined(context)
+    }
+
+    /** Runs [action] on the event loop of the connection. */
+    fun execute(action: () -> Unit) {
+        handlerContext?.executor()?.execute(action)
+    }
+
     private fun bufferPipelined(context: ChannelHandlerContext, message: HttpObject) {
         pipelined.addLast(message)
-        if (pipelined.size > MAX_PIPELINED_MESSAGES) context.close()
+        // A connection that waits is not read, so that no more follow than were decoded at once.
+        if (waitNumber == null && pipelined.size > MAX_PIPELINED_MESSAGES) context.close()
     }
 
-    private fun handleAndRelease(context: ChannelHandlerContext, message: HttpObject) {
+    private fun handleOrWait(context: ChannelHandlerContext, message: HttpObject) {
+        if (message is HttpContent && !hasRoomFor(message)) return awaitRoom(context, message)
         try {
             handle(context, message)
         } finally {
@@ -141,6 +161,44 @@
         }
     }
 
+    private fun hasRoomFor(content: HttpContent): Boolean {
+        val bytes = content.content().readableBytes()
+        return isClosing || head == null || bytes == 0 || body?.tryReserve(bytes) != false
+    }
+
+    private fun awaitRoom(context: ChannelHandlerContext, message: HttpObject) {
+        val headers = head?.headers() ?: return
+        pipelined.addFirst(message)
+        val number = ++waitCount
+        waitNumber = number
+        context.channel().config().isAutoRead = false
+        options.bodies.await(this)
+        val refuse = { if (waitNumber == number) refuseForMemory(context) }
+        context.executor().schedule(refuse, options.bodyWaitMs(headers), TimeUnit.MILLISECONDS)
+    }
+
+    private fun refuseForMemory(context: ChannelHandlerContext) {
+        options.onBodyRefused()
+        reject(context, HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfter = BODY_RETRY_AFTER_S)
+    }
+
+    private fun endWait(context: ChannelHandlerContext) {
+        if (waitNumber == null) return
+        waitNumber = null
+        options.bodies.stopWaiting(this)
+        context.channel().config().isAutoRead = true
+    }
+
+    /** Gives up the request that is being read, and everything that was read after it. */
+    private fun discardUnread() {
+        handlerContext?.let(::endWait)
+        head = null
+        body?.let { options.bodies.release(it.lease) }
+        body = null
+        pipelined.forEach(ReferenceCountUtil::release)
+        pipelined.clear()
+    }
+
     private fun handle(context: ChannelHandlerContext, message: HttpObject) {
         if (isClosing) return
         if (message.decoderResult().isFailure) return rejectMalformed(context, message)
@@ -150,17 +208,19 @@
 
     private fun onRequestHead(context: ChannelHandlerContext, request: HttpRequest) {
         headStartedMs = null
-        body = ByteArrayOutputStream()
         val headers = request.headers()
         val hasConflictingLengths = headers.contains(HttpHeaderNames.TRANSFER_ENCODING) &&
             headers.contains(HttpHeaderNames.CONTENT_LENGTH)
         if (hasConflictingLengths || headers.getAll(HttpHeaderNames.HOST).size != 1) {
             return reject(context, HttpResponseStatus.BAD_REQUEST)
         }
-        if (HttpUtil.getContentLength(request, 0L) > options.maxBodyBytes()) {
+        val lengthBytes = HttpUtil.getContentLength(request, UNKNOWN_LENGTH)
+        if (lengthBytes > options.maxBodyBytes()) {
             return reject(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
         }
         head = request
+        val announcedBytes = lengthBytes.toInt().takeIf { it >= 0 }
+        body = RequestBody(options.bodies.lease(), announcedBytes, options.maxBodyBytes())
         headReadMs = options.nowMs() - options.lagMs()
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
@@ -168,13 +228,17 @@
     }
 
     private fun onRequestContent(context: ChannelHandlerContext, content: HttpContent) {
-        content.content().let { it.readBytes(body, it.readableBytes()) }
-        if (body.size() > options.maxBodyBytes()) return reject(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-        if (content is LastHttpContent) head?.let { startExchange(context, it) }
+        val current = body ?: return
+        current.append(content.content())
+        if (current.sizeBytes > options.maxBodyBytes()) {
+            return reject(context, HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+        }
+        if (content is LastHttpContent) head?.let { startExchange(context, it, current) }
     }
 
-    private fun startExchange(context: ChannelHandlerContext, request: HttpRequest) {
+    private fun startExchange(context: ChannelHandlerContext, request: HttpRequest, body: RequestBody) {
         head = null
+        this.body = null
         val ingressRequest = IngressRequest(
             request.method().name(),
             request.uri(),
@@ -182,7 +246,7 @@
             body.toByteArray(),
             headReadMs,
             isForwarded,
-        )
+        ) { options.bodies.release(body.lease) }
         val isPersistent = HttpUtil.isKeepAlive(request)
         val responseWriter = ResponseWriter(
             context.channel(),
@@ -209,8 +273,8 @@
     }
 
     private fun processPipelined(context: ChannelHandlerContext) {
-        while (exchange == null) {
-            handleAndRelease(context, pipelined.removeFirstOrNull() ?: return)
+        while (exchange == null && waitNumber == null) {
+            handleOrWait(context, pipelined.removeFirstOrNull() ?: return)
         }
     }
 
@@ -223,16 +287,20 @@
 
     private fun reject(context: ChannelHandlerContext, status: HttpResponseStatus, retryAfter: String? = null) {
         isClosing = true
-        head = null
+        discardUnread()
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status)
         response.headers()[HttpHeaderNames.CONTENT_LENGTH] = 0
         response.headers()[HttpHeaderNames.CONNECTION] = "close"
         retryAfter?.let { response.headers()[HttpHeaderNames.RETRY_AFTER] = it }
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
+        context.writeAndFlush(response).addListener { LingeringClose.begin(context) }
     }
 
     private companion object {
         /** Limit in messages of the HTTP decoder; allows for two small pipelined requests. */
         const val MAX_PIPELINED_MESSAGES = 32
+        const val UNKNOWN_LENGTH = -1L
+
+        /** About the time in which a long body is read and answered, after which its memory is free again. */
+        const val BODY_RETRY_AFTER_S = "1"
     }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressRequest.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressRequest.kt
@@ -13,6 +13,8 @@
     val receivedMs: Long,
     /** True when a host of another region sent the request. */
     val isForwarded: Boolean,
+    /** Releases the memory of the body; called once the request has ended, also more than once. */
+    val releaseBody: () -> Unit,
 ) {
     val authority: String get() = headers["Host"].orEmpty().substringBefore(':')
     val path: String get() = uri.substringBefore('?')
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressService.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressService.kt
@@ -1,6 +1,7 @@
 package org.arbutusrelay.relay.ingress
 
 import io.netty.channel.Channel
+import io.netty.handler.codec.http.HttpHeaders
 
 /** Processes the requests that an [IngressServer] reads; called on the event loop. */
 internal interface IngressService {
@@ -37,6 +38,20 @@
 /**
  * Clock and limits for reading requests; the body limit may change with the operator's document.
  *
- * [lagMs] returns how long input may have waited because the event loop was late, in milliseconds.
+ * [lagMs] returns how long input may have waited because the event loop was late, in milliseconds. A body waits for
+ * memory in [bodies] for at most [bodyWaitMs], which depends on the headers of its request; [onBodyRefused] is called
+ * for each request that is refused after that.
  */
-internal class IngressOptions(val nowMs: () -> Long, val lagMs: () -> Long = { 0 }, val maxBodyBytes: () -> Int)
+internal class IngressOptions(
+    val nowMs: () -> Long,
+    val lagMs: () -> Long = { 0 },
+    val bodies: BodyAdmission = BodyAdmission(),
+    val bodyWaitMs: (HttpHeaders) -> Long = { MAX_BODY_WAIT_MS },
+    val onBodyRefused: () -> Unit = {},
+    val maxBodyBytes: () -> Int,
+) {
+    companion object {
+        /** Shorter than the second after which callers give up a host that has not read their request. */
+        const val MAX_BODY_WAIT_MS: Long = 800
+    }
+}
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -2,11 +2,13 @@
 
 import io.netty.channel.Channel
 import io.netty.channel.nio.NioEventLoopGroup
+import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
+import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.invariant.Guarantee
 import org.arbutusrelay.core.invariant.Invariants
 import org.arbutusrelay.core.relay.LoopLag
@@ -30,6 +32,7 @@
 import org.arbutusrelay.relay.exchange.ForwardTargets
 import org.arbutusrelay.relay.exchange.ProfileBuilder
 import org.arbutusrelay.relay.exchange.RelayContext
+import org.arbutusrelay.relay.ingress.BodyAdmission
 import org.arbutusrelay.relay.ingress.ConnectionDrain
 import org.arbutusrelay.relay.ingress.IngressExchange
 import org.arbutusrelay.relay.ingress.IngressHandler
@@ -97,9 +100,14 @@
     )
     private val profiles = ProfileBuilder(settings.region) { otherRegions }
     private val loopLag = LoopLag()
-    private val options = IngressOptions(clock::nowMs, { loopLag.lagMs(clock.nowMs()) }) {
-        context.routes.get()?.plan?.limits?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES
-    }
+    private val bodies = BodyAdmission()
+    private val options = IngressOptions(
+        clock::nowMs,
+        { loopLag.lagMs(clock.nowMs()) },
+        bodies,
+        ::bodyWaitMs,
+        { metrics.countError(ErrorKind.OVERLOADED) },
+    ) { context.routes.get()?.plan?.limits?.maxBodyBytes ?: DEFAULT_MAX_BODY_BYTES }
     private val callerServer = IngressServer(group, options, Ingress(), isForwarded = false)
     private val forwardServer = IngressServer(group, options, Ingress(), isForwarded = true)
     private val connections = OpenConnections()
@@ -126,6 +134,8 @@
         context.schedule(0, ::recordLoopRun)
         metrics.gauge("arbutus.requests.open") { context.openExchanges }
         metrics.gauge("arbutus.requests.queued") { scheduler.queuedRequests() }
+        metrics.gauge("arbutus.request.bodies.bytes") { bodies.reservedBytes }
+        metrics.gauge("arbutus.request.bodies.waiting") { bodies.waitingCount }
         metrics.gauge("arbutus.suspects.held") { site.crashEvidence.heldBack.size }
         metrics.gauge("arbutus.document.number") { context.routes.get()?.plan?.number ?: -1 }
         log.write(siteLinks.eventLine(Event.STARTED).copy(address = callerAddress))
@@ -175,6 +185,12 @@
     private fun reportLoad(placed: PlacedAttempt, load: ReportedLoad) =
         site.observe(BackendLoad(placed.backendServer, placed.incarnation, load.running, load.queued, 0))
 
+    /** Returns how long a body may wait for memory: a part of the time that its caller has. */
+    private fun bodyWaitMs(headers: HttpHeaders): Long {
+        val callerMs = dialect.decodeRequest(headers).getOrNull()?.deadlineMs ?: Long.MAX_VALUE
+        return minOf(callerMs / BODY_WAIT_DIVISOR, IngressOptions.MAX_BODY_WAIT_MS)
+    }
+
     /** Applies a newer site view; called on the thread that built it. */
     private fun onSiteView(view: SiteView) {
         val plan = parsePlan(view) ?: return
@@ -263,6 +279,9 @@
         /** High, because one crashed server fails many requests at once, which says little about the other servers. */
         const val REGION_FAILURE_THRESHOLD = 20
         const val REGION_OPEN_MS = 500L
+
+        /** Callers give up a host that has not read their request after a third of their time. */
+        const val BODY_WAIT_DIVISOR = 4
         const val DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
         const val DEFAULT_IDLE_TIMEOUT_MS = 30_000L
         const val OK_STATUS = 200
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -23,6 +23,7 @@
 import org.arbutusrelay.relay.exchange.ForwardTargets
 import org.arbutusrelay.relay.exchange.ProfileBuilder
 import org.arbutusrelay.relay.exchange.RelayContext
+import org.arbutusrelay.relay.ingress.BodyAdmission
 import org.arbutusrelay.relay.ingress.ConnectionDrain
 import org.arbutusrelay.relay.ingress.IngressExchange
 import org.arbutusrelay.relay.ingress.IngressHandler
@@ -66,6 +67,7 @@
     hasRoutes: Boolean = true,
     private val oddServers: Map<String, String> = emptyMap(),
     maxBodyBytes: Int = MAX_BODY_BYTES,
+    bodies: BodyAdmission = BodyAdmission(),
 ) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -88,7 +90,7 @@
     ) { _, _ -> }
     private val profiles = ProfileBuilder("hue") { listOf("north") }
     val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
-    private val options = IngressOptions(clock::nowMs, { lagMs }) { maxBodyBytes }
+    private val options = IngressOptions(clock::nowMs, { lagMs }, bodies) { maxBodyBytes }
     private val connections = OpenConnections()
 
     /** Simulated delay of the event loop, in milliseconds. */
