Move the silence watch and the resolved request out of Exchange

A split without a change of behaviour: SilenceWatch holds the check of a response without progress, ResolvedRequest what the document states of a request.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -6,7 +6,6 @@
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.relay.AttemptFailure
 import org.arbutusrelay.core.relay.EventStreamCursor
-import org.arbutusrelay.core.relay.ProgressTimeout
 import org.arbutusrelay.core.relay.RetryContext
 import org.arbutusrelay.core.relay.RetryRules
 import org.arbutusrelay.core.relay.RetryVerdict
@@ -19,7 +18,6 @@
 import org.arbutusrelay.relay.backend.BackendHead
 import org.arbutusrelay.relay.backend.BackendRequest
 import org.arbutusrelay.relay.dialect.BackendRequestMetadata
-import org.arbutusrelay.relay.dialect.RequestMetadata
 import org.arbutusrelay.relay.ingress.IngressExchange
 import org.arbutusrelay.relay.ingress.IngressRequest
 import org.arbutusrelay.relay.ingress.ResponseWriter
@@ -47,6 +45,7 @@
     private var possibleRuns = 0
     private var tried = emptySet<String>()
     private var fallbackResponse: FullResponse? = null
+    private val silenceWatch = SilenceWatch(context, { attempt === it && phase == Phase.SENT }, ::onSilent)
     private val cursor by lazy { EventStreamCursor(resolved?.metadata?.lastEventId) }
 
     /** Records how the attempts end; null until the request has a route. */
@@ -223,7 +222,7 @@
         attempt = newAttempt
         context.eventListener.placed(this, placed, address, if (attempts > 1) cursor.lastEventId else null)
         val headers = try {
-            call.backendHeaders(placed, backendServer)
+            backendHeaders(call, placed, backendServer)
         } catch (e: IllegalArgumentException) {
             // A value that another program announced, such as the name of the backend server, fits in no header.
             return onAttemptFailed(newAttempt, AttemptFailure.NOT_SENT, e.message.orEmpty())
@@ -238,37 +237,36 @@
                 call.deadlineMs,
             ),
         )
-        if (attempt === newAttempt && call.route.isRepeatable) checkResponseTimeout(newAttempt)
+        if (attempt === newAttempt && call.route.isRepeatable) silenceWatch.start(newAttempt, call.route)
     }
 
-    /** Retries on another backend server when the response makes no progress within its timeout. */
-    private fun checkResponseTimeout(checked: Attempt) {
-        val call = resolved ?: return
-        val timeoutMs = ProgressTimeout.timeoutMs(call.route, checked.hasProgressed)
-        val idleMs = context.clock.nowMs() - checked.lastProgressMs
-        if (idleMs < timeoutMs) {
-            context.schedule(timeoutMs - idleMs) {
-                if (attempt === checked && phase == Phase.SENT) checkResponseTimeout(checked)
-            }
-            return
-        }
+    private fun backendHeaders(call: ResolvedRequest, placed: PlacedAttempt, backendServer: String?): HttpHeaders {
+        val metadata = BackendRequestMetadata(
+            backendServer = backendServer,
+            remainingMs = (call.deadlineMs - context.clock.nowMs()).coerceAtLeast(1),
+            priority = call.route.priority,
+            lastEventId = if (call.route.kind == RouteKind.STREAM) cursor.lastEventId else null,
+            cacheSource = placed.cacheSourceAddress.ifEmpty { null },
+        )
+        val forward = ForwardMetadata(call.serviceName, ageMs, sendId).takeIf { backendServer == null }
+        return BackendRequestHeaders.of(request, context.dialect, metadata, forward)
+    }
+
+    /** Retries on another backend server if that is allowed after [idleMs] without progress; returns false if not. */
+    private fun onSilent(silent: Attempt, idleMs: Long): Boolean {
         val isRetryAllowed = decideRetry(AttemptFailure.SILENT) == RetryVerdict.RETRY
-        if (isRetryAllowed && context.scheduler.tryRetry(profile, context.clock.nowMs())) {
-            checked.cancel(AttemptResult.TIMED_OUT)
-            possibleRuns++
-            context.eventListener.attemptFailed(
-                this,
-                checked.placed,
-                AttemptFailure.SILENT,
-                "silent for $idleMs ms",
-                true,
-            )
-            resend(checked)
-        } else {
-            context.schedule(timeoutMs) {
-                if (attempt === checked && phase == Phase.SENT) checkResponseTimeout(checked)
-            }
-        }
+        if (!isRetryAllowed || !context.scheduler.tryRetry(profile, context.clock.nowMs())) return false
+        silent.cancel(AttemptResult.TIMED_OUT)
+        possibleRuns++
+        context.eventListener.attemptFailed(
+            this,
+            silent.placed,
+            AttemptFailure.SILENT,
+            "silent for $idleMs ms",
+            true,
+        )
+        resend(silent)
+        return true
     }
 
     /** Returns false if a stream has begun that a response with [head] cannot continue. */
@@ -419,27 +417,6 @@
         context.openExchanges--
     }
 
-    private inner class ResolvedRequest(
-        val route: Route,
-        val metadata: RequestMetadata,
-        val serviceName: String,
-        val deadlineMs: Long,
-        val documentNumber: Long,
-    ) {
-        /** Returns the headers for [backendServer], or for a host of another region if it is null. */
-        fun backendHeaders(placed: PlacedAttempt, backendServer: String?): HttpHeaders {
-            val metadata = BackendRequestMetadata(
-                backendServer = backendServer,
-                remainingMs = (deadlineMs - context.clock.nowMs()).coerceAtLeast(1),
-                priority = route.priority,
-                lastEventId = if (route.kind == RouteKind.STREAM) cursor.lastEventId else null,
-                cacheSource = placed.cacheSourceAddress.ifEmpty { null },
-            )
-            val forward = ForwardMetadata(serviceName, ageMs, sendId).takeIf { backendServer == null }
-            return BackendRequestHeaders.of(request, context.dialect, metadata, forward)
-        }
-    }
-
     private enum class Phase { NEW, WAITING, SENT, DONE }
 
     private companion object {
