Tell the incomplete event and the position of a failed stream, and count events without an identifier

The line of a failed attempt now tells the length of the event that the server had begun (incompleteEventBytes) and the last event of the caller (lastEventId), so that a joined event shows as a resumption after a part of an event. arbutus_responses_defects_total counts events without an identifier; it has no lines of its own.

--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/EventStreamCursor.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/EventStreamCursor.kt
@@ -23,8 +23,13 @@
     public var eventCount: Int = 0
         private set
 
+    private var unidentified = 0
+
+    /** Length of the incomplete event that is buffered, in bytes; 0 if there is none. */
+    public val incompleteBytes: Int get() = partial.size()
+
     /** True while an incomplete event is buffered. */
-    public val isInsideEvent: Boolean get() = partial.size() > 0
+    public val isInsideEvent: Boolean get() = incompleteBytes > 0
 
     /** True if the incomplete event exceeds [MAX_EVENT_BYTES], so that the stream must be given up. */
     public val isEventTooLong: Boolean get() = partial.size() > MAX_EVENT_BYTES
@@ -50,6 +55,9 @@
         return output.toByteArray()
     }
 
+    /** Returns the number of events without an identifier after one with an identifier, since the last call. */
+    public fun takeUnidentified(): Int = unidentified.also { unidentified = 0 }
+
     /** Discards the incomplete event of a backend server that failed. */
     public fun dropPartial(): Unit = partial.reset()
 
@@ -57,6 +65,7 @@
         val id = parseEventId(buffered, start, end)
         val previousId = lastEventId
         if (id != null && previousId != null && id <= previousId) return
+        if (id == null && previousId != null && !isComment(buffered, start, end)) unidentified++
         if (id != null) lastEventId = id
         eventCount++
         output.write(buffered, start, end - start)
@@ -76,6 +85,10 @@
         String(buffered, start, end - start, Charsets.ISO_8859_1).lineSequence()
             .firstOrNull { it.startsWith(ID_FIELD) }?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
 
+    private fun isComment(buffered: ByteArray, start: Int, end: Int): Boolean =
+        String(buffered, start, end - start, Charsets.ISO_8859_1).lineSequence()
+            .all { it.isEmpty() || it.startsWith(COMMENT_MARK) }
+
     public companion object {
         /** Longest event, in bytes; a backend server that sends more without an end of the event is faulty. */
         public const val MAX_EVENT_BYTES: Int = 256 * 1024
@@ -85,5 +98,6 @@
         private const val LINE_FEED = '\n'.code.toByte()
         private const val CARRIAGE_RETURN = '\r'.code.toByte()
         private const val ID_FIELD = "id:"
+        private const val COMMENT_MARK = ':'
     }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/ResponseDefect.kt
@@ -0,0 +1,11 @@
+package org.arbutusrelay.core.relay
+
+/** Part of a response to one request that does not belong to that response. */
+public enum class ResponseDefect {
+    /** An event without an identifier in a stream whose events have identifiers. */
+    EVENT_WITHOUT_ID,
+    ;
+
+    /** Identifier in metrics, such as `event_without_id`. */
+    public val id: String = name.lowercase()
+}
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/RelayMetrics.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/RelayMetrics.kt
@@ -8,6 +8,7 @@
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.Outcome
 import org.arbutusrelay.core.invariant.Guarantee
+import org.arbutusrelay.core.relay.ResponseDefect
 import org.arbutusrelay.core.route.RouteKind
 import org.arbutusrelay.daemon.backend.DropReason
 import org.arbutusrelay.schema.log.EventLine.Event
@@ -22,6 +23,7 @@
     private val requests = Outcome.entries.map { counter("arbutus.requests", "outcome", it.id) }
     private val violations = Guarantee.entries.map { counter("arbutus.guarantee.violations", "guarantee", it.id) }
     private val responseDrops = DropReason.entries.map { counter("arbutus.responses.dropped", "reason", it.id) }
+    private val responseDefects = ResponseDefect.entries.map { counter("arbutus.responses.defects", "kind", it.id) }
     private val stageTimers = Stage.entries.map(::stageTimer)
     private val retries = counter("arbutus.attempts", "type", "retry")
     private val hedges = counter("arbutus.attempts", "type", "hedge")
@@ -42,6 +44,9 @@
     /** Counts a response part that was dropped. */
     public fun countResponseDrop(reason: DropReason): Unit = responseDrops[reason.ordinal].increment()
 
+    /** Counts a part of a response that does not belong to it. */
+    public fun countResponseDefect(defect: ResponseDefect): Unit = responseDefects[defect.ordinal].increment()
+
     /** Counts a second or later attempt. */
     public fun countRetry(): Unit = retries.increment()
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -6,6 +6,7 @@
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.relay.AttemptFailure
 import org.arbutusrelay.core.relay.EventStreamCursor
+import org.arbutusrelay.core.relay.ResponseDefect
 import org.arbutusrelay.core.relay.RetryContext
 import org.arbutusrelay.core.relay.RetryRules
 import org.arbutusrelay.core.relay.RetryVerdict
@@ -258,13 +259,7 @@
         if (!isRetryAllowed || !context.scheduler.tryRetry(profile, context.clock.nowMs())) return false
         silent.cancel(AttemptResult.TIMED_OUT)
         possibleRuns++
-        context.eventListener.attemptFailed(
-            this,
-            silent.placed,
-            AttemptFailure.SILENT,
-            "silent for $idleMs ms",
-            true,
-        )
+        reportFailed(silent, AttemptFailure.SILENT, "silent for $idleMs ms", isRetried = true)
         resend(silent)
         return true
     }
@@ -276,6 +271,9 @@
     fun onStreamBytes(source: Attempt, head: BackendHead, bytes: ByteArray) {
         val knownEvents = cursor.eventCount
         val events = cursor.push(bytes)
+        repeat(cursor.takeUnidentified()) {
+            context.eventListener.responseDefect(this, ResponseDefect.EVENT_WITHOUT_ID)
+        }
         if (cursor.isEventTooLong) {
             source.abandon()
             return onAttemptFailed(
@@ -328,16 +326,29 @@
         if (isHostUnreachable) context.forwardTargets.recordUnreachable(source.address, context.clock.nowMs())
         context.complete(source.placed, failure.toResult(source.isMisdirected))
         if (phase != Phase.SENT) return
-        cursor.dropPartial()
         val isExemptFromBudget = failure == AttemptFailure.NOT_SENT
         val isRetried = decideRetry(failure) == RetryVerdict.RETRY &&
             (isExemptFromBudget || context.scheduler.tryRetry(profile, context.clock.nowMs()))
-        context.eventListener.attemptFailed(this, source.placed, failure, detail, isRetried)
+        reportFailed(source, failure, detail, isRetried)
+        cursor.dropPartial()
         if (isRetried) return resend(source)
         val kind = if (possibleRuns > 0) ErrorKind.BACKEND_FAILED else ErrorKind.BACKEND_REFUSED
         failRequest(RelayError(kind, detail, retryAfterMs ?: DEFAULT_RETRY_AFTER_MS))
     }
 
+    private fun reportFailed(source: Attempt, failure: AttemptFailure, detail: String, isRetried: Boolean) {
+        val isStream = route?.kind == RouteKind.STREAM
+        val failed = FailedAttempt(
+            source.placed,
+            failure,
+            detail,
+            isRetried,
+            cursor.incompleteBytes.takeIf { isStream },
+            cursor.lastEventId.takeIf { isStream },
+        )
+        context.eventListener.attemptFailed(this, failed)
+    }
+
     private fun resend(source: Attempt) {
         attempt = null
         tried = tried + source.placed.backendServer + source.address
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/RequestLogListener.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/RequestLogListener.kt
@@ -1,10 +1,11 @@
 package org.arbutusrelay.relay.node
 
 import org.arbutusrelay.core.error.RelayError
-import org.arbutusrelay.core.relay.AttemptFailure
+import org.arbutusrelay.core.relay.ResponseDefect
 import org.arbutusrelay.core.routing.PlacedAttempt
 import org.arbutusrelay.daemon.observe.EventSink
 import org.arbutusrelay.relay.exchange.Exchange
+import org.arbutusrelay.relay.exchange.FailedAttempt
 import org.arbutusrelay.relay.exchange.RequestEventListener
 import org.arbutusrelay.schema.log.EventLine
 import org.arbutusrelay.schema.log.EventLine.Event
@@ -43,24 +44,23 @@
         ),
     )
 
-    override fun attemptFailed(
-        exchange: Exchange,
-        attempt: PlacedAttempt,
-        failure: AttemptFailure,
-        detail: String,
-        isRetried: Boolean,
-    ): Unit = log.write(
+    override fun attemptFailed(exchange: Exchange, failed: FailedAttempt): Unit = log.write(
         eventLine(Event.ATTEMPT_FAILED, exchange).copy(
-            backendServer = attempt.backendServer,
-            incarnation = attempt.incarnation,
-            region = attempt.region,
-            failure = failure.id,
-            detail = detail,
-            attemptAgeMs = nowMs() - attempt.placedAtMs,
-            isRetried = isRetried,
+            backendServer = failed.placed.backendServer,
+            incarnation = failed.placed.incarnation,
+            region = failed.placed.region,
+            failure = failed.failure.id,
+            detail = failed.detail,
+            attemptAgeMs = nowMs() - failed.placed.placedAtMs,
+            isRetried = failed.isRetried,
+            incompleteEventBytes = failed.incompleteEventBytes?.toLong(),
+            lastEventId = failed.lastEventId,
         ),
     )
 
+    /** Writes nothing: the metrics count each defect, and a defect that ends an attempt is named in its line. */
+    override fun responseDefect(exchange: Exchange, defect: ResponseDefect): Unit = Unit
+
     override fun completed(exchange: Exchange, statusCode: Int): Unit =
         log.write(eventLine(Event.REQUEST_ANSWERED, exchange).copy(statusCode = statusCode.toLong()))
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/RequestMetricsListener.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/RequestMetricsListener.kt
@@ -2,11 +2,12 @@
 
 import org.arbutusrelay.core.error.Outcome
 import org.arbutusrelay.core.error.RelayError
-import org.arbutusrelay.core.relay.AttemptFailure
+import org.arbutusrelay.core.relay.ResponseDefect
 import org.arbutusrelay.core.routing.PlacedAttempt
 import org.arbutusrelay.daemon.observe.RelayMetrics
 import org.arbutusrelay.daemon.observe.Stage
 import org.arbutusrelay.relay.exchange.Exchange
+import org.arbutusrelay.relay.exchange.FailedAttempt
 import org.arbutusrelay.relay.exchange.RequestEventListener
 
 /** Records metrics for request events and passes each event to [delegate]. */
@@ -25,15 +26,14 @@
         delegate.failed(exchange, error)
     }
 
-    override fun attemptFailed(
-        exchange: Exchange,
-        attempt: PlacedAttempt,
-        failure: AttemptFailure,
-        detail: String,
-        isRetried: Boolean,
-    ) {
-        if (isRetried) metrics.countRetry()
-        delegate.attemptFailed(exchange, attempt, failure, detail, isRetried)
+    override fun attemptFailed(exchange: Exchange, failed: FailedAttempt) {
+        if (failed.isRetried) metrics.countRetry()
+        delegate.attemptFailed(exchange, failed)
+    }
+
+    override fun responseDefect(exchange: Exchange, defect: ResponseDefect) {
+        metrics.countResponseDefect(defect)
+        delegate.responseDefect(exchange, defect)
     }
 
     override fun completed(exchange: Exchange, statusCode: Int) {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ExplainedFailuresTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ExplainedFailuresTest.kt
@@ -5,6 +5,7 @@
 import org.arbutusrelay.daemon.observe.EventSink
 import org.arbutusrelay.relay.RelayFixture.Companion.send
 import org.arbutusrelay.relay.ScriptedServer.Companion.reset
+import org.arbutusrelay.relay.ScriptedServer.Companion.write
 import org.arbutusrelay.schema.log.EventLine
 import org.arbutusrelay.schema.log.EventLine.Event
 import java.net.InetAddress
@@ -66,4 +67,19 @@
         }
         assertContains(timelineOf("GET/safe/x").cause.orEmpty(), "region north did not serve it for 1")
     }
+
+    /** Guards against a broken stream whose log lines do not tell how much of which event was cut off. */
+    @Test
+    fun `explains a stream that broke off inside an event`() {
+        val server = ScriptedServer { socket, request, _ ->
+            val head = "HTTP/1.1 200 OK\r\nAttempt: ${request.header("Attempt")}\r\nSignature: s\r\n\r\n"
+            socket.write(head + "id: 4\ndata: a\n\nid: 5\nda")
+            Thread.sleep(50)
+            socket.reset()
+        }
+        RelayFixture(server, log = sink).use { it.exchange("/stream/x", "POST", body = "b") }
+        val failed = timelineOf("POST/stream/x").steps.map { it.line }.single { it.event == Event.ATTEMPT_FAILED }
+        assertEquals("id: 5\nda".length.toLong(), failed.incompleteEventBytes)
+        assertEquals(4, failed.lastEventId)
+    }
 }
