Make the incomplete event of a stream a part of its attempt

Cause: the incomplete event was kept with the request, and each path that left an attempt had to drop it. The one after silence did not.

Change: EventStreamCursor belongs to an attempt; only StreamPosition, the last identifier, belongs to the request. EventStreamCursorTest uses a second cursor where it called dropPartial, which is gone; what it asserts is the same.

--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/EventStreamCursor.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/EventStreamCursor.kt
@@ -2,23 +2,27 @@
 
 import java.io.ByteArrayOutputStream
 
+/** Position up to which the caller of a stream has received its events, whichever attempts they came from. */
+public class StreamPosition(
+    /** Identifier of the last event that the caller has received before the first attempt, or null. */
+    lastEventId: Long? = null,
+) {
+    /** Identifier of the last event that the caller has received, or null before the first one. */
+    public var lastEventId: Long? = lastEventId
+        internal set
+}
+
 /**
- * Splits a stream of server-sent events into complete events and tracks the position that the caller has received.
+ * Splits the body of one response into complete server-sent events and drops those before [position].
  *
  * A backend server may fail in the middle of an event. The cursor returns only complete events, so that another backend
- * server can resume after the last one. Events that were already delivered are dropped. The format is defined in the
- * HTML standard, section "Server-sent events".
+ * server can resume after the last one. The incomplete event is part of the cursor, and a cursor belongs to one
+ * attempt, so that the parts of two responses can't be joined. The format is defined in the HTML standard, section
+ * "Server-sent events".
  */
-public class EventStreamCursor(
-    /** Identifier of the last event that the caller has received, or null. */
-    lastEventId: Long? = null,
-) {
+public class EventStreamCursor(private val position: StreamPosition = StreamPosition()) {
     private val partial = ByteArrayOutputStream()
 
-    /** Identifier of the last complete event, or null before the first one. */
-    public var lastEventId: Long? = lastEventId
-        private set
-
     /** Number of complete events returned by the cursor. */
     public var eventCount: Int = 0
         private set
@@ -58,15 +62,12 @@
     /** Returns the number of events without an identifier after one with an identifier, since the last call. */
     public fun takeUnidentified(): Int = unidentified.also { unidentified = 0 }
 
-    /** Discards the incomplete event of a backend server that failed. */
-    public fun dropPartial(): Unit = partial.reset()
-
     private fun emit(buffered: ByteArray, start: Int, end: Int, output: ByteArrayOutputStream) {
         val id = parseEventId(buffered, start, end)
-        val previousId = lastEventId
+        val previousId = position.lastEventId
         if (id != null && previousId != null && id <= previousId) return
         if (id == null && previousId != null && !isComment(buffered, start, end)) unidentified++
-        if (id != null) lastEventId = id
+        if (id != null) position.lastEventId = id
         eventCount++
         output.write(buffered, start, end - start)
     }
--- a/core/src/test/kotlin/org/arbutusrelay/core/relay/EventStreamCursorTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/relay/EventStreamCursorTest.kt
@@ -41,27 +41,26 @@
             Case("id: 1\n", event(1), event(1)),
         )
         for (case in cases) {
-            val cursor = EventStreamCursor()
-            val before = cursor.pushText(case.first)
-            cursor.dropPartial()
-            assertEquals(case.expected, before + cursor.pushText(case.second), "$case")
+            val position = StreamPosition()
+            val before = EventStreamCursor(position).pushText(case.first)
+            assertEquals(case.expected, before + EventStreamCursor(position).pushText(case.second), "$case")
         }
     }
 
     /** Guards against a stream that restarts from the beginning when the caller resumes it. */
     @Test
     fun `events that the caller has received are not sent again`() {
-        val cursor = EventStreamCursor(lastEventId = 2)
-        assertEquals(event(3), cursor.pushText(event(1) + event(2) + event(3)))
-        assertEquals(3, cursor.lastEventId)
+        val position = StreamPosition(lastEventId = 2)
+        assertEquals(event(3), EventStreamCursor(position).pushText(event(1) + event(2) + event(3)))
+        assertEquals(3, position.lastEventId)
     }
 
     /** Guards against CRLF line endings that prevent the end of an event from being detected. */
     @Test
     fun `lines may end with CRLF`() {
         val text = "id: 7\r\ndata: x\r\n\r\n"
-        val cursor = EventStreamCursor()
-        assertEquals(text, cursor.pushText(text))
-        assertEquals(7, cursor.lastEventId)
+        val position = StreamPosition()
+        assertEquals(text, EventStreamCursor(position).pushText(text))
+        assertEquals(7, position.lastEventId)
     }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -2,6 +2,7 @@
 
 import org.arbutusrelay.core.error.Outcome
 import org.arbutusrelay.core.relay.AttemptFailure
+import org.arbutusrelay.core.relay.EventStreamCursor
 import org.arbutusrelay.core.route.RouteKind
 import org.arbutusrelay.core.routing.AttemptResult
 import org.arbutusrelay.core.routing.PlacedAttempt
@@ -40,6 +41,9 @@
     var isProven: Boolean = false
         private set
 
+    /** Splits the stream of this attempt into events. */
+    val cursor = EventStreamCursor(exchange.streamPosition)
+
     private val startedMs = lastProgressMs
     private val sendId = exchange.sendId
     private val isToHost get() = placed.backendServer.isEmpty()
@@ -163,7 +167,7 @@
 
     /** Returns true if the stream ended inside an event, or without any where only the connection marks its end. */
     private fun isBrokenOff(head: BackendHead): Boolean =
-        exchange.isInsideEvent || (!hasProgressed && !head.isSelfDelimited)
+        cursor.isInsideEvent || (!hasProgressed && !head.isSelfDelimited)
 
     private fun releaseBody() {
         context.responseBuffers.release(reservedBytes)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -10,6 +10,7 @@
 import org.arbutusrelay.core.relay.RetryContext
 import org.arbutusrelay.core.relay.RetryRules
 import org.arbutusrelay.core.relay.RetryVerdict
+import org.arbutusrelay.core.relay.StreamPosition
 import org.arbutusrelay.core.route.Route
 import org.arbutusrelay.core.route.RouteKind
 import org.arbutusrelay.core.routing.AttemptResult
@@ -47,7 +48,9 @@
     private var tried = emptySet<String>()
     private var fallbackResponse: FullResponse? = null
     private val silenceWatch = SilenceWatch(context, { attempt === it && phase == Phase.SENT }, ::onSilent)
-    private val cursor by lazy { EventStreamCursor(resolved?.metadata?.lastEventId) }
+
+    /** Position of the caller in a stream; resolved before the first attempt. */
+    val streamPosition by lazy { StreamPosition(resolved?.metadata?.lastEventId) }
 
     /** Records how the attempts end; null until the request has a route. */
     var crashEvidence: CrashEvidenceRecorder? = null
@@ -221,7 +224,7 @@
         attempts++
         val newAttempt = Attempt(context, this, placed, address)
         attempt = newAttempt
-        context.eventListener.placed(this, placed, address, if (attempts > 1) cursor.lastEventId else null)
+        context.eventListener.placed(this, placed, address, if (attempts > 1) streamPosition.lastEventId else null)
         val headers = try {
             backendHeaders(call, placed, backendServer)
         } catch (e: IllegalArgumentException) {
@@ -246,7 +249,7 @@
             backendServer = backendServer,
             remainingMs = (call.deadlineMs - context.clock.nowMs()).coerceAtLeast(1),
             priority = call.route.priority,
-            lastEventId = if (call.route.kind == RouteKind.STREAM) cursor.lastEventId else null,
+            lastEventId = if (call.route.kind == RouteKind.STREAM) streamPosition.lastEventId else null,
             cacheSource = placed.cacheSourceAddress.ifEmpty { null },
         )
         val forward = ForwardMetadata(call.serviceName, ageMs, sendId).takeIf { backendServer == null }
@@ -269,6 +272,7 @@
 
     /** Forwards the complete events in [bytes], the next part of a stream, to the caller. */
     fun onStreamBytes(source: Attempt, head: BackendHead, bytes: ByteArray) {
+        val cursor = source.cursor
         val knownEvents = cursor.eventCount
         val events = cursor.push(bytes)
         repeat(cursor.takeUnidentified()) {
@@ -292,9 +296,6 @@
         }
     }
 
-    /** True while the stream has sent a part of an event. */
-    val isInsideEvent: Boolean get() = cursor.isInsideEvent
-
     /** A stream ended after its last event. */
     fun onStreamEnd(source: Attempt, head: BackendHead) {
         // A server that crashes may end a response without length as if it were complete.
@@ -330,7 +331,6 @@
         val isRetried = decideRetry(failure) == RetryVerdict.RETRY &&
             (isExemptFromBudget || context.scheduler.tryRetry(profile, context.clock.nowMs()))
         reportFailed(source, failure, detail, isRetried)
-        cursor.dropPartial()
         if (isRetried) return resend(source)
         val kind = if (possibleRuns > 0) ErrorKind.BACKEND_FAILED else ErrorKind.BACKEND_REFUSED
         failRequest(RelayError(kind, detail, retryAfterMs ?: DEFAULT_RETRY_AFTER_MS))
@@ -343,8 +343,8 @@
             failure,
             detail,
             isRetried,
-            cursor.incompleteBytes.takeIf { isStream },
-            cursor.lastEventId.takeIf { isStream },
+            source.cursor.incompleteBytes.takeIf { isStream },
+            streamPosition.lastEventId.takeIf { isStream },
         )
         context.eventListener.attemptFailed(this, failed)
     }
@@ -362,7 +362,7 @@
         val countedRuns = if (failure == AttemptFailure.SILENT) possibleRuns + 1 else possibleRuns
         val remainingMs = call.deadlineMs - context.clock.nowMs()
         val isStarted = response.isStarted
-        if (isStarted && cursor.lastEventId == null) return RetryVerdict.GIVE_UP
+        if (isStarted && streamPosition.lastEventId == null) return RetryVerdict.GIVE_UP
         val maxRuns = if (request.isForwarded) 1 else call.route.maxAttempts
         return RetryRules.decide(
             RetryContext(call.route, failure, countedRuns, attempts, isStarted, remainingMs, maxRuns),
