Refuse an event without an identifier in a stream with identifiers

Seen: an event without an identifier, such as the head of another response or one with a broken identifier line, reached the caller in a stream whose events have identifiers.

Cause: identifiers were used to drop events that come twice, not to tell what belongs to the stream.

Change: such an event ends the attempt, which is resumed where the route allows it. Comments pass. Gaps pass, as identifiers only have to increase. Events before it are written first.

--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/EventStreamCursor.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/EventStreamCursor.kt
@@ -19,6 +19,10 @@
  * server can resume after the last one. The incomplete event is part of the cursor, and a cursor belongs to one
  * attempt, so that the parts of two responses can't be joined. The format is defined in the HTML standard, section
  * "Server-sent events".
+ *
+ * In a stream whose events have identifiers, the cursor ends at an event without a numeric one, such as the head of
+ * another response. Comments are passed on. A gap between two identifiers is accepted: they only have to increase,
+ * because one event may stand for several tokens, so a missing event can't be told from a large one.
  */
 public class EventStreamCursor(private val position: StreamPosition = StreamPosition()) {
     private val partial = ByteArrayOutputStream()
@@ -27,7 +31,9 @@
     public var eventCount: Int = 0
         private set
 
-    private var unidentified = 0
+    /** True after an event without an identifier in a stream with identifiers; it and what follows it are dropped. */
+    public var isEventRefused: Boolean = false
+        private set
 
     /** Length of the incomplete event that is buffered, in bytes; 0 if there is none. */
     public val incompleteBytes: Int get() = partial.size()
@@ -46,7 +52,7 @@
         val buffered = partial.toByteArray()
         val output = ByteArrayOutputStream(buffered.size)
         var start = 0
-        while (true) {
+        while (!isEventRefused) {
             val end = findEventEnd(buffered, start, maxOf(start, scanFrom))
             if (end < 0) break
             emit(buffered, start, end, output)
@@ -59,14 +65,14 @@
         return output.toByteArray()
     }
 
-    /** Returns the number of events without an identifier after one with an identifier, since the last call. */
-    public fun takeUnidentified(): Int = unidentified.also { unidentified = 0 }
-
     private fun emit(buffered: ByteArray, start: Int, end: Int, output: ByteArrayOutputStream) {
         val id = parseEventId(buffered, start, end)
         val previousId = position.lastEventId
         if (id != null && previousId != null && id <= previousId) return
-        if (id == null && previousId != null && !isComment(buffered, start, end)) unidentified++
+        if (id == null && previousId != null && !isComment(buffered, start, end)) {
+            isEventRefused = true
+            return
+        }
         if (id != null) position.lastEventId = id
         eventCount++
         output.write(buffered, start, end - start)
--- a/core/src/test/kotlin/org/arbutusrelay/core/relay/EventStreamCursorTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/relay/EventStreamCursorTest.kt
@@ -63,4 +63,30 @@
         assertEquals(text, EventStreamCursor(position).pushText(text))
         assertEquals(7, position.lastEventId)
     }
+
+    /** Guards against bytes of another response that reach the caller as an event without an identifier. */
+    @Test
+    fun `in a stream with identifiers only comments may have none`() {
+        data class Case(val text: String, val expected: String, val isRefused: Boolean)
+        val head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+        val cases = listOf(
+            Case(event(1) + ": comment\n\n" + event(2), event(1) + ": comment\n\n" + event(2), false),
+            Case(event(1) + "\n" + event(2), event(1) + "\n" + event(2), false),
+            Case(event(1) + "version: 4\nid: 2\ndata: b\n\n", event(1) + "version: 4\nid: 2\ndata: b\n\n", false),
+            Case(event(1) + event(9), event(1) + event(9), false),
+            Case("data: a\n\ndata: b\n\n", "data: a\n\ndata: b\n\n", false),
+            Case(event(1) + "data: a\n\n" + event(2), event(1), true),
+            Case(event(1) + "id: 1x\ndata: a\n\n" + event(2), event(1), true),
+            Case(event(1) + "id: 2id: 2\ndata: a\n\n" + event(3), event(1), true),
+            Case(event(1) + head + event(1) + event(2), event(1), true),
+        )
+        for (case in cases) {
+            for (size in listOf(1, 7, case.text.length)) {
+                val cursor = EventStreamCursor()
+                val output = case.text.chunked(size).joinToString("") { cursor.pushText(it) }
+                assertEquals(case.expected, output, "$case by $size")
+                assertEquals(case.isRefused, cursor.isEventRefused, "$case by $size")
+            }
+        }
+    }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -275,27 +275,31 @@
         val cursor = source.cursor
         val knownEvents = cursor.eventCount
         val events = cursor.push(bytes)
-        repeat(cursor.takeUnidentified()) {
-            context.eventListener.responseDefect(this, ResponseDefect.EVENT_WITHOUT_ID)
+        if (events.isNotEmpty()) {
+            // Bytes that complete no event are no progress: a stalled server may still send one now and then.
+            source.recordProgress(cursor.eventCount - knownEvents)
+            response.writeEvents(head, events)
         }
-        if (cursor.isEventTooLong) {
-            source.abandon()
-            return onAttemptFailed(
-                source,
-                AttemptFailure.UNKNOWN,
-                "event of over ${EventStreamCursor.MAX_EVENT_BYTES} bytes",
-            )
-        }
-        if (events.isEmpty()) return
-        // Bytes that complete no event are no progress: a stalled server may still send one now and then.
-        source.recordProgress(cursor.eventCount - knownEvents)
-        response.writeEvents(head, events)
-        if (!response.isWritable) {
-            source.setAutoRead(false)
-            response.onWritable { attempt?.setAutoRead(true) }
+        when {
+            cursor.isEventRefused -> {
+                context.eventListener.responseDefect(this, ResponseDefect.EVENT_WITHOUT_ID)
+                giveUp(source, "event without an identifier")
+            }
+
+            cursor.isEventTooLong -> giveUp(source, "event of over ${EventStreamCursor.MAX_EVENT_BYTES} bytes")
+
+            !response.isWritable -> {
+                source.setAutoRead(false)
+                response.onWritable { attempt?.setAutoRead(true) }
+            }
         }
     }
 
+    private fun giveUp(source: Attempt, detail: String) {
+        source.abandon()
+        onAttemptFailed(source, AttemptFailure.UNKNOWN, detail)
+    }
+
     /** A stream ended after its last event. */
     fun onStreamEnd(source: Attempt, head: BackendHead) {
         // A server that crashes may end a response without length as if it were complete.
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/StreamForwardingTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/StreamForwardingTest.kt
@@ -117,6 +117,37 @@
         }
     }
 
+    /** Guards against bytes of another response that the caller receives as an event. */
+    @Test
+    fun `an event without an identifier ends the attempt of a stream with identifiers`() {
+        data class Case(val path: String, val odd: String, val isComplete: Boolean, val runs: Int)
+        val cases = listOf(
+            "data: x\n\n",
+            "HTTP/1.1 200 OK\r\nSignature: s\r\n\r\n",
+            "id: 3id: 3\ndata: x\n\n",
+        ).flatMap {
+            listOf(Case("/resumable/x", it, true, 2), Case("/stream/x", it, false, 1))
+        }
+        for (case in cases) {
+            var count = 0
+            val script = { socket: Socket, request: RawRequest, _: Int ->
+                if (count++ == 0) {
+                    socket.write(head(request) + chunk(event(1) + event(2) + case.odd + event(3)) + "0\r\n\r\n")
+                } else {
+                    socket.stream(request, checkNotNull(request.header("Last-Event-Id")).toInt() + 1..5)
+                }
+            }
+            val servers = List(2) { ScriptedServer(script) }
+            RelayFixture(*servers.toTypedArray()).use { relay ->
+                val response = relay.exchange(case.path, "POST", body = "b")
+                val expected = if (case.isComplete) 1..5 else 1..2
+                assertEquals(expected.joinToString("") { event(it) }, body(response), "$case")
+                assertEquals(case.isComplete, response.endsWith("0\r\n\r\n"), "$case")
+                assertEquals(case.runs, servers.sumOf { it.requests.size }, "$case")
+            }
+        }
+    }
+
     /** Guards against buffering events until the stream is complete. */
     @Test
     fun `events are forwarded as they arrive`() {
