Do not take a pause of the caller for silence of the server

Seen: a caller that stops reading a resumable stream for longer than 1.5 s causes a second run of it (BUDGET). On event 250 of 1,000 came twice as well, as a part of it was joined to the second server's event.

Cause: the time without progress was counted while the relay itself did not read.

Change: an attempt knows that it is paused, and the time starts anew when reading resumes.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -37,6 +37,10 @@
     var hasProgressed: Boolean = false
         private set
 
+    /** True while the relay does not read the response. */
+    var isPaused: Boolean = false
+        private set
+
     /** True once a complete response, or at least [PROVEN_EVENTS] events of a stream, have arrived. */
     var isProven: Boolean = false
         private set
@@ -84,8 +88,16 @@
         call?.cancel()
     }
 
-    fun setAutoRead(isEnabled: Boolean) {
-        call?.setAutoRead(isEnabled)
+    /** Stops reading the response because the caller does not read it; the time until [resumeReading] is no silence. */
+    fun pauseReading() {
+        isPaused = true
+        call?.setAutoRead(false)
+    }
+
+    fun resumeReading() {
+        if (isPaused) lastProgressMs = context.clock.nowMs()
+        isPaused = false
+        call?.setAutoRead(true)
     }
 
     override fun matchesRequest(head: BackendHead, isReused: Boolean): Boolean {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -289,8 +289,8 @@
             cursor.isEventTooLong -> giveUp(source, "event of over ${EventStreamCursor.MAX_EVENT_BYTES} bytes")
 
             !response.isWritable -> {
-                source.setAutoRead(false)
-                response.onWritable { attempt?.setAutoRead(true) }
+                source.pauseReading()
+                response.onWritable { attempt?.resumeReading() }
             }
         }
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/SilenceWatch.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/SilenceWatch.kt
@@ -6,8 +6,9 @@
 /**
  * Detects that the response to an attempt makes no progress within the timeout of its route.
  *
- * Watches an attempt while [isCurrent] returns true for it. [onSilent] receives the attempt and the time without
- * progress in milliseconds; it returns false to be called again after another timeout. Confined to the event loop.
+ * Time in which the relay does not read the response, because its caller does not, is not counted. Watches an attempt
+ * while [isCurrent] returns true for it. [onSilent] receives the attempt and the time without progress in milliseconds;
+ * it returns false to be called again after another timeout. Confined to the event loop.
  */
 internal class SilenceWatch(
     private val context: RelayContext,
@@ -19,6 +20,7 @@
         val timeoutMs = ProgressTimeout.timeoutMs(route, attempt.hasProgressed)
         val idleMs = context.clock.nowMs() - attempt.lastProgressMs
         when {
+            attempt.isPaused -> recheck(timeoutMs, attempt, route)
             idleMs < timeoutMs -> recheck(timeoutMs - idleMs, attempt, route)
             !onSilent(attempt, idleMs) -> recheck(timeoutMs, attempt, route)
         }
