Tell a second response from the body that it follows

Cause: everything up to the close is body for the HTTP client, and what the bytes are was not looked at.

Change: SecondResponseScanner finds the head of a response in a body. A copy of an unframed response is compared with it: with nothing more than the response, the response is whole. Otherwise it counts as broken off, which is no evidence of a crash. Text that quotes HTTP without an identifier stays a part of the body. Counters second_response and foreign_response.

--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/EmbeddedHead.kt
@@ -0,0 +1,103 @@
+package org.arbutusrelay.core.relay
+
+/** Head of a response that was found inside the body of another. */
+public data class EmbeddedHead(
+    val statusCode: Int,
+    /** Names and values in the order of the head. */
+    val fields: List<Pair<String, String>>,
+) {
+    /**
+     * True if a stream of events may have quoted the head.
+     *
+     * Each line of a quotation is a field of its event, so that only a status line may look like a part of a head.
+     */
+    val isEventText: Boolean get() = fields.all { (name, _) -> name in EVENT_FIELDS }
+
+    private companion object {
+        val EVENT_FIELDS = setOf("data", "event", "id", "retry")
+    }
+}
+
+/** What the bytes from one position on are. */
+internal sealed interface HeadMatch {
+    /** No head of a response begins at the position. */
+    data object None : HeadMatch
+
+    /** A head may begin at the position; the bytes that follow decide. */
+    data object Unfinished : HeadMatch
+
+    /** [head] ends before the position [end]. */
+    class Found(val head: EmbeddedHead, val end: Int) : HeadMatch
+}
+
+/**
+ * Recognizes a response head: a status line `HTTP/1.x NNN`, header lines and an empty line.
+ *
+ * Line ends are CRLF or LF, as HTTP parsers accept both.
+ */
+internal object HeadMatcher {
+    /** Longest head, in bytes; longer ones are taken for a body. */
+    const val MAX_HEAD_BYTES = 32 * 1024
+
+    /** Beginning of a status line, up to its reason phrase. */
+    private const val STATUS_LINE = "HTTP/1.# ###"
+    private const val ANY_DIGIT = '#'
+    private const val CODE_START = 9
+    private const val TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~"
+    private val LINE_FEED = '\n'.code.toByte()
+
+    /** Returns what begins at [start] in [bytes]. */
+    fun match(bytes: ByteArray, start: Int): HeadMatch {
+        val length = minOf(STATUS_LINE.length, bytes.size - start)
+        val isStatusLine = (0 until length).all { isExpected(charAt(bytes, start + it), STATUS_LINE[it]) }
+        val codeEnd = start + STATUS_LINE.length
+        return when {
+            !isStatusLine -> HeadMatch.None
+            codeEnd >= bytes.size -> HeadMatch.Unfinished
+            charAt(bytes, codeEnd) !in " \r\n" -> HeadMatch.None
+            else -> matchFields(bytes, start)
+        }
+    }
+
+    private fun matchFields(bytes: ByteArray, start: Int): HeadMatch {
+        val fields = ArrayList<Pair<String, String>>()
+        var lineStart = start
+        while (true) {
+            val lineEnd = indexOfLineFeed(bytes, lineStart) ?: bytes.size
+            val line = textOf(bytes, lineStart, lineEnd).removeSuffix("\r")
+            val isStatusLine = lineStart == start
+            when {
+                lineEnd - start > MAX_HEAD_BYTES -> return HeadMatch.None
+                lineEnd == bytes.size && (isStatusLine || mayBeginField(line)) -> return HeadMatch.Unfinished
+                !isStatusLine && line.isEmpty() -> return HeadMatch.Found(headOf(bytes, start, fields), lineEnd + 1)
+                !isStatusLine -> fields += parseField(line) ?: return HeadMatch.None
+            }
+            lineStart = lineEnd + 1
+        }
+    }
+
+    private fun headOf(bytes: ByteArray, start: Int, fields: List<Pair<String, String>>) =
+        EmbeddedHead(textOf(bytes, start + CODE_START, start + STATUS_LINE.length).toInt(), fields)
+
+    private fun isExpected(actual: Char, expected: Char) =
+        if (expected == ANY_DIGIT) actual in '0'..'9' else actual == expected
+
+    private fun charAt(bytes: ByteArray, index: Int) = bytes[index].toInt().toChar()
+
+    private fun mayBeginField(line: String) = ':' in line || line.all(::isTokenChar)
+
+    private fun parseField(line: String): Pair<String, String>? {
+        val name = line.substringBefore(':', "")
+        if (name.isEmpty() || !name.all(::isTokenChar)) return null
+        return name to line.substringAfter(':').trim()
+    }
+
+    private fun isTokenChar(char: Char) =
+        char in 'a'..'z' || char in 'A'..'Z' || char in '0'..'9' || char in TOKEN_SYMBOLS
+
+    private fun indexOfLineFeed(bytes: ByteArray, from: Int): Int? =
+        (from until bytes.size).firstOrNull { bytes[it] == LINE_FEED }
+
+    private fun textOf(bytes: ByteArray, start: Int, end: Int) =
+        String(bytes, start, end - start, Charsets.ISO_8859_1)
+}
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
@@ -1,6 +1,7 @@
 package org.arbutusrelay.relay.backend
 
 import io.netty.handler.codec.http.HttpHeaders
+import org.arbutusrelay.core.relay.EmbeddedHead
 
 /** A request to a backend server, including its body. */
 internal class BackendRequest(
@@ -32,6 +33,9 @@
 
     /** The received data is not a valid HTTP response. */
     MALFORMED,
+
+    /** Another response began inside the body, so that the body can't be told to be whole. */
+    SECOND_RESPONSE,
 }
 
 /** Receives the response to a call. Called on the event loop; at most one of [onComplete] and [onFailure] is called. */
@@ -49,6 +53,15 @@
     /** The next bytes of the body arrived. */
     fun onBody(bytes: ByteArray)
 
+    /** Returns true if [head], found inside the body, begins another response; false if the body quotes it. */
+    fun isResponse(head: EmbeddedHead): Boolean
+
+    /** Another response with [head] began inside the body, which ends before it. */
+    fun onSecondResponse(head: EmbeddedHead)
+
+    /** The next bytes of the body of the second response arrived. */
+    fun onSecondBody(bytes: ByteArray)
+
     /** The response is complete. */
     fun onComplete()
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import org.arbutusrelay.core.relay.SecondResponseScanner
 import java.util.concurrent.TimeUnit
 
 /**
@@ -20,7 +21,7 @@
  *
  * The connection is reused only after a complete response to its own request. A preceding response that belongs to
  * another request is skipped, and the connection is not reused after that. Data that arrives without a pending request
- * closes the connection.
+ * closes the connection, and a second response inside the body ends the response.
  */
 internal class BackendConnection(
     private val channel: Channel,
@@ -39,6 +40,8 @@
     private var skippedResponses = 0
     private var discardedBytes = 0
     private var discardNumber = 0
+    private var scanner = SecondResponseScanner { false }
+    private var isSelfDelimited = false
 
     /** True once a response to another request has arrived, after which the connection is not reused. */
     private var isDesynchronized = false
@@ -123,6 +126,8 @@
             return
         }
         isReusable = HttpUtil.isKeepAlive(response) && head.isSelfDelimited && !isDesynchronized
+        isSelfDelimited = head.isSelfDelimited
+        scanner = SecondResponseScanner { listener?.isResponse(it) ?: false }
         keepAliveMs = parseKeepAliveMs(response) ?: keepAliveMs
         val isWanted = activeListener.onHead(head)
         when {
@@ -145,13 +150,11 @@
     private fun onContent(content: HttpContent) {
         val isLast = content is LastHttpContent
         when (phase) {
-            Phase.BODY -> {
-                if (content.content().isReadable) {
-                    val bytes = ByteArray(content.content().readableBytes())
-                    content.content().readBytes(bytes)
-                    listener?.onBody(bytes)
-                }
-                if (isLast && phase == Phase.BODY) complete()
+            Phase.BODY, Phase.SECOND_BODY -> {
+                val bytes = ByteArray(content.content().readableBytes())
+                content.content().readBytes(bytes)
+                if (bytes.isNotEmpty()) onBodyBytes(bytes)
+                if (isLast) onBodyEnd()
             }
 
             Phase.DISCARD -> {
@@ -169,6 +172,33 @@
         }
     }
 
+    private fun onBodyBytes(bytes: ByteArray) {
+        if (phase == Phase.SECOND_BODY) {
+            listener?.onSecondBody(bytes)
+            return
+        }
+        val body = scanner.push(bytes)
+        if (body.isNotEmpty()) listener?.onBody(body)
+        val secondHead = scanner.secondHead ?: return
+        if (phase != Phase.BODY) return
+        phase = Phase.SECOND_BODY
+        isReusable = false
+        listener?.onSecondResponse(secondHead)
+        val completeUnlessEnded = { if (phase == Phase.SECOND_BODY) complete() }
+        channel.eventLoop().schedule(completeUnlessEnded, MAX_SECOND_BODY_MS, TimeUnit.MILLISECONDS)
+        val begun = scanner.takeHeld()
+        if (begun.isNotEmpty()) listener?.onSecondBody(begun)
+    }
+
+    private fun onBodyEnd() {
+        if (phase == Phase.BODY) {
+            if (scanner.endsInsideHead && !isSelfDelimited) return fail(CallFailure.SECOND_RESPONSE)
+            val rest = scanner.takeHeld()
+            if (rest.isNotEmpty()) listener?.onBody(rest)
+        }
+        if (phase == Phase.BODY || phase == Phase.SECOND_BODY) complete()
+    }
+
     private fun complete() {
         val activeListener = listener
         listener = null
@@ -204,7 +234,7 @@
                 MS_PER_SECOND
         }
 
-    private enum class Phase { IDLE, HEAD, INTERIM, SKIPPED, BODY, DISCARD, CLOSED }
+    private enum class Phase { IDLE, HEAD, INTERIM, SKIPPED, BODY, SECOND_BODY, DISCARD, CLOSED }
 
     private companion object {
         const val MIN_FINAL_STATUS = 200
@@ -214,6 +244,9 @@
         const val MAX_DISCARDED_BYTES = 64 * 1024
         const val MAX_DISCARD_MS = 1_000L
 
+        /** A server that does not close the connection after a second response delays the first for this long. */
+        const val MAX_SECOND_BODY_MS = 1_000L
+
         /** What the peer sent before it closed the connection is in the receive buffer when a write fails. */
         const val MAX_EARLY_RESPONSE_MS = 200L
         const val MS_PER_SECOND = 1_000L
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -1,8 +1,12 @@
 package org.arbutusrelay.relay.exchange
 
+import io.netty.handler.codec.http.DefaultHttpHeaders
 import org.arbutusrelay.core.error.Outcome
 import org.arbutusrelay.core.relay.AttemptFailure
+import org.arbutusrelay.core.relay.CopyCheck
+import org.arbutusrelay.core.relay.EmbeddedHead
 import org.arbutusrelay.core.relay.EventStreamCursor
+import org.arbutusrelay.core.relay.ResponseDefect
 import org.arbutusrelay.core.route.RouteKind
 import org.arbutusrelay.core.routing.AttemptResult
 import org.arbutusrelay.core.routing.PlacedAttempt
@@ -48,6 +52,8 @@
     /** Splits the stream of this attempt into events. */
     val cursor = EventStreamCursor(exchange.streamPosition)
 
+    /** Compares a second copy of the response with the first; null until one begins. */
+    private var copyCheck: CopyCheck? = null
     private val startedMs = lastProgressMs
     private val sendId = exchange.sendId
     private val isToHost get() = placed.backendServer.isEmpty()
@@ -159,6 +165,45 @@
         body.write(bytes)
     }
 
+    override fun isResponse(head: EmbeddedHead): Boolean =
+        requestIdOf(head) != null || (isStream && !head.isEventText)
+
+    /**
+     * Compares a copy of this response with the response, where only the connection marks the end of the response.
+     *
+     * A head that names no request or another one may belong to a late response or be quoted, and in the second case
+     * the body goes on after it; a body with a length or chunks was cut. The attempt then fails visibly.
+     */
+    override fun onSecondResponse(head: EmbeddedHead) {
+        lastProgressMs = context.clock.nowMs()
+        val isCopy = requestIdOf(head) == exchange.attemptId
+        exchange.onResponseDefect(if (isCopy) ResponseDefect.SECOND_RESPONSE else ResponseDefect.FOREIGN_RESPONSE)
+        copyCheck = if (isCopy && this.head?.isSelfDelimited == false) createCopyCheck() else null
+        if (copyCheck == null) failAtSecondResponse()
+    }
+
+    private fun requestIdOf(head: EmbeddedHead): String? {
+        val headers = DefaultHttpHeaders(false)
+        head.fields.forEach { (name, value) -> headers.add(name, value) }
+        return context.dialect.decodeResponse(head.statusCode, headers).attemptId
+    }
+
+    override fun onSecondBody(bytes: ByteArray) {
+        if (copyCheck?.accepts(bytes) == false) failAtSecondResponse()
+    }
+
+    /** Returns null for a stream that is inside an event, or that has no position to compare with. */
+    private fun createCopyCheck(): CopyCheck? = when {
+        !isStream -> CopyCheck.ofBody(body.toByteArray())
+        cursor.isInsideEvent || !hasProgressed -> null
+        else -> exchange.streamPosition.lastEventId?.let { CopyCheck.ofStream(it) }
+    }
+
+    private fun failAtSecondResponse() {
+        abandon()
+        onFailure(CallFailure.SECOND_RESPONSE)
+    }
+
     override fun onComplete() {
         val current = head ?: return
         // For the HTTP client, a response with neither a length nor chunks is complete whenever its connection closes.
@@ -172,9 +217,11 @@
 
     override fun onFailure(failure: CallFailure) {
         releaseBody()
-        exchange.crashEvidence?.recordFailure(this, failure, context.clock.nowMs() - startedMs)
-        val isSent = failure != CallFailure.NOT_CONNECTED
-        fail(if (isSent) AttemptFailure.UNKNOWN else AttemptFailure.NOT_SENT, failure.name.lowercase())
+        // A server that has begun a second response did not crash on the request.
+        val cause = if (copyCheck == null) failure else CallFailure.SECOND_RESPONSE
+        exchange.crashEvidence?.recordFailure(this, cause, context.clock.nowMs() - startedMs)
+        val isSent = cause != CallFailure.NOT_CONNECTED
+        fail(if (isSent) AttemptFailure.UNKNOWN else AttemptFailure.NOT_SENT, cause.name.lowercase())
     }
 
     /** Returns true if the stream ended inside an event, or without any where only the connection marks its end. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -282,7 +282,7 @@
         }
         when {
             cursor.isEventRefused -> {
-                context.eventListener.responseDefect(this, ResponseDefect.EVENT_WITHOUT_ID)
+                onResponseDefect(ResponseDefect.EVENT_WITHOUT_ID)
                 giveUp(source, "event without an identifier")
             }
 
@@ -295,6 +295,8 @@
         }
     }
 
+    fun onResponseDefect(defect: ResponseDefect): Unit = context.eventListener.responseDefect(this, defect)
+
     private fun giveUp(source: Attempt, detail: String) {
         source.abandon()
         onAttemptFailed(source, AttemptFailure.UNKNOWN, detail)
