--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
@@ -3,6 +3,7 @@
 import okhttp3.Call
 import okhttp3.Request
 import okhttp3.Response
+import okio.buffer
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.routing.AttemptResult
@@ -111,10 +112,10 @@
 
     /** Copies events up to the end-of-stream event; returns false if the stream breaks off before it. */
     private fun copyEvents(response: Response, sequence: StreamSequence, listener: ResponseListener): Boolean {
-        val reader = EventStreamReader(response.body.source())
+        val reader = EventStreamReader(SingleResponseSource(response.body.source()).buffer())
         while (true) {
             val event = readEvent(reader) ?: return false
-            when (val reason = sequence.dropReason(event.id)) {
+            when (val reason = sequence.dropReason(event)) {
                 null -> listener.onData(event.bytes)
                 DropReason.DUPLICATE -> onDrop(reason)
                 else -> return false.also { onDrop(reason) }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/EventStreamReader.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/EventStreamReader.kt
@@ -9,6 +9,9 @@
     /** True for the event that marks the end of a complete stream. */
     val isEndOfStream: Boolean get() = data == END_OF_STREAM
 
+    /** True if each line is a comment, such as those that keep a connection open. */
+    val isComment: Boolean get() = bytes.decodeToString().lineSequence().all { it.isEmpty() || it.startsWith(':') }
+
     private companion object {
         private const val END_OF_STREAM = "[DONE]"
     }
@@ -51,17 +54,22 @@
 /**
  * Verifies the event positions of a stream.
  *
- * An event identifier is a decimal position that starts at 0 or 1 and increases by one. Events without a position are
- * accepted, but a stream without positions cannot be resumed.
+ * An event identifier is a decimal position that starts at 0 or 1 and increases by one. A stream without positions is
+ * accepted, but cannot be resumed. After an event with a position, only comments and the end of the stream may have
+ * none.
  */
 internal class StreamSequence {
     /** Position of the last accepted event, or null if there is none. */
     var lastPosition: Long? = null
         private set
 
-    /** Returns the reason to drop an event with the given [id], or null if the event is accepted. */
-    fun dropReason(id: String?): DropReason? {
-        if (id == null) return null
+    /** Returns the reason to drop [event], or null if the event is accepted. */
+    fun dropReason(event: StreamEvent): DropReason? {
+        val id = event.id
+        if (id == null) {
+            val isAccepted = lastPosition == null || event.isEndOfStream || event.isComment
+            return if (isAccepted) null else DropReason.FOREIGN
+        }
         val position = id.toLongOrNull() ?: return DropReason.FOREIGN
         val previous = lastPosition
         val isExpected = if (previous == null) position == 0L || position == 1L else position == previous + 1
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/StreamTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/StreamTest.kt
@@ -71,6 +71,37 @@
         assertEquals(1, daemon.daemon.metrics.responseDropCount(DropReason.OUT_OF_ORDER))
     }
 
+    /** Guards against the bytes of a second response that a caller receives as a part of an event, or as an event. */
+    @Test
+    fun `a second response inside a stream is not a part of it`() {
+        val head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+        val beginnings = listOf(
+            "id: 1\ndata: a\n\n",
+            "id: 1\ndata: a\n\nid: 2\nda",
+            "id: 1\ndata: a\n\nid: 2\ndata: b\n",
+            "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+        )
+        for (beginning in beginnings) {
+            for (second in listOf(head + completeStream, "data: odd\n\n$completeStream")) {
+                // Two events without an empty line between them can't be told from one event.
+                if (second != head + completeStream && !beginning.endsWith("\n\n")) continue
+                val server = StubBackendServer {
+                    if (method == "GET") {
+                        resumeAfter(checkNotNull(headers["last-event-id"]).toInt())
+                    } else {
+                        startEventStream()
+                        write(beginning + second)
+                        close()
+                    }
+                }
+                server.use {
+                    daemon.announce("e1", "draft", it.address)
+                    assertEquals(completeStream, daemon.chat().body(), beginning + second)
+                }
+            }
+        }
+    }
+
     @Test
     fun `a stream that cannot be resumed ends with an error event and a truncated body`() {
         val server = StubBackendServer {
