--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -88,6 +88,26 @@
         exchange.crashEvidence?.recordProven(this)
     }
 
+    /** Closes the connection of a server that sent what can't be a part of its response. */
+    fun giveUp(detail: String) {
+        abandon()
+        fail(AttemptFailure.UNKNOWN, detail)
+    }
+
+    /** Tells the listener how the attempt ended, and how much of an event it did not complete. */
+    fun reportFailed(failure: AttemptFailure, detail: String, isRetried: Boolean) {
+        val isStreamRoute = exchange.route?.kind == RouteKind.STREAM
+        val failed = FailedAttempt(
+            placed,
+            failure,
+            detail,
+            isRetried,
+            cursor.incompleteBytes.takeIf { isStreamRoute },
+            exchange.streamPosition.lastEventId.takeIf { isStreamRoute },
+        )
+        context.eventListener.attemptFailed(exchange, failed)
+    }
+
     /** Closes the connection without a result; the exchange reports one. */
     fun abandon() {
         releaseBody()
@@ -177,7 +197,8 @@
     override fun onSecondResponse(head: EmbeddedHead) {
         lastProgressMs = context.clock.nowMs()
         val isCopy = requestIdOf(head) == exchange.attemptId
-        exchange.onResponseDefect(if (isCopy) ResponseDefect.SECOND_RESPONSE else ResponseDefect.FOREIGN_RESPONSE)
+        val defect = if (isCopy) ResponseDefect.SECOND_RESPONSE else ResponseDefect.FOREIGN_RESPONSE
+        context.eventListener.responseDefect(exchange, defect)
         copyCheck = if (isCopy && this.head?.isSelfDelimited == false) createCopyCheck() else null
         if (copyCheck == null) failAtSecondResponse()
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -1,6 +1,5 @@
 package org.arbutusrelay.relay.exchange
 
-import io.netty.handler.codec.http.HttpHeaders
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.Outcome
 import org.arbutusrelay.core.error.RelayError
@@ -226,7 +225,15 @@
         attempt = newAttempt
         context.eventListener.placed(this, placed, address, if (attempts > 1) streamPosition.lastEventId else null)
         val headers = try {
-            backendHeaders(call, placed, backendServer)
+            val sent = BackendRequestMetadata(
+                backendServer = backendServer,
+                remainingMs = (call.deadlineMs - context.clock.nowMs()).coerceAtLeast(1),
+                priority = call.route.priority,
+                lastEventId = if (call.route.kind == RouteKind.STREAM) streamPosition.lastEventId else null,
+                cacheSource = placed.cacheSourceAddress.ifEmpty { null },
+            )
+            val forward = ForwardMetadata(call.serviceName, ageMs, sendId).takeIf { backendServer == null }
+            BackendRequestHeaders.of(request, context.dialect, sent, forward)
         } catch (e: IllegalArgumentException) {
             // A value that another program announced, such as the name of the backend server, fits in no header.
             return onAttemptFailed(newAttempt, AttemptFailure.NOT_SENT, e.message.orEmpty())
@@ -244,25 +251,13 @@
         if (attempt === newAttempt && call.route.isRepeatable) silenceWatch.start(newAttempt, call.route)
     }
 
-    private fun backendHeaders(call: ResolvedRequest, placed: PlacedAttempt, backendServer: String?): HttpHeaders {
-        val metadata = BackendRequestMetadata(
-            backendServer = backendServer,
-            remainingMs = (call.deadlineMs - context.clock.nowMs()).coerceAtLeast(1),
-            priority = call.route.priority,
-            lastEventId = if (call.route.kind == RouteKind.STREAM) streamPosition.lastEventId else null,
-            cacheSource = placed.cacheSourceAddress.ifEmpty { null },
-        )
-        val forward = ForwardMetadata(call.serviceName, ageMs, sendId).takeIf { backendServer == null }
-        return BackendRequestHeaders.of(request, context.dialect, metadata, forward)
-    }
-
     /** Retries on another backend server if that is allowed after [idleMs] without progress; returns false if not. */
     private fun onSilent(silent: Attempt, idleMs: Long): Boolean {
         val isRetryAllowed = decideRetry(AttemptFailure.SILENT) == RetryVerdict.RETRY
         if (!isRetryAllowed || !context.scheduler.tryRetry(profile, context.clock.nowMs())) return false
         silent.cancel(AttemptResult.TIMED_OUT)
         possibleRuns++
-        reportFailed(silent, AttemptFailure.SILENT, "silent for $idleMs ms", isRetried = true)
+        silent.reportFailed(AttemptFailure.SILENT, "silent for $idleMs ms", isRetried = true)
         resend(silent)
         return true
     }
@@ -282,11 +277,11 @@
         }
         when {
             cursor.isEventRefused -> {
-                onResponseDefect(ResponseDefect.EVENT_WITHOUT_ID)
-                giveUp(source, "event without an identifier")
+                context.eventListener.responseDefect(this, ResponseDefect.EVENT_WITHOUT_ID)
+                source.giveUp("event without an identifier")
             }
 
-            cursor.isEventTooLong -> giveUp(source, "event of over ${EventStreamCursor.MAX_EVENT_BYTES} bytes")
+            cursor.isEventTooLong -> source.giveUp("event of over ${EventStreamCursor.MAX_EVENT_BYTES} bytes")
 
             !response.isWritable -> {
                 source.pauseReading()
@@ -295,13 +290,6 @@
         }
     }
 
-    fun onResponseDefect(defect: ResponseDefect): Unit = context.eventListener.responseDefect(this, defect)
-
-    private fun giveUp(source: Attempt, detail: String) {
-        source.abandon()
-        onAttemptFailed(source, AttemptFailure.UNKNOWN, detail)
-    }
-
     /** A stream ended after its last event. */
     fun onStreamEnd(source: Attempt, head: BackendHead) {
         // A server that crashes may end a response without length as if it were complete.
@@ -336,25 +324,12 @@
         val isExemptFromBudget = failure == AttemptFailure.NOT_SENT
         val isRetried = decideRetry(failure) == RetryVerdict.RETRY &&
             (isExemptFromBudget || context.scheduler.tryRetry(profile, context.clock.nowMs()))
-        reportFailed(source, failure, detail, isRetried)
+        source.reportFailed(failure, detail, isRetried)
         if (isRetried) return resend(source)
         val kind = if (possibleRuns > 0) ErrorKind.BACKEND_FAILED else ErrorKind.BACKEND_REFUSED
         failRequest(RelayError(kind, detail, retryAfterMs ?: DEFAULT_RETRY_AFTER_MS))
     }
 
-    private fun reportFailed(source: Attempt, failure: AttemptFailure, detail: String, isRetried: Boolean) {
-        val isStream = route?.kind == RouteKind.STREAM
-        val failed = FailedAttempt(
-            source.placed,
-            failure,
-            detail,
-            isRetried,
-            source.cursor.incompleteBytes.takeIf { isStream },
-            streamPosition.lastEventId.takeIf { isStream },
-        )
-        context.eventListener.attemptFailed(this, failed)
-    }
-
     private fun resend(source: Attempt) {
         attempt = null
         tried = tried + source.placed.backendServer + source.address
