--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/EventStreamCursor.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/EventStreamCursor.kt
@@ -2,29 +2,44 @@
 
 import java.io.ByteArrayOutputStream
 
+/** Position up to which the caller of a stream has received its events, whichever attempts they came from. */
+public class StreamPosition(
+    /** Identifier of the last event that the caller has received before the first attempt, or null. */
+    lastEventId: Long? = null,
+) {
+    /** Identifier of the last event that the caller has received, or null before the first one. */
+    public var lastEventId: Long? = lastEventId
+        internal set
+}
+
 /**
- * Splits a stream of server-sent events into complete events and tracks the position that the caller has received.
+ * Splits the body of one response into complete server-sent events and drops those before [position].
  *
  * A backend server may fail in the middle of an event. The cursor returns only complete events, so that another backend
- * server can resume after the last one. Events that were already delivered are dropped. The format is defined in the
- * HTML standard, section "Server-sent events".
+ * server can resume after the last one. The incomplete event is part of the cursor, and a cursor belongs to one
+ * attempt, so that the parts of two responses can't be joined. The format is defined in the HTML standard, section
+ * "Server-sent events".
+ *
+ * In a stream whose events have identifiers, the cursor ends at an event without a numeric one, such as the head of
+ * another response. Comments are passed on. A gap between two identifiers is accepted: they only have to increase,
+ * because one event may stand for several tokens, so a missing event can't be told from a large one.
  */
-public class EventStreamCursor(
-    /** Identifier of the last event that the caller has received, or null. */
-    lastEventId: Long? = null,
-) {
+public class EventStreamCursor(private val position: StreamPosition = StreamPosition()) {
     private val partial = ByteArrayOutputStream()
 
-    /** Identifier of the last complete event, or null before the first one. */
-    public var lastEventId: Long? = lastEventId
-        private set
-
     /** Number of complete events returned by the cursor. */
     public var eventCount: Int = 0
         private set
 
+    /** True after an event without an identifier in a stream with identifiers; it and what follows it are dropped. */
+    public var isEventRefused: Boolean = false
+        private set
+
+    /** Length of the incomplete event that is buffered, in bytes; 0 if there is none. */
+    public val incompleteBytes: Int get() = partial.size()
+
     /** True while an incomplete event is buffered. */
-    public val isInsideEvent: Boolean get() = partial.size() > 0
+    public val isInsideEvent: Boolean get() = incompleteBytes > 0
 
     /** True if the incomplete event exceeds [MAX_EVENT_BYTES], so that the stream must be given up. */
     public val isEventTooLong: Boolean get() = partial.size() > MAX_EVENT_BYTES
@@ -37,7 +52,7 @@
         val buffered = partial.toByteArray()
         val output = ByteArrayOutputStream(buffered.size)
         var start = 0
-        while (true) {
+        while (!isEventRefused) {
             val end = findEventEnd(buffered, start, maxOf(start, scanFrom))
             if (end < 0) break
             emit(buffered, start, end, output)
@@ -50,14 +65,15 @@
         return output.toByteArray()
     }
 
-    /** Discards the incomplete event of a backend server that failed. */
-    public fun dropPartial(): Unit = partial.reset()
-
     private fun emit(buffered: ByteArray, start: Int, end: Int, output: ByteArrayOutputStream) {
         val id = parseEventId(buffered, start, end)
-        val previousId = lastEventId
+        val previousId = position.lastEventId
         if (id != null && previousId != null && id <= previousId) return
-        if (id != null) lastEventId = id
+        if (id == null && previousId != null && !isComment(buffered, start, end)) {
+            isEventRefused = true
+            return
+        }
+        if (id != null) position.lastEventId = id
         eventCount++
         output.write(buffered, start, end - start)
     }
@@ -76,6 +92,10 @@
         String(buffered, start, end - start, Charsets.ISO_8859_1).lineSequence()
             .firstOrNull { it.startsWith(ID_FIELD) }?.removePrefix(ID_FIELD)?.trim()?.toLongOrNull()
 
+    private fun isComment(buffered: ByteArray, start: Int, end: Int): Boolean =
+        String(buffered, start, end - start, Charsets.ISO_8859_1).lineSequence()
+            .all { it.isEmpty() || it.startsWith(COMMENT_MARK) }
+
     public companion object {
         /** Longest event, in bytes; a backend server that sends more without an end of the event is faulty. */
         public const val MAX_EVENT_BYTES: Int = 256 * 1024
@@ -85,5 +105,6 @@
         private const val LINE_FEED = '\n'.code.toByte()
         private const val CARRIAGE_RETURN = '\r'.code.toByte()
         private const val ID_FIELD = "id:"
+        private const val COMMENT_MARK = ':'
     }
 }
