--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -1,15 +1,15 @@
 package org.arbutusrelay.relay.exchange
 
-import io.netty.handler.codec.http.HttpHeaders
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.Outcome
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.relay.AttemptFailure
 import org.arbutusrelay.core.relay.EventStreamCursor
-import org.arbutusrelay.core.relay.ProgressTimeout
+import org.arbutusrelay.core.relay.ResponseDefect
 import org.arbutusrelay.core.relay.RetryContext
 import org.arbutusrelay.core.relay.RetryRules
 import org.arbutusrelay.core.relay.RetryVerdict
+import org.arbutusrelay.core.relay.StreamPosition
 import org.arbutusrelay.core.route.Route
 import org.arbutusrelay.core.route.RouteKind
 import org.arbutusrelay.core.routing.AttemptResult
@@ -19,7 +19,6 @@
 import org.arbutusrelay.relay.backend.BackendHead
 import org.arbutusrelay.relay.backend.BackendRequest
 import org.arbutusrelay.relay.dialect.BackendRequestMetadata
-import org.arbutusrelay.relay.dialect.RequestMetadata
 import org.arbutusrelay.relay.ingress.IngressExchange
 import org.arbutusrelay.relay.ingress.IngressRequest
 import org.arbutusrelay.relay.ingress.ResponseWriter
@@ -47,7 +46,10 @@
     private var possibleRuns = 0
     private var tried = emptySet<String>()
     private var fallbackResponse: FullResponse? = null
-    private val cursor by lazy { EventStreamCursor(resolved?.metadata?.lastEventId) }
+    private val silenceWatch = SilenceWatch(context, { attempt === it && phase == Phase.SENT }, ::onSilent)
+
+    /** Position of the caller in a stream; resolved before the first attempt. */
+    val streamPosition by lazy { StreamPosition(resolved?.metadata?.lastEventId) }
 
     /** Records how the attempts end; null until the request has a route. */
     var crashEvidence: CrashEvidenceRecorder? = null
@@ -221,9 +223,17 @@
         attempts++
         val newAttempt = Attempt(context, this, placed, address)
         attempt = newAttempt
-        context.eventListener.placed(this, placed, address, if (attempts > 1) cursor.lastEventId else null)
+        context.eventListener.placed(this, placed, address, if (attempts > 1) streamPosition.lastEventId else null)
         val headers = try {
-            call.backendHeaders(placed, backendServer)
+            val sent = BackendRequestMetadata(
+                backendServer = backendServer,
+                remainingMs = (call.deadlineMs - context.clock.nowMs()).coerceAtLeast(1),
+                priority = call.route.priority,
+                lastEventId = if (call.route.kind == RouteKind.STREAM) streamPosition.lastEventId else null,
+                cacheSource = placed.cacheSourceAddress.ifEmpty { null },
+            )
+            val forward = ForwardMetadata(call.serviceName, ageMs, sendId).takeIf { backendServer == null }
+            BackendRequestHeaders.of(request, context.dialect, sent, forward)
         } catch (e: IllegalArgumentException) {
             // A value that another program announced, such as the name of the backend server, fits in no header.
             return onAttemptFailed(newAttempt, AttemptFailure.NOT_SENT, e.message.orEmpty())
@@ -238,37 +248,18 @@
                 call.deadlineMs,
             ),
         )
-        if (attempt === newAttempt && call.route.isRepeatable) checkResponseTimeout(newAttempt)
+        if (attempt === newAttempt && call.route.isRepeatable) silenceWatch.start(newAttempt, call.route)
     }
 
-    /** Retries on another backend server when the response makes no progress within its timeout. */
-    private fun checkResponseTimeout(checked: Attempt) {
-        val call = resolved ?: return
-        val timeoutMs = ProgressTimeout.timeoutMs(call.route, checked.hasProgressed)
-        val idleMs = context.clock.nowMs() - checked.lastProgressMs
-        if (idleMs < timeoutMs) {
-            context.schedule(timeoutMs - idleMs) {
-                if (attempt === checked && phase == Phase.SENT) checkResponseTimeout(checked)
-            }
-            return
-        }
+    /** Retries on another backend server if that is allowed after [idleMs] without progress; returns false if not. */
+    private fun onSilent(silent: Attempt, idleMs: Long): Boolean {
         val isRetryAllowed = decideRetry(AttemptFailure.SILENT) == RetryVerdict.RETRY
-        if (isRetryAllowed && context.scheduler.tryRetry(profile, context.clock.nowMs())) {
-            checked.cancel(AttemptResult.TIMED_OUT)
-            possibleRuns++
-            context.eventListener.attemptFailed(
-                this,
-                checked.placed,
-                AttemptFailure.SILENT,
-                "silent for $idleMs ms",
-                true,
-            )
-            resend(checked)
-        } else {
-            context.schedule(timeoutMs) {
-                if (attempt === checked && phase == Phase.SENT) checkResponseTimeout(checked)
-            }
-        }
+        if (!isRetryAllowed || !context.scheduler.tryRetry(profile, context.clock.nowMs())) return false
+        silent.cancel(AttemptResult.TIMED_OUT)
+        possibleRuns++
+        silent.reportFailed(AttemptFailure.SILENT, "silent for $idleMs ms", isRetried = true)
+        resend(silent)
+        return true
     }
 
     /** Returns false if a stream has begun that a response with [head] cannot continue. */
@@ -276,29 +267,29 @@
 
     /** Forwards the complete events in [bytes], the next part of a stream, to the caller. */
     fun onStreamBytes(source: Attempt, head: BackendHead, bytes: ByteArray) {
+        val cursor = source.cursor
         val knownEvents = cursor.eventCount
         val events = cursor.push(bytes)
-        if (cursor.isEventTooLong) {
-            source.abandon()
-            return onAttemptFailed(
-                source,
-                AttemptFailure.UNKNOWN,
-                "event of over ${EventStreamCursor.MAX_EVENT_BYTES} bytes",
-            )
+        if (events.isNotEmpty()) {
+            // Bytes that complete no event are no progress: a stalled server may still send one now and then.
+            source.recordProgress(cursor.eventCount - knownEvents)
+            response.writeEvents(head, events)
         }
-        if (events.isEmpty()) return
-        // Bytes that complete no event are no progress: a stalled server may still send one now and then.
-        source.recordProgress(cursor.eventCount - knownEvents)
-        response.writeEvents(head, events)
-        if (!response.isWritable) {
-            source.setAutoRead(false)
-            response.onWritable { attempt?.setAutoRead(true) }
+        when {
+            cursor.isEventRefused -> {
+                context.eventListener.responseDefect(this, ResponseDefect.EVENT_WITHOUT_ID)
+                source.giveUp("event without an identifier")
+            }
+
+            cursor.isEventTooLong -> source.giveUp("event of over ${EventStreamCursor.MAX_EVENT_BYTES} bytes")
+
+            !response.isWritable -> {
+                source.pauseReading()
+                response.onWritable { attempt?.resumeReading() }
+            }
         }
     }
 
-    /** True while the stream has sent a part of an event. */
-    val isInsideEvent: Boolean get() = cursor.isInsideEvent
-
     /** A stream ended after its last event. */
     fun onStreamEnd(source: Attempt, head: BackendHead) {
         // A server that crashes may end a response without length as if it were complete.
@@ -330,11 +321,10 @@
         if (isHostUnreachable) context.forwardTargets.recordUnreachable(source.address, context.clock.nowMs())
         context.complete(source.placed, failure.toResult(source.isMisdirected))
         if (phase != Phase.SENT) return
-        cursor.dropPartial()
         val isExemptFromBudget = failure == AttemptFailure.NOT_SENT
         val isRetried = decideRetry(failure) == RetryVerdict.RETRY &&
             (isExemptFromBudget || context.scheduler.tryRetry(profile, context.clock.nowMs()))
-        context.eventListener.attemptFailed(this, source.placed, failure, detail, isRetried)
+        source.reportFailed(failure, detail, isRetried)
         if (isRetried) return resend(source)
         val kind = if (possibleRuns > 0) ErrorKind.BACKEND_FAILED else ErrorKind.BACKEND_REFUSED
         failRequest(RelayError(kind, detail, retryAfterMs ?: DEFAULT_RETRY_AFTER_MS))
@@ -353,7 +343,7 @@
         val countedRuns = if (failure == AttemptFailure.SILENT) possibleRuns + 1 else possibleRuns
         val remainingMs = call.deadlineMs - context.clock.nowMs()
         val isStarted = response.isStarted
-        if (isStarted && cursor.lastEventId == null) return RetryVerdict.GIVE_UP
+        if (isStarted && streamPosition.lastEventId == null) return RetryVerdict.GIVE_UP
         val maxRuns = if (request.isForwarded) 1 else call.route.maxAttempts
         return RetryRules.decide(
             RetryContext(call.route, failure, countedRuns, attempts, isStarted, remainingMs, maxRuns),
@@ -420,27 +410,6 @@
         request.releaseBody()
     }
 
-    private inner class ResolvedRequest(
-        val route: Route,
-        val metadata: RequestMetadata,
-        val serviceName: String,
-        val deadlineMs: Long,
-        val documentNumber: Long,
-    ) {
-        /** Returns the headers for [backendServer], or for a host of another region if it is null. */
-        fun backendHeaders(placed: PlacedAttempt, backendServer: String?): HttpHeaders {
-            val metadata = BackendRequestMetadata(
-                backendServer = backendServer,
-                remainingMs = (deadlineMs - context.clock.nowMs()).coerceAtLeast(1),
-                priority = route.priority,
-                lastEventId = if (route.kind == RouteKind.STREAM) cursor.lastEventId else null,
-                cacheSource = placed.cacheSourceAddress.ifEmpty { null },
-            )
-            val forward = ForwardMetadata(serviceName, ageMs, sendId).takeIf { backendServer == null }
-            return BackendRequestHeaders.of(request, context.dialect, metadata, forward)
-        }
-    }
-
     private enum class Phase { NEW, WAITING, SENT, DONE }
 
     private companion object {
