Decide how a host treats backend servers that ask for a pause

Change: BackendSlots keeps the end of the longest pause of an incarnation; no request is placed there before, and its limit then doubles each 250 ms from what it was. Hosts prolong a pause by up to 500 ms so that they return one after another. When all servers pause beyond a request's deadline, it goes to another region or is refused with the earliest end. Not measured on stand-in engines.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
@@ -64,6 +64,21 @@
     @Volatile
     private var otherHostsQueuedAtMs = Long.MIN_VALUE / 2
     private val claim = AtomicReference<RequestId?>(null)
+    private val pause = AtomicReference(NO_PAUSE)
+
+    /** End of the latest pause that the backend server asked this host for, on the monotonic clock, in milliseconds. */
+    public val pausedUntilMs: Long get() = pause.get().endMs
+
+    /**
+     * Accepts no work until [endMs], as the backend server asked for, and then no more at a time than now, at first.
+     *
+     * The hosts that a server has sent away would otherwise all return with what they had queued meanwhile. An end
+     * before that of an earlier pause has no effect.
+     */
+    public fun pauseUntil(endMs: Long) {
+        val requested = Pause(endMs, maxOf(1, ownInFlight()))
+        pause.updateAndGet { if (it.endMs >= endMs) it else requested }
+    }
 
     /**
      * Applies a newer report.
@@ -131,8 +146,10 @@
     public fun load(): Int = ownInFlight() + maxOf(0.0, otherHostsLoad + ROUNDING_OFFSET).toInt()
 
     /** Limit on the requests in flight at [nowMs]. */
-    public fun limitAt(nowMs: Long): Int =
-        maxOf(1, (limit.current() * ramp.sharePermille(nowMs) / PERMILLE).toInt())
+    public fun limitAt(nowMs: Long): Int {
+        val ramped = (limit.current() * ramp.sharePermille(nowMs) / PERMILLE).toInt()
+        return maxOf(1, minOf(ramped, pause.get().limitAt(nowMs)))
+    }
 
     /**
      * Returns true when the backend server can accept one more request at [nowMs]; it reserves nothing.
@@ -142,7 +159,7 @@
     public fun hasRoom(nowMs: Long, countsOtherHosts: Boolean = true): Boolean =
         ownRequests.get() != ISOLATED && claim.get() == null && !state.isLeaving &&
             (if (countsOtherHosts) load() else ownInFlight()) < limitAt(nowMs) && breaker.isReady(nowMs) &&
-            coldLimiter.isOpen(nowMs)
+            coldLimiter.isOpen(nowMs) && nowMs >= pausedUntilMs
 
     /** Acquires a slot if there is room as in [hasRoom]; the caller must call [release] afterwards. */
     public fun tryAcquire(nowMs: Long, countsOtherHosts: Boolean = true): Boolean {
@@ -166,7 +183,7 @@
         if (claimant != null && claimant != id) return false
         val latest = state
         if (latest.isLeaving || latest.running + latest.queued > 0) return false
-        if (!breaker.isReady(nowMs) || !coldLimiter.isOpen(nowMs)) return false
+        if (!breaker.isReady(nowMs) || !coldLimiter.isOpen(nowMs) || nowMs < pausedUntilMs) return false
         if (!ownRequests.compareAndSet(0, ISOLATED)) return false
         releaseClaim(id)
         coldLimiter.tryAcquire(nowMs)
@@ -196,6 +213,14 @@
         if (claimant == id) claim.compareAndSet(claimant, null)
     }
 
+    /** A pause until [endMs], after which the limit doubles in each interval, from [startLimit] on. */
+    private class Pause(val endMs: Long, private val startLimit: Int) {
+        fun limitAt(nowMs: Long): Int {
+            val doublings = (nowMs - endMs).coerceAtLeast(0) / PAUSE_DOUBLING_MS
+            return if (doublings < PAUSE_DOUBLINGS) startLimit shl doublings.toInt() else Int.MAX_VALUE
+        }
+    }
+
     internal companion object {
         private const val ISOLATED = -1
         private const val REPORT_WEIGHT = 0.2
@@ -204,6 +229,11 @@
         /** Requests that were queued this long ago have been prefilled since. */
         private const val QUEUE_REPORT_TTL_MS = 600L
         private const val ROUNDING_OFFSET = 0.5
+
+        /** About the time after which the responses to the requests before tell whether the server bears more. */
+        private const val PAUSE_DOUBLING_MS = 250L
+        private const val PAUSE_DOUBLINGS = 6
+        private val NO_PAUSE = Pause(Long.MIN_VALUE / 2, 1)
         private const val PERMILLE = 1_000L
         private const val MIX_MULTIPLIER = -0x4b47d0c5a1a6e5b3L
         private const val MIX_SHIFT = 31
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -124,6 +124,20 @@
         snapshot.get().slotsByName[backendServer]?.recordLoad(running, queued, nowMs)
     }
 
+    /**
+     * Records that the backend server of an open attempt asked this host to send nothing for [pauseMs] milliseconds.
+     *
+     * [spread], from 0 to 1, is drawn by the caller and prolongs the pause, so that the hosts that were sent away do
+     * not return at once. A pause is not a failure.
+     */
+    public fun recordPause(attempt: PlacedAttempt, pauseMs: Long, spread: Double, nowMs: Long) {
+        val spreadMs = (minOf(pauseMs, settings.maxPauseSpreadMs) * spread).toLong()
+        attempts.find(attempt.attemptNumber)?.slots?.pauseUntil(nowMs + pauseMs + spreadMs)
+    }
+
+    /** Returns the number of backend servers that have asked this host for a pause which has not ended. */
+    public fun pausedServers(nowMs: Long): Int = snapshot.get().slotsByName.values.count { it.pausedUntilMs > nowMs }
+
     override fun viewOf(name: String, nowMs: Long): ScheduledServer? =
         snapshot.get().slotsByName[name]?.view(nowMs)
 
@@ -168,7 +182,10 @@
             return refused(if (profile.isForwarded) ErrorKind.FORWARD_REFUSED else ErrorKind.REGION_UNREACHABLE)
         }
         val servers = current.services[profile.serviceName]
-        if (servers != null) return placeLocally(profile, current, servers, nowMs)
+        if (servers != null) {
+            return refuseIfPausedTooLong(profile, current, servers, nowMs)
+                ?: placeLocally(profile, current, servers, nowMs)
+        }
         return remote.tryForward(profile, current, serviceTimes, Double.POSITIVE_INFINITY, true, nowMs)
             ?: refused(ErrorKind.NO_BACKEND_SERVER)
     }
@@ -188,6 +205,19 @@
         return enqueue(profile, current, servers, queue, nowMs)
     }
 
+    /** Forwards or refuses a request whose deadline passes before any backend server takes requests again. */
+    private fun refuseIfPausedTooLong(
+        profile: RequestProfile,
+        current: SchedulerSnapshot,
+        servers: ServerPool,
+        nowMs: Long,
+    ): Placement? {
+        val endMs = servers.pauseEndMs(nowMs) ?: return null
+        if (endMs + deadlinePolicy.minTimeMs(profile, servers.times) <= profile.deadlineMs) return null
+        return remote.tryForward(profile, current, servers.times, Double.POSITIVE_INFINITY, true, nowMs)
+            ?: refused(ErrorKind.OVERLOADED, endMs - nowMs)
+    }
+
     private fun enqueue(
         profile: RequestProfile,
         current: SchedulerSnapshot,
@@ -226,17 +256,16 @@
             val vainRefusal = if (queue.isLateServiceVain) refused(ErrorKind.OVERLOADED) else null
             queue.postpone(isLate, { forwardLate(it, nowMs) ?: vainRefusal }, sink)
         }
-        queue.drain(serverSelector.lookahead, { selectNext(it, nowMs) }, { placeQueued(it, nowMs) }, sink)
+        val selectNext = { waiting: List<RequestProfile> ->
+            val servers = snapshot.get().services[waiting[0].serviceName]
+            if (servers == null) 0 else serverSelector.selectNext(waiting, servers, nowMs)
+        }
+        queue.drain(serverSelector.lookahead, selectNext, { placeQueued(it, nowMs) }, sink)
         for (index in firstIndex until sink.size) {
             if (sink[index].placement is Placement.Refused) releaseQueued(sink[index].profile)
         }
     }
 
-    private fun selectNext(waiting: List<RequestProfile>, nowMs: Long): Int {
-        val servers = snapshot.get().services[waiting[0].serviceName] ?: return 0
-        return serverSelector.selectNext(waiting, servers, nowMs)
-    }
-
     private fun placeQueued(profile: RequestProfile, nowMs: Long): Placement? {
         refuseIfDeadlineMissed(profile, nowMs)?.let { return it }
         if (profile.isIsolated) return local.tryRunIsolated(profile, nowMs)?.let(Placement::Run)
@@ -246,7 +275,10 @@
     /** Forwards or refuses a queued request that cannot be served here or has exceeded its maximum wait. */
     private fun expireQueued(profile: RequestProfile, nowMs: Long): Placement? {
         refuseIfDeadlineMissed(profile, nowMs)?.let { return it }
-        val isServed = profile.serviceName in snapshot.get().services
+        val current = snapshot.get()
+        val servers = current.services[profile.serviceName]
+        servers?.let { pool -> refuseIfPausedTooLong(profile, current, pool, nowMs)?.let { return it } }
+        val isServed = servers != null
         val isMaxWaitExceeded = deadlinePolicy.isMaxWaitExceeded(profile, nowMs)
         if (isServed && !isMaxWaitExceeded) return null
         return forwardLate(profile, nowMs)
@@ -276,15 +308,15 @@
         snapshot.get().services[profile.serviceName]?.let { local.releaseClaims(profile, it) }
     }
 
-    private fun refused(kind: ErrorKind, retryAfterMs: Long? = kind.retryAfterMs): Placement.Refused {
-        val boundedMs = retryAfterMs?.coerceIn(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
-        return Placement.Refused(RelayError(kind, retryAfterMs = boundedMs))
-    }
-
     private companion object {
         private const val NOT_STARTED = Long.MIN_VALUE
         private const val PERMILLE = 1_000L
         private const val MIN_RETRY_AFTER_MS = 100L
         private const val MAX_RETRY_AFTER_MS = 60_000L
+
+        private fun refused(kind: ErrorKind, retryAfterMs: Long? = kind.retryAfterMs): Placement.Refused {
+            val boundedMs = retryAfterMs?.coerceIn(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
+            return Placement.Refused(RelayError(kind, retryAfterMs = boundedMs))
+        }
     }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSettings.kt
@@ -38,4 +38,6 @@
     val prefixIndexBlocks: Int = 262_144,
     /** Duration of the slow start of a returning backend server or region, in milliseconds. */
     val rampMs: Long = 20_000,
+    /** Maximum time, in milliseconds, by which a host prolongs a pause so that hosts return one after another. */
+    val maxPauseSpreadMs: Long = 500,
 )
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerSelector.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerSelector.kt
@@ -51,6 +51,10 @@
         return sum.toDouble() / ownShare
     }
 
+    /** Returns the earliest end of a pause if all backend servers have asked this host for one, otherwise null. */
+    public fun pauseEndMs(nowMs: Long): Long? =
+        slots.minOfOrNull { it.pausedUntilMs }?.takeIf { it > nowMs }
+
     /** Estimated requests in flight on all backend servers. */
     public fun load(): Int {
         var sum = 0
