Follow engines that state in their answers that they leave or want a pause

Change: the dialect reads the statement; from the head on, a response that is known to be the server's own makes it a departure of its incarnation, reported once over the feed that exists, or a pause for this host. A 421 states nothing about the server that the request was sent to.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/dialect/HeaderDialect.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/dialect/HeaderDialect.kt
@@ -30,6 +30,8 @@
     /** True when the response carries the backend server's signature. */
     val isSigned: Boolean,
     val load: ReportedLoad? = null,
+    /** True when the backend server states that it is leaving, after which it gets no more requests. */
+    val isLeaving: Boolean = false,
 )
 
 /** Load of a backend server as reported in its response, in requests. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -7,6 +7,7 @@
 import org.arbutusrelay.core.relay.EmbeddedHead
 import org.arbutusrelay.core.relay.EventStreamCursor
 import org.arbutusrelay.core.relay.ResponseDefect
+import org.arbutusrelay.core.relay.RetryAfter
 import org.arbutusrelay.core.route.RouteKind
 import org.arbutusrelay.core.routing.AttemptResult
 import org.arbutusrelay.core.routing.PlacedAttempt
@@ -139,6 +140,7 @@
         val metadata = checkNotNull(metadata) { "onHead was called before matchesRequest" }
         lastProgressMs = context.clock.nowMs()
         metadata.load?.takeUnless { isToHost }?.let { context.reportLoad(placed, it) }
+        if (!isToHost) applyWishes(head, metadata)
         // Only a host states an outcome; a backend server could state one for another.
         val outcome = ForwardHeaders.outcomeOf(head.headers)?.takeIf { isToHost }
         when {
@@ -151,7 +153,7 @@
 
             metadata.isNotExecuted || outcome == Outcome.NOT_RUN -> {
                 isMisdirected = head.statusCode == MISDIRECTED_STATUS
-                fail(AttemptFailure.NOT_EXECUTED, "status ${head.statusCode}", parseRetryAfterMs(head))
+                fail(AttemptFailure.NOT_EXECUTED, "status ${head.statusCode}", retryAfterMs(head))
                 return false
             }
 
@@ -171,6 +173,18 @@
         return true
     }
 
+    /**
+     * Applies what the backend server wants of this host: no requests because it is leaving, or none for a time.
+     *
+     * Only a response that is known to be one of the server counts. A server that has another name, which answers at an
+     * address that is in use again, states nothing about the one that the request was sent to.
+     */
+    private fun applyWishes(head: BackendHead, metadata: ResponseMetadata) {
+        if (!isOwnResponse || head.statusCode == MISDIRECTED_STATUS) return
+        if (metadata.isLeaving) context.onLeaving(placed)
+        if (head.statusCode == UNAVAILABLE_STATUS) retryAfterMs(head)?.let { context.pause(placed, it) }
+    }
+
     override fun onBody(bytes: ByteArray) {
         if (!hasReceivedBody) context.scheduler.recordFirstByte(placed, context.clock.nowMs())
         hasReceivedBody = true
@@ -262,15 +276,14 @@
         exchange.onAttemptFailed(this, failure, detail, retryAfterMs)
     }
 
-    private fun parseRetryAfterMs(head: BackendHead): Long? =
-        head.headers["Retry-After"]?.toDoubleOrNull()?.let { (it * MS_PER_SECOND).toLong() }
+    private fun retryAfterMs(head: BackendHead): Long? = RetryAfter.parseMs(head.headers.getAll("Retry-After"))
 
     private companion object {
         /** A request that crashes backend servers does so before its first event; one event may be an empty head. */
         const val PROVEN_EVENTS = 2
         const val MISDIRECTED_STATUS = 421
+        const val UNAVAILABLE_STATUS = 503
         const val MIN_SERVER_ERROR_STATUS = 500
-        const val MS_PER_SECOND = 1_000
         val SUCCESS_STATUSES = 200..299
     }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
@@ -34,6 +34,8 @@
     val crashEvidence: CrashEvidenceReplica,
     private val random: Random,
     private val onLoadReported: (PlacedAttempt, ReportedLoad) -> Unit,
+    /** Called for each response of a backend server that states that it is leaving. */
+    val onLeaving: (PlacedAttempt) -> Unit = {},
 ) {
     /** Active routes; null until this host has received a route document. */
     val routes = AtomicReference<RouteTable?>(null)
@@ -88,6 +90,10 @@
         onLoadReported(attempt, load)
     }
 
+    /** Sends nothing to the backend server of [attempt] for [pauseMs] milliseconds, as it has asked. */
+    fun pause(attempt: PlacedAttempt, pauseMs: Long): Unit =
+        scheduler.recordPause(attempt, pauseMs, random.nextDouble(), clock.nowMs())
+
     private fun poll() {
         try {
             refuseHeldBack()
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -97,6 +97,7 @@
         siteLinks.identity, clock, loop, pool, scheduler, dialect, forwardTargets,
         RequestMetricsListener(metrics, RequestLogListener(log, clock::nowMs)), StopState(clock::nowMs),
         site.crashEvidence, Random(siteLinks.identity.epoch), ::reportLoad,
+        LeavingServers(site::deregister)::record,
     )
     private val profiles = ProfileBuilder(settings.region) { otherRegions }
     private val loopLag = LoopLag()
@@ -136,6 +137,7 @@
         metrics.gauge("arbutus.requests.queued") { scheduler.queuedRequests() }
         metrics.gauge("arbutus.request.bodies.bytes") { bodies.reservedBytes }
         metrics.gauge("arbutus.request.bodies.waiting") { bodies.waitingCount }
+        metrics.gauge("arbutus.backend.servers.paused") { scheduler.pausedServers(clock.nowMs()) }
         metrics.gauge("arbutus.suspects.held") { site.crashEvidence.heldBack.size }
         metrics.gauge("arbutus.document.number") { context.routes.get()?.plan?.number ?: -1 }
         log.write(siteLinks.eventLine(Event.STARTED).copy(address = callerAddress))
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -45,6 +45,7 @@
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.time.TestTimeSource
@@ -86,8 +87,8 @@
     private val context = RelayContext(
         HostIdentity("host", "hue", "hue-a", 1), clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
         ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), StopState(clock::nowMs),
-        crashEvidence, Random(1),
-    ) { _, _ -> }
+        crashEvidence, Random(1), { _, _ -> },
+    ) { leaving += it.backendServer }
     private val profiles = ProfileBuilder("hue") { listOf("north") }
     val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     private val options = IngressOptions(clock::nowMs, { lagMs }, bodies) { maxBodyBytes }
@@ -100,6 +101,12 @@
     /** True once only requests are accepted that end before the host does. */
     val isDraining: Boolean get() = !context.stopState.mayAccept(Long.MAX_VALUE)
 
+    /** Backend servers that have stated that they are leaving, once for each statement. */
+    val leaving = CopyOnWriteArrayList<String>()
+
+    /** Number of backend servers that have asked for a pause. */
+    val pausedServers: Int get() = scheduler.pausedServers(clock.nowMs())
+
     /** Number of connections accepted so far. */
     val acceptedConnections = AtomicInteger()
 
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/TestDialect.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/TestDialect.kt
@@ -38,5 +38,6 @@
         attemptId = headers["Attempt"],
         isNotExecuted = headers.contains("Not-Executed"),
         isSigned = headers.contains("Signature"),
+        isLeaving = headers.contains("Leaving"),
     )
 }
