--- a/core/src/main/kotlin/org/arbutusrelay/core/route/RoutePlan.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/route/RoutePlan.kt
@@ -29,9 +29,11 @@
 ) {
     /** Returns the validation errors of the plan, one line each; empty if it is valid. */
     public fun problems(): List<String> = buildList {
+        if (number < 0) add("the number is negative")
         val seenPrefixes = HashSet<Pair<String, String>>()
         for (route in routes) {
-            if (!seenPrefixes.add(route.authority to route.pathPrefix)) {
+            // Host names are matched in any letter case, so that only one of two such routes would be served.
+            if (!seenPrefixes.add(route.authority.lowercase() to route.pathPrefix)) {
                 add("route ${route.name}: another route has ${route.authority}${route.pathPrefix}")
             }
             if (!isValidPrefix(route.pathPrefix)) {
