Tell which state host a document came from and when a state host confirms its state

document_in_force names the state host that sent the state. A state host writes one state_changed line, with its term, when it confirms its state. Metrics: arbutus_site_confirmed and arbutus_document_number of a state host, arbutus_document_age_ms of an entry host. SiteServiceTest checks the name of the sender.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -55,6 +55,7 @@
     private val listeners = CopyOnWriteArrayList<(SiteView) -> Unit>()
     private var self = self
     private var state = SiteStateMachine.EMPTY
+    private var stateSource = ""
     private var nextReportAtMs = 0L
     private var nextMeshDigestAtMs = 0L
     private var pulseSequence = 0L
@@ -65,8 +66,10 @@
     private val isStatePushDue = AtomicBoolean()
     private val failures = FailureGuard("a step of the site service")
 
+    /** True once this host may forward its state; see [confirmState]. */
     @Volatile
-    private var isStateConfirmed = !self.isStateHost
+    public var isStateConfirmed: Boolean = !self.isStateHost
+        private set
 
     @Volatile
     private var batchScope: CoroutineScope? = null
@@ -118,15 +121,18 @@
     /**
      * Applies [newer] and, on a state host, forwards it to subscribers; ignores a state that is not newer.
      *
+     * [source] is the state host that sent it; empty if the replica of this host did.
+     *
      * A restarted state host installs every state since its snapshot in a moment; only the last of them is forwarded.
      */
-    public fun install(newer: SiteState) {
+    public fun install(newer: SiteState, source: String = "") {
         val isNewer = synchronized(this) {
             if (newer.index <= state.index) return@synchronized false
             val reopenedZones = state.evacuatedZones - newer.evacuatedZones.toSet()
             // Backend servers may have become cold while their zone received no requests.
             reopenedZones.forEach { servers.markCold(it, COLD_AFTER_EVACUATION_MS, clock.nowMs()) }
             state = newer
+            stateSource = source
             true
         }
         if (!isNewer) return
@@ -141,12 +147,14 @@
      * Allows this state host to forward its state, which the replica group has confirmed.
      *
      * Until then the state may be an old one from its disk, and a host that starts at the same time would use it.
+     * Returns true for the first call.
      */
-    public fun confirmState() {
-        if (isStateConfirmed) return
+    public fun confirmState(): Boolean {
+        if (isStateConfirmed) return false
         isStateConfirmed = true
         isStatePushDue.set(true)
         scheduleBatch()
+        return true
     }
 
     /** Processes an announcement of a backend server. */
@@ -177,7 +185,7 @@
         frame.siteReport?.let { onReport(from, it) }
         frame.siteDigest?.let(::onDigest)
         frame.sitePulse?.let { onPulse(from, it) }
-        frame.siteState?.let { if (!self.isStateHost) install(it) }
+        frame.siteState?.let { if (!self.isStateHost) install(it, from.hostName) }
     }
 
     private fun onReport(from: HostIdentity, report: SiteReport) {
@@ -367,7 +375,7 @@
         val nowMs = clock.nowMs()
         val next =
             synchronized(this) {
-                SiteView(state, hosts.live(nowMs), servers.states(nowMs), nowMs, crashEvidence.heldBack)
+                SiteView(state, hosts.live(nowMs), servers.states(nowMs), nowMs, crashEvidence.heldBack, stateSource)
             }
         currentView.set(next)
         publishedAtMs = nowMs
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteView.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteView.kt
@@ -16,6 +16,8 @@
     val builtAtMs: Long,
     /** Keys of prompt parts and requests that crash backend servers and are not sent to any. */
     val heldBack: Set<String> = emptySet(),
+    /** State host that sent [state]; empty on a state host, and while there is none. */
+    val stateSource: String = "",
 ) {
     /** Hosts that accept requests from callers and are not leaving. */
     val entryHosts: List<HostState> = hosts.filter { it.callerAddress.isNotEmpty() && !it.isLeaving }
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
@@ -201,6 +201,7 @@
         services.getValue(restarted).confirmState()
         delay(500)
         assertEquals(7, view(entry).state.index)
+        assertEquals(restarted, view(entry).stateSource)
     }
 
     /** Guards against state hosts that restart together and put a server that left back in use. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -105,6 +105,10 @@
     private val connections = OpenConnections()
     private val latestPlan = AtomicReference<RoutePlan?>(null)
     private var otherRegions = emptyList<String>()
+
+    /** Time since when the latest document is in force on this host, on the monotonic clock, in milliseconds. */
+    @Volatile
+    private var inForceSinceMs = 0L
     private val statusServers = listOfNotNull(
         settings.readyAddress?.let { StatusServer(group, it, mapOf(readyPath to ::readiness)) },
         StatusServer(group, "${settings.bindAddress}:${settings.metricsPort}", mapOf("/metrics" to ::metricsResponse)),
@@ -128,6 +132,7 @@
         metrics.gauge("arbutus.requests.queued") { scheduler.queuedRequests() }
         metrics.gauge("arbutus.suspects.held") { site.crashEvidence.heldBack.size }
         metrics.gauge("arbutus.document.number") { context.routes.get()?.plan?.number ?: -1 }
+        metrics.gauge("arbutus.document.age.ms") { clock.nowMs() - inForceSinceMs }
         log.write(siteLinks.eventLine(Event.STARTED).copy(address = callerAddress))
     }
 
@@ -183,12 +188,14 @@
         loop.execute {
             if (context.routes.get()?.plan !== plan && (context.routes.get()?.plan?.number ?: -1) <= plan.number) {
                 val isFirst = context.routes.getAndSet(RouteTable(plan)) == null
+                inForceSinceMs = clock.nowMs()
                 if (isFirst) advertiseCallerAddress()
                 log.write(
                     EventLine(
                         Event.DOCUMENT_IN_FORCE,
                         documentNumber = plan.number,
                         stateIndex = view.state.index,
+                        host = view.stateSource,
                     ),
                 )
             }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -20,6 +20,7 @@
 import org.arbutusrelay.daemon.storage.FileConsensusStorage
 import org.arbutusrelay.schema.log.EventLine
 import org.arbutusrelay.schema.log.EventLine.Event
+import org.arbutusrelay.schema.message.SiteState
 import org.arbutusrelay.schema.settings.SiteSettings
 import java.io.IOException
 import java.nio.file.Path
@@ -85,7 +86,7 @@
         siteLinks.listen()
         changes.attach(site, siteLinks.network)
         site.addListener { logLeader() }
-        group.addListener { _, _ -> site.confirmState() }
+        group.addListener(::confirmState)
         group.start().onLeft { throw IOException("${settings.dataFolder}: $it") }
         site.start(scope)
         httpServers.forEach { it.start() }
@@ -93,6 +94,8 @@
         metrics.gauge("arbutus.site.voters") { group.voters.size }
         metrics.gauge("arbutus.site.storage.failing") { if (group.isStorageFailing) 1 else 0 }
         metrics.gauge("arbutus.site.index") { stateMachine.current.index }
+        metrics.gauge("arbutus.site.confirmed") { if (site.isStateConfirmed) 1 else 0 }
+        metrics.gauge("arbutus.document.number") { stateMachine.current.document?.number ?: -1 }
         metrics.gauge("arbutus.site.backend.servers") { site.view.backendServers.size }
         metrics.gauge("arbutus.site.entry.hosts") { site.view.entryHosts.size }
         val detail = if (settings.isFounding) "bootstraps the group unless its disk holds a replica" else null
@@ -112,6 +115,20 @@
         eventLog.write(siteLinks.eventLine(Event.STOPPED).copy(durationMs = clock.nowMs() - startMs))
     }
 
+    private fun confirmState(index: Long, state: SiteState) {
+        if (!site.confirmState()) return
+        eventLog.write(
+            EventLine(
+                Event.STATE_CHANGED,
+                stateIndex = index,
+                documentNumber = state.document?.number,
+                term = group.term,
+                durationMs = clock.nowMs(),
+                detail = "confirmed, and forwarded from now on",
+            ),
+        )
+    }
+
     private fun logLeader() {
         val currentLeader = group.leaderName
         if (currentLeader == leader) return
