--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupFixture.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupFixture.kt
@@ -1,7 +1,9 @@
 package org.arbutusrelay.daemon.consensus
 
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.StandardTestDispatcher
 import kotlinx.coroutines.test.TestScope
 import org.arbutusrelay.core.consensus.ConsensusConfig
@@ -18,7 +20,11 @@
 
 /** Replicas of one group that run in virtual time on a network in memory. */
 @OptIn(ExperimentalCoroutinesApi::class)
-internal class ReplicaGroupFixture(private val stateHosts: List<String>) {
+internal class ReplicaGroupFixture(
+    private val stateHosts: List<String>,
+    /** Returns the delay of a message from one host to another, in milliseconds. */
+    private val linkDelayMs: (String, String) -> Long = { _, _ -> 0 },
+) {
     private val cutHosts = HashSet<String>()
     private var startCount = 0
     val networks = HashMap<String, FakeNetwork>()
@@ -31,10 +37,11 @@
         foundingVoters: List<String>?,
         options: ReplicaGroupOptions = ReplicaGroupOptions(),
         onFailure: (String) -> Unit = {},
+        storageDispatcher: CoroutineDispatcher? = null,
         configure: (ConsensusConfig) -> ConsensusConfig = { it.copy(trailingEntries = 5) },
     ): ReplicaGroup<Long> {
         val dispatcher = StandardTestDispatcher(scope.testScheduler)
-        networks[host] = FakeNetwork(host)
+        networks[host] = FakeNetwork(host, scope)
         stateMachines[host] = SumStateMachine()
         val group = ReplicaGroup(
             name = "manifest",
@@ -47,7 +54,7 @@
             foundingVoters = foundingVoters,
             timeSource = scope.testScheduler.timeSource,
             options = options,
-            dispatchers = ReplicaDispatchers(dispatcher, dispatcher),
+            dispatchers = ReplicaDispatchers(dispatcher, storageDispatcher ?: dispatcher),
             onFailure = onFailure,
             configure = configure,
         )
@@ -95,17 +102,35 @@
         }
     }
 
-    internal inner class FakeNetwork(private val host: String) : LinkNetwork {
+    internal inner class FakeNetwork(private val host: String, private val scope: TestScope? = null) :
+        LinkNetwork {
         override val self = HostIdentity(host, "hue", "hue-1", 1)
         private val receivers = ArrayList<FrameReceiver>()
+        private val lastArrivalMs = HashMap<String, Long>()
 
         override fun send(hostName: String, frame: LinkFrame): Boolean {
             if (isCut(hostName)) return false
             val target = networks[hostName] ?: return false
-            target.receivers.forEach { it.onFrame(self, frame) }
+            val delayMs = linkDelayMs(host, hostName)
+            if (delayMs > 0) deliverLater(target, frame, delayMs) else target.receive(self, frame)
             return true
         }
 
+        /** Keeps the order of the messages to a host; those that a restart or a cut overtakes are lost. */
+        private fun deliverLater(target: FakeNetwork, frame: LinkFrame, delayMs: Long) {
+            val timeScope = checkNotNull(scope) { "a network with delays needs a test scope" }
+            val nowMs = timeScope.testScheduler.currentTime
+            val arrivalMs = maxOf(lastArrivalMs[target.host] ?: 0, nowMs + delayMs)
+            lastArrivalMs[target.host] = arrivalMs
+            timeScope.backgroundScope.launch {
+                delay(arrivalMs - nowMs)
+                val areConnected = networks[target.host] === target && networks[host] === this@FakeNetwork
+                if (areConnected && !isCut(target.host)) target.receive(self, frame)
+            }
+        }
+
+        private fun receive(from: HostIdentity, frame: LinkFrame): Unit = receivers.forEach { it.onFrame(from, frame) }
+
         override fun connected() = networks.filterKeys { !isCut(it) }.mapValues { it.value.self }
 
         override fun connect(hostName: String, address: String) = Unit
