--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/FullDisksTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/FullDisksTest.kt
@@ -77,6 +77,7 @@
         private var isBoundInForce = kinds.size == 1
         private var isOver = false
         private var number = 0L
+        private var otherFaults = 0
         private val nowMs get() = scope.testScheduler.currentTime
 
         suspend fun run() {
@@ -114,13 +115,13 @@
                 while (host in lost || lost.toSet().size > 1) delay(100)
                 if (kinds.size > 1 && random.nextBoolean() && lost.isEmpty()) {
                     val other = (hosts - lost - host).random(random)
-                    faults += scope.launch { injectFault(other, (kinds - "disk full").random(random)) }
+                    faults += scope.launch { injectFault(other, nextOtherKind()) }
                 }
                 // A disk that is full can be restarted, cut off or stalled as well.
                 if (kinds.size > 1 && random.nextInt(4) == 0 && lost.isEmpty()) {
                     faults += scope.launch {
                         delay(random.nextLong(0, 2_000))
-                        injectFault(host, (kinds - "disk full").random(random))
+                        injectFault(host, nextOtherKind())
                     }
                 }
                 injectFault(host, "disk full")
@@ -128,6 +129,10 @@
             }
         }
 
+        /** Each kind in turn, so that all of them occur in a short run. */
+        private fun nextOtherKind(): String =
+            (kinds - "disk full").toList().let { it[((seed + otherFaults++) % it.size).toInt()] }
+
         private suspend fun injectFault(host: String, kind: String) {
             val forMs = random.nextLong(1_000, 6_000)
             counts.merge(kind, 1, Int::plus)
