Keep to a candidate while its votes are on their way

Cause: a replica that had just voted for one candidate granted a pre-vote to the next, so that elections ended one another where a vote takes about as long as the election timeout (0.6 to 1.2 s).

--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/Election.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/Election.kt
@@ -8,6 +8,7 @@
 internal class Election(private val state: NodeState, private val onElected: () -> Unit) {
     private val votes = HashSet<String>()
     private var ownVoteId = 0L
+    private val hold = ElectionHold(state)
 
     fun onTick() {
         if (state.role == ConsensusRole.LEADER || state.nowMs < state.electionDeadlineMs) return
@@ -21,6 +22,7 @@
         state.changeRole(ConsensusRole.CANDIDATE, null)
         state.resetElectionDeadline()
         votes.clear()
+        hold.onVote(state.config.self)
         ownVoteId = state.outbox.nextId
         requestVotes(isPreVote = false, isTransfer)
     }
@@ -32,7 +34,9 @@
 
     fun onVoteRequest(message: ConsensusMessage, request: VoteRequest) {
         if (request.isPreVote) {
-            val isGranted = !state.isVoteRefused() && message.term >= state.term && isUpToDate(request)
+            val isGranted = !state.isVoteRefused() && !hold.isForOther(message.from) &&
+                message.term >= state.term && isUpToDate(request)
+            if (isGranted) hold.onPreVote(message.from)
             return reply(message.from, isPreVote = true, isGranted)
         }
         // A refused request must not raise the term either: that would depose a leader with a valid lease.
@@ -45,6 +49,7 @@
         if (isGranted) {
             state.recordVote(message.term, message.from)
             state.resetElectionDeadline()
+            hold.onVote(message.from)
         }
         reply(message.from, isPreVote = false, isGranted)
     }
--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/NodeState.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/NodeState.kt
@@ -36,7 +36,12 @@
      * Time of the last message from a leader. A start counts as contact, because the replica may have acknowledged a
      * heartbeat just before it stopped, and the lease of the leader relies on that acknowledgement.
      */
-    private var leaderContactMs = nowMs
+    var leaderContactMs = nowMs
+        private set
+
+    /** Latest term with a known leader, or the term at the start of this replica. */
+    var leaderTerm = durable.term
+        private set
     var electionDeadlineMs = nowMs + randomTimeoutMs()
         private set
 
@@ -76,6 +81,7 @@
     }
 
     fun changeRole(newRole: ConsensusRole, newLeader: String?) {
+        if (newLeader != null) leaderTerm = term
         if (role == newRole && leader == newLeader) return
         role = newRole
         leader = newLeader
