Take a response for whole only if its copy is equal to it

Callers could get a part of a response as a complete 200: half a body followed by a failure with the same identifier, by a shorter copy, or by a copy that pauses for a second with its connection open.

Cause: the copy was asked only whether it has more than the response, and after a second the response counted as whole. SecondResponseScannerTest and SecondResponseTest expected the first as right. Change: the copy must have the same status and everything of the response when the connection closes; a pause of a second fails the response, unless the relay itself does not read. A status line of over 256 bytes is none. Two expected results became stricter: a whole body whose copy is cut or has a head only is repeated, or fails visibly.

--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/EmbeddedHead.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/EmbeddedHead.kt
@@ -39,6 +39,9 @@
     /** Longest head, in bytes; longer ones are taken for a body. */
     const val MAX_HEAD_BYTES = 32 * 1024
 
+    /** Longest status line, in bytes. A text that repeats its beginning would otherwise be scanned far at each one. */
+    private const val MAX_STATUS_LINE_BYTES = 256
+
     /** Beginning of a status line, up to its reason phrase. */
     private const val STATUS_LINE = "HTTP/1.# ###"
     private const val ANY_DIGIT = '#'
@@ -54,11 +57,16 @@
         return when {
             !isStatusLine -> HeadMatch.None
             codeEnd >= bytes.size -> HeadMatch.Unfinished
-            charAt(bytes, codeEnd) !in " \r\n" -> HeadMatch.None
+            charAt(bytes, codeEnd) !in " \r\n" || isStatusLineLong(bytes, start) -> HeadMatch.None
             else -> matchFields(bytes, start)
         }
     }
 
+    private fun isStatusLineLong(bytes: ByteArray, start: Int): Boolean {
+        val limit = start + MAX_STATUS_LINE_BYTES
+        return limit <= bytes.size && (start until limit).none { bytes[it] == LINE_FEED }
+    }
+
     private fun matchFields(bytes: ByteArray, start: Int): HeadMatch {
         val fields = ArrayList<Pair<String, String>>()
         var lineStart = start
@@ -68,17 +76,20 @@
             val isStatusLine = lineStart == start
             when {
                 lineEnd - start > MAX_HEAD_BYTES -> return HeadMatch.None
+
                 lineEnd == bytes.size && (isStatusLine || mayBeginField(line)) -> return HeadMatch.Unfinished
-                !isStatusLine && line.isEmpty() -> return HeadMatch.Found(headOf(bytes, start, fields), lineEnd + 1)
+
+                !isStatusLine && line.isEmpty() -> {
+                    val statusCode = textOf(bytes, start + CODE_START, start + STATUS_LINE.length).toInt()
+                    return HeadMatch.Found(EmbeddedHead(statusCode, fields), lineEnd + 1)
+                }
+
                 !isStatusLine -> fields += parseField(line) ?: return HeadMatch.None
             }
             lineStart = lineEnd + 1
         }
     }
 
-    private fun headOf(bytes: ByteArray, start: Int, fields: List<Pair<String, String>>) =
-        EmbeddedHead(textOf(bytes, start + CODE_START, start + STATUS_LINE.length).toInt(), fields)
-
     private fun isExpected(actual: Char, expected: Char) =
         if (expected == ANY_DIGIT) actual in '0'..'9' else actual == expected
 
--- a/core/src/test/kotlin/org/arbutusrelay/core/relay/SecondResponseScannerTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/relay/SecondResponseScannerTest.kt
@@ -85,18 +85,31 @@
 
     /** Guards against a cut response that counts as whole because its server began a second one. */
     @Test
-    fun `a copy that has more than the first response shows that it was cut`() {
-        data class Case(val check: CopyCheck, val copy: String, val isAccepted: Boolean)
-        val body = "a whole body".encodeToByteArray()
-        val cases = listOf("", "a", "a whole body").map { Case(CopyCheck.ofBody(body), it, true) } +
-            listOf("b", "a whole body.", "a whole\u0000").map { Case(CopyCheck.ofBody(body), it, false) } +
-            listOf("", "id: 2\nda", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", ": comment\n\n").map {
-                Case(CopyCheck.ofStream(2), it, true)
-            } +
-            listOf("id: 2\ndata: b\n\nid: 3\ndata: c\n\n", "data: a\n\n").map { Case(CopyCheck.ofStream(2), it, false) }
+    fun `only a copy that is equal to the first response shows that it was whole`() {
+        data class Case(val check: CopyCheck, val copy: String, val isAccepted: Boolean, val isWhole: Boolean)
+        val body = { CopyCheck.ofBody("a whole body".encodeToByteArray()) }
+        val stream = { CopyCheck.ofStream(2) }
+        val cases = listOf(
+            Case(body(), "", true, false),
+            Case(body(), "a", true, false),
+            Case(body(), "a whole body", true, true),
+            Case(CopyCheck.ofBody(ByteArray(0)), "", true, true),
+            Case(body(), "b", false, false),
+            Case(body(), "a whole body.", false, false),
+            Case(body(), "a whole\u0000", false, false),
+            Case(stream(), "", true, false),
+            Case(stream(), ": comment\n\n", true, false),
+            Case(stream(), "id: 1\ndata: a\n\n", true, false),
+            Case(stream(), "id: 1\ndata: a\n\nid: 2\nda", true, false),
+            Case(stream(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true, true),
+            Case(stream(), "id: 2\ndata: b\n\nid: 3\nda", true, false),
+            Case(stream(), "id: 2\ndata: b\n\nid: 3\ndata: c\n\n", false, false),
+            Case(stream(), "id: 1\ndata: a\n\ndata: a\n\n", false, false),
+        )
         for (case in cases) {
             val isAccepted = case.copy.chunked(3).all { case.check.accepts(it.encodeToByteArray()) }
             assertEquals(case.isAccepted, isAccepted, case.copy)
+            assertEquals(case.isWhole, isAccepted && case.check.isWhole, case.copy)
         }
     }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
@@ -43,6 +43,9 @@
     private var scanner = SecondResponseScanner { false }
     private var isSelfDelimited = false
 
+    /** Time of the latest bytes of a second response, on the monotonic clock, in milliseconds. */
+    private var secondBodyMs = 0L
+
     /** True once a response to another request has arrived, after which the connection is not reused. */
     private var isDesynchronized = false
 
@@ -174,6 +177,7 @@
 
     private fun onBodyBytes(bytes: ByteArray) {
         if (phase == Phase.SECOND_BODY) {
+            secondBodyMs = nowMs()
             listener?.onSecondBody(bytes)
             return
         }
@@ -184,12 +188,20 @@
         phase = Phase.SECOND_BODY
         isReusable = false
         listener?.onSecondResponse(secondHead)
-        val completeUnlessEnded = { if (phase == Phase.SECOND_BODY) complete() }
-        channel.eventLoop().schedule(completeUnlessEnded, MAX_SECOND_BODY_MS, TimeUnit.MILLISECONDS)
+        secondBodyMs = nowMs()
+        checkSecondBody()
         val begun = scanner.takeHeld()
         if (begun.isNotEmpty()) listener?.onSecondBody(begun)
     }
 
+    /** Fails the response when its copy stalls: only the close shows that the copy, which is compared, has ended. */
+    private fun checkSecondBody() {
+        if (phase != Phase.SECOND_BODY) return
+        val isRead = channel.config().isAutoRead
+        if (isRead && nowMs() - secondBodyMs >= MAX_SECOND_PAUSE_MS) return fail(CallFailure.SECOND_RESPONSE)
+        channel.eventLoop().schedule(::checkSecondBody, MAX_SECOND_PAUSE_MS, TimeUnit.MILLISECONDS)
+    }
+
     private fun onBodyEnd() {
         if (phase == Phase.BODY) {
             if (scanner.endsInsideHead && !isSelfDelimited) return fail(CallFailure.SECOND_RESPONSE)
@@ -244,8 +256,8 @@
         const val MAX_DISCARDED_BYTES = 64 * 1024
         const val MAX_DISCARD_MS = 1_000L
 
-        /** A server that does not close the connection after a second response delays the first for this long. */
-        const val MAX_SECOND_BODY_MS = 1_000L
+        /** A server that pauses for longer in a second response, or does not close after it, fails the first one. */
+        const val MAX_SECOND_PAUSE_MS = 1_000L
 
         /** What the peer sent before it closed the connection is in the receive buffer when a write fails. */
         const val MAX_EARLY_RESPONSE_MS = 200L
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -213,7 +213,9 @@
         val isCopy = requestIdOf(head) == exchange.attemptId
         val defect = if (isCopy) ResponseDefect.SECOND_RESPONSE else ResponseDefect.FOREIGN_RESPONSE
         context.eventListener.responseDefect(exchange, defect)
-        copyCheck = if (isCopy && this.head?.isSelfDelimited == false) createCopyCheck() else null
+        val first = this.head
+        val isComparable = isCopy && first?.isSelfDelimited == false && head.statusCode == first.statusCode
+        copyCheck = if (isComparable) createCopyCheck() else null
         if (copyCheck == null) failAtSecondResponse()
     }
 
@@ -241,6 +243,7 @@
 
     override fun onComplete() {
         val current = head ?: return
+        if (copyCheck?.isWhole == false) return failAtSecondResponse()
         // For the HTTP client, a response with neither a length nor chunks is complete whenever its connection closes.
         if (isStream && isBrokenOff(current)) return onFailure(CallFailure.BROKEN)
         if (isStream) return exchange.onStreamEnd(this, current)
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/SecondResponseTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/SecondResponseTest.kt
@@ -20,7 +20,7 @@
         CHUNKED("Transfer-Encoding: chunked\r\n"),
     }
 
-    private enum class End { CLOSE, RESET }
+    private enum class End { CLOSE, RESET, STALL }
 
     private data class Case(
         val name: String,
@@ -44,6 +44,9 @@
         return "HTTP/1.1 200 OK\r\n${idField}Signature: s\r\nContent-Type: text/event-stream\r\n$framingFields\r\n"
     }
 
+    private fun failure(id: String, body: String) =
+        copy(id, Framing.UNFRAMED, body).replace("200 OK", "500 Internal Server Error")
+
     private fun encode(framing: Framing, body: String) =
         if (framing == Framing.CHUNKED) "${body.length.toString(16)}\r\n$body\r\n0\r\n\r\n" else body
 
@@ -60,8 +63,12 @@
         unframed("after a cut body", false) { cut + copy(it, Framing.UNFRAMED, body) },
         unframed("after no body", false) { copy(it, Framing.UNFRAMED, body) },
         unframed("a copy with a length", true) { body + copy(it, Framing.LENGTH, body) },
-        unframed("a cut copy", true) { body + copy(it, Framing.UNFRAMED, body).dropLast(3) },
-        unframed("a head only", true) { body + head(it, Framing.UNFRAMED, 0) },
+        unframed("a cut copy", false) { body + copy(it, Framing.UNFRAMED, body).dropLast(3) },
+        unframed("a head only", false) { body + head(it, Framing.UNFRAMED, 0) },
+        unframed("a shorter copy after a cut body", false) { cut + copy(it, Framing.UNFRAMED, cut.dropLast(3)) },
+        unframed("a failure after a cut body", false) { cut + failure(it, cut) },
+        unframed("a failure after the body", false) { body + failure(it, body) },
+        unframed("a copy that stalls after a cut body", false, End.STALL) { cut + copy(it, Framing.UNFRAMED, cut) },
         unframed("another copy of the copy", false) { body + copy(it, Framing.UNFRAMED, body).repeat(2) },
         unframed("another body", false) { body + copy(it, Framing.UNFRAMED, body.reversed()) },
         unframed("another request", false) { body + copy("other", Framing.UNFRAMED, "other") },
@@ -91,7 +98,11 @@
         val id = checkNotNull(request.header("Attempt"))
         socket.write(head(id, case.framing, length) + case.sent(id))
         Thread.sleep(END_DELAY_MS)
-        if (case.end == End.RESET) socket.reset() else socket.close()
+        when (case.end) {
+            End.CLOSE -> socket.close()
+            End.RESET -> socket.reset()
+            End.STALL -> Unit
+        }
     }
 
     /** Guards against the bytes of a second response in the body that a caller receives as complete. */
