--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/ElectionHold.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/ElectionHold.kt
@@ -1,7 +1,7 @@
 package org.arbutusrelay.core.consensus
 
 /**
- * The candidate that this replica keeps to for a while, after it has granted it a pre-vote or a vote.
+ * The candidate whose election this replica does not disturb for a time, after it granted it a pre-vote or a vote.
  *
  * Without it, another replica starts the next election while votes are on their way through slow disks and links, and
  * takes them from the candidate that was about to win. The time grows with the number of elections without a leader.
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -140,7 +140,7 @@
         val metadata = checkNotNull(metadata) { "onHead was called before matchesRequest" }
         lastProgressMs = context.clock.nowMs()
         metadata.load?.takeUnless { isToHost }?.let { context.reportLoad(placed, it) }
-        if (!isToHost) applyWishes(head, metadata)
+        if (!isToHost) applyStatements(head, metadata)
         // Only a host states an outcome; a backend server could state one for another.
         val outcome = ForwardHeaders.outcomeOf(head.headers)?.takeIf { isToHost }
         when {
@@ -174,12 +174,12 @@
     }
 
     /**
-     * Applies what the backend server wants of this host: no requests because it is leaving, or none for a time.
+     * Applies what the backend server states of itself: that it is leaving, or that it wants no requests for a time.
      *
      * Only a response that is known to be one of the server counts. A server that has another name, which answers at an
      * address that is in use again, states nothing about the one that the request was sent to.
      */
-    private fun applyWishes(head: BackendHead, metadata: ResponseMetadata) {
+    private fun applyStatements(head: BackendHead, metadata: ResponseMetadata) {
         if (!isOwnResponse || head.statusCode == MISDIRECTED_STATUS) return
         if (metadata.isLeaving) context.onLeaving(placed)
         if (head.statusCode == UNAVAILABLE_STATUS) retryAfterMs(head)?.let { context.pause(placed, it) }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/LingeringClose.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/LingeringClose.kt
@@ -24,7 +24,7 @@
     }
 
     companion object {
-        /** As long as the largest body that the documents of known sites allow. */
+        /** As long as the longest body while no document states another limit. */
         private const val MAX_BYTES = 4L * 1024 * 1024
 
         /** Several round trips between a caller and its host. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -144,7 +144,7 @@
         metrics.gauge("arbutus.backend.servers.paused") { scheduler.pausedServers(clock.nowMs()) }
         metrics.gauge("arbutus.suspects.held") { site.crashEvidence.heldBack.size }
         metrics.gauge("arbutus.document.number") { context.routes.get()?.plan?.number ?: -1 }
-        metrics.gauge("arbutus.document.age.ms") { clock.nowMs() - inForceSinceMs }
+        metrics.gauge("arbutus.document.age.ms") { if (isReady()) clock.nowMs() - inForceSinceMs else -1 }
         log.write(siteLinks.eventLine(Event.STARTED).copy(address = callerAddress))
     }
 
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ServerWishesTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ServerStatementsTest.kt
@@ -5,7 +5,7 @@
 import kotlin.test.assertEquals
 
 /** Backend servers that state in a response that they are leaving, or that they want no requests for a time. */
-class ServerWishesTest {
+class ServerStatementsTest {
     private class Case(
         val name: String,
         val status: String,
