Count look-ups by where callers are directed, and log when that changes

Callers of one region were directed to machines of another, and nothing on a state host told so: no counter, no line.

A line directory_changed is written when callers of a region are directed elsewhere than at the look-up before; the log's limit of lines bounds it. Region names come from callers, so those that the site does not have are counted as "unknown".

EntryHostDirectory returns the scope with the hosts; whom it selects is unchanged.

HostLookupTest checks the line, its detail and that 100 unknown regions add no time series.

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/EntryHostDirectory.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/EntryHostDirectory.kt
@@ -11,22 +11,24 @@
     private const val MIN_ZONE_HOSTS = 2
 
     /**
-     * Returns the caller addresses of the nearest [hosts], in the availability zone, the region or the whole site.
+     * Returns the nearest [hosts] that accept callers, in the availability zone, the region or the whole site.
      *
      * Callers select uniformly among the addresses, so distant hosts are included only if there are few nearby hosts.
      */
-    public fun addresses(hosts: List<HostState>, region: String, availabilityZone: String): List<String> {
+    public fun select(hosts: List<HostState>, region: String, availabilityZone: String): DirectoryAnswer {
         val eligible = hosts.filter { it.callerAddress.isNotEmpty() && !it.isLeaving && !it.isSuspected }
         val inRegion = eligible.filter { it.region == region }
         val inZone = inRegion.filter { it.availabilityZone == availabilityZone }
-        val selected = when {
-            inZone.size >= MIN_ZONE_HOSTS -> inZone
-            inRegion.isNotEmpty() -> inRegion
-            else -> eligible
+        val (scope, selected) = when {
+            inZone.size >= MIN_ZONE_HOSTS -> DirectoryScope.ZONE to inZone
+            inRegion.isNotEmpty() -> DirectoryScope.REGION to inRegion
+            eligible.isNotEmpty() -> DirectoryScope.OTHER_REGION to eligible
+            else -> DirectoryScope.NONE to emptyList()
         }
-        return selected.map { it.callerAddress }.shuffledBy(availabilityZone).take(MAX_ADDRESSES)
+        return DirectoryAnswer(scope, selected.shuffledBy(availabilityZone).take(MAX_ADDRESSES))
     }
 
     /** Shuffles by [key], so that the cut at [MAX_ADDRESSES] does not always drop the same hosts. */
-    private fun List<String>.shuffledBy(key: String): List<String> = sortedBy { (it + key).hashCode() }
+    private fun List<HostState>.shuffledBy(key: String): List<HostState> =
+        sortedBy { (it.callerAddress + key).hashCode() }
 }
--- a/core/src/test/kotlin/org/arbutusrelay/core/site/EntryHostDirectoryTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/site/EntryHostDirectoryTest.kt
@@ -26,7 +26,7 @@
             Case("quangtri", "quangtri-a", setOf("a1", "a2", "b1", "d1")),
         )
         for (case in cases) {
-            val returned = EntryHostDirectory.addresses(hosts, case.region, case.zone)
+            val returned = EntryHostDirectory.select(hosts, case.region, case.zone).addresses
             assertEquals(case.expected.map { "$it:80" }.toSet(), returned.toSet(), "$case")
         }
     }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/RelayMetrics.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/observe/RelayMetrics.kt
@@ -73,6 +73,9 @@
         Gauge.builder(name, value).register(registry)
     }
 
+    /** Registers the metrics of the directory of a site with [regions]. */
+    public fun directory(regions: Set<String>): DirectoryMetrics = DirectoryMetrics(registry, regions)
+
     /** Returns the number of requests that ended with an error of [kind]. */
     public fun errorCount(kind: ErrorKind): Long = errors[kind.ordinal].count().toLong()
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -76,6 +76,14 @@
     /** Executes operator commands. */
     public val control: SiteControl = SiteControl(group, settings.bindAddress, parser, clock)
 
+    /** Answers callers that ask which entry host to use. */
+    public val directory: HostLookup = HostLookup(
+        { site.view },
+        metrics.directory(settings.availabilityZones.mapTo(sortedSetOf()) { it.region }),
+        eventLog,
+        clock::nowMs,
+    )
+
     private val httpServers = listOfNotNull(
         settings.controlAddress?.let { httpServer(it, controlRoutes(this)) },
         settings.directoryAddress?.let { httpServer(it, directoryRoutes(this)) },
--- /dev/null
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/node/HostLookupTest.kt
@@ -0,0 +1,64 @@
+package org.arbutusrelay.relay.node
+
+import org.arbutusrelay.core.site.SiteStateMachine
+import org.arbutusrelay.daemon.observe.RelayMetrics
+import org.arbutusrelay.daemon.site.SiteView
+import org.arbutusrelay.schema.log.EventLine
+import org.arbutusrelay.schema.message.HostState
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+
+class HostLookupTest {
+    private val metrics = RelayMetrics()
+    private val lines = mutableListOf<EventLine>()
+    private var hosts = emptyList<HostState>()
+    private val lookup = HostLookup(
+        { SiteView(SiteStateMachine.EMPTY, hosts, emptyList(), 1_000) },
+        metrics.directory(setOf("hue", "danang")),
+        { lines += it },
+        { 1_300 },
+    )
+
+    private fun host(name: String, region: String, zone: String, isLeaving: Boolean = false) =
+        HostState(name, region, zone, 1, 1, "", "$name:80", 0, 0, isLeaving, false)
+
+    /** Guards against a caller that is sent abroad without any trace of it, and against a line for each look-up. */
+    @Test
+    fun `a line tells when callers of a region are directed elsewhere`() {
+        hosts = listOf(host("a", "hue", "hue-a"), host("b", "hue", "hue-a"), host("d", "danang", "danang-a"))
+        repeat(3) { listOf("hue-a", "hue-b").forEach { lookup.lookUp("hue", it) } }
+        assertEquals(emptyList(), lines)
+
+        hosts = listOf(host("a", "hue", "hue-a", isLeaving = true), host("d", "danang", "danang-a"))
+        repeat(3) { lookup.lookUp("hue", "hue-a") }
+        lookup.lookUp("danang", "danang-a")
+        assertEquals(1, lines.size)
+        assertEquals(300, lines.single().viewAgeMs)
+        assertEquals("hue", lines.single().region)
+        assertEquals("accepting+leaving: danang 1+0 hue 0+1", lines.single().detail)
+
+        hosts = listOf(host("a", "hue", "hue-a"))
+        lookup.lookUp("hue", "hue-a")
+        assertEquals("region", lines.last().directedTo)
+        assertEquals(2, lines.size)
+    }
+
+    /** Guards against a metric or a log that grows with whatever region names callers send. */
+    @Test
+    fun `regions that the site does not have are counted together`() {
+        hosts = listOf(host("a", "hue", "hue-a"), host("b", "hue", "hue-a"))
+        repeat(2) { lookup.lookUp("hue", "hue-a") }
+        repeat(100) { lookup.lookUp("region-$it", "zone-$it") }
+        val text = metrics.scrape()
+        assertContains(text, "arbutus_directory_lookups_total{region=\"hue\",scope=\"zone\"} 2.0")
+        assertFalse("region-1" in text)
+        assertEquals(100.0, total(text, "arbutus_directory_lookups_total{region=\"unknown\""))
+        assertContains(text, "arbutus_directory_view_age_seconds_count 102")
+        assertEquals(true, lines.size <= 1)
+    }
+
+    private fun total(text: String, prefix: String) =
+        text.lines().filter { it.startsWith(prefix) }.sumOf { it.substringAfterLast(' ').toDouble() }
+}
