Check the homes of a forwarded request by the receiver's own document

A host took its own region as allowed for each forwarded request, so that it ran one whose route has other homes in a newer document than the sender's (rule HOME). docs/guarantees.md says that each receiver checks again.

Cause: ProfileBuilder put the receiver's region into the allowed regions without a look at the route. Change: the receiver applies the homes of its own document and refuses with 508 and the outcome not_run. The sender leaves that region out for the rest of the request and places it in another allowed one, or refuses it as not run.

ForwardedHomesTest failed before: a request with homes in the sender's document only was run in `north`. It passes with the change, as do ForwardingTest, StreamForwardingTest and ResumedStreamTest.

--- a/core/src/main/kotlin/org/arbutusrelay/core/route/Route.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/route/Route.kt
@@ -46,6 +46,9 @@
     /** True if the request may be sent to a second backend server after the first may have executed it. */
     val isRepeatable: Boolean get() = kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAM && isResumable)
 
+    /** Returns true if the requests may run in [region], and their bodies may be sent to hosts there. */
+    public fun allowsRegion(region: String): Boolean = homeRegions.isEmpty() || region in homeRegions
+
     /**
      * Selects the service for a request by weight.
      *
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -1,6 +1,7 @@
 package org.arbutusrelay.relay.exchange
 
 import io.netty.handler.codec.http.DefaultHttpHeaders
+import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.Outcome
 import org.arbutusrelay.core.relay.AttemptFailure
 import org.arbutusrelay.core.relay.CopyCheck
@@ -65,6 +66,10 @@
     var isMisdirected: Boolean = false
         private set
 
+    /** True when the host of another region refused the request because its document does not allow it there. */
+    var isRegionRefused: Boolean = false
+        private set
+
     fun start(request: BackendRequest) {
         call = context.pool.call(address, request, this)
     }
@@ -153,6 +158,7 @@
 
             metadata.isNotExecuted || outcome == Outcome.NOT_RUN -> {
                 isMisdirected = head.statusCode == MISDIRECTED_STATUS
+                isRegionRefused = isToHost && head.statusCode == ErrorKind.FORWARD_REFUSED.statusCode
                 fail(AttemptFailure.NOT_EXECUTED, "status ${head.statusCode}", retryAfterMs(head))
                 return false
             }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -322,7 +322,7 @@
         context.complete(source.placed, failure.toResult(source.isMisdirected))
         if (phase != Phase.SENT) return
         val isExemptFromBudget = failure == AttemptFailure.NOT_SENT
-        val isRetried = decideRetry(failure) == RetryVerdict.RETRY &&
+        val isRetried = regionsAfter(source).isNotEmpty() && decideRetry(failure) == RetryVerdict.RETRY &&
             (isExemptFromBudget || context.scheduler.tryRetry(profile, context.clock.nowMs()))
         source.reportFailed(failure, detail, isRetried)
         if (isRetried) return resend(source)
@@ -333,10 +333,14 @@
     private fun resend(source: Attempt) {
         attempt = null
         tried = tried + source.placed.backendServer + source.address
-        profile = profile.copy(triedBackendServers = tried)
+        profile = profile.copy(triedBackendServers = tried, allowedRegions = regionsAfter(source))
         submit()
     }
 
+    /** Returns the regions that may still run the request after [source], of which one may have refused it. */
+    private fun regionsAfter(source: Attempt): List<String> =
+        if (source.isRegionRefused) profile.allowedRegions - source.placed.region else profile.allowedRegions
+
     private fun decideRetry(failure: AttemptFailure): RetryVerdict {
         val call = resolved ?: return RetryVerdict.GIVE_UP
         // A timed-out attempt is still open and not counted yet; the others were counted when they ended.
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ProfileBuilder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ProfileBuilder.kt
@@ -31,7 +31,7 @@
             priority = route.priority,
             isIdempotent = route.isRepeatable,
             deadlineMs = deadlineMs,
-            allowedRegions = if (isForwarded) listOf(selfRegion) else allowedRegions(route),
+            allowedRegions = allowedRegions(route, isForwarded),
             prefixHashes = hashes,
             promptTokens = metadata.promptTokens,
             responseTokens = metadata.responseTokens,
@@ -45,10 +45,15 @@
         )
     }
 
-    /** Returns the local region first, if allowed, followed by the other regions in order of increasing load. */
-    private fun allowedRegions(route: Route): List<String> {
-        val all = listOf(selfRegion) + otherRegions()
-        return if (route.homeRegions.isEmpty()) all else all.filter { it in route.homeRegions }
+    /**
+     * Returns the local region first, if allowed, followed by the other regions in order of increasing load.
+     *
+     * A forwarded request runs here or nowhere. This host applies its own document to it, because that of the host
+     * which sent it may be older or newer.
+     */
+    private fun allowedRegions(route: Route, isForwarded: Boolean): List<String> {
+        val known = if (isForwarded) listOf(selfRegion) else listOf(selfRegion) + otherRegions()
+        return known.filter(route::allowsRegion)
     }
 
     private companion object {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -51,11 +51,12 @@
 import kotlin.time.TestTimeSource
 
 /**
- * The request path of an entry host on the loopback interface, with [servers] as its backend servers.
+ * The request path of an entry host of [region] on the loopback interface, with [servers] as its backend servers.
  *
- * [log] receives the log lines about requests. If [otherRegionPort] is set, the host knows another region with a single
- * entry host that listens on that port. With [hasRoutes] false, it has none until [applyRoutes]. [oddServers] maps the
- * names of further backend servers to their addresses.
+ * [log] receives the log lines about requests. If [otherRegionPort] is set, the host knows [otherRegions] with a single
+ * entry host each, by loopback address, that listens on that port. With [hasRoutes] false, it has none until
+ * [applyRoutes]; [homes] are those of its first document. [oddServers] maps the names of further backend servers to
+ * their addresses.
  */
 internal class RelayFixture(
     private vararg val servers: ScriptedServer,
@@ -69,6 +70,11 @@
     private val oddServers: Map<String, String> = emptyMap(),
     maxBodyBytes: Int = MAX_BODY_BYTES,
     bodies: BodyAdmission = BodyAdmission(),
+    private val region: String = "hue",
+    private val otherRegions: Map<String, String> = mapOf("north" to LOOPBACK),
+    homes: List<String> = emptyList(),
+    bindAddress: String = LOOPBACK,
+    port: Int? = null,
 ) : AutoCloseable {
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
@@ -85,12 +91,12 @@
         serverSelector = FirstByteServerSelector(),
     )
     private val context = RelayContext(
-        HostIdentity("host", "hue", "hue-a", 1), clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
+        HostIdentity("host", region, "$region-a", 1), clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
         ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), StopState(clock::nowMs),
         crashEvidence, Random(1), { _, _ -> },
     ) { leaving += it.backendServer }
-    private val profiles = ProfileBuilder("hue") { listOf("north") }
-    val port: Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+    private val profiles = ProfileBuilder(region) { otherRegions.keys.toList() }
+    val port: Int = port ?: ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     private val options = IngressOptions(clock::nowMs, { lagMs }, bodies) { maxBodyBytes }
     private val connections = OpenConnections()
 
@@ -118,21 +124,21 @@
     private val server = IngressServer(group, options, Service(), isForwarded)
 
     init {
-        if (hasRoutes) applyRoutes()
+        if (hasRoutes) applyRoutes(homes)
         startServers(incarnation = 1)
-        context.forwardTargets.update(listOf(host("127.0.0.1", "north")))
-        server.start("127.0.0.1:$port")
+        context.forwardTargets.update(otherRegions.map { (name, address) -> host(address, name) })
+        server.start("$bindAddress:${this.port}")
     }
 
-    /** Puts the routes in force, as when the first document arrives. */
-    fun applyRoutes() {
+    /** Puts a document in force whose routes all have [homes]. */
+    fun applyRoutes(homes: List<String> = emptyList(), number: Long = 1) {
         val routes = listOf(
-            route("safe", RouteKind.IDEMPOTENT),
-            route("once", RouteKind.AT_MOST_ONCE),
-            route("stream", RouteKind.STREAM),
-            route("resumable", RouteKind.STREAM, isResumable = true),
+            route("safe", RouteKind.IDEMPOTENT, homes),
+            route("once", RouteKind.AT_MOST_ONCE, homes),
+            route("stream", RouteKind.STREAM, homes),
+            route("resumable", RouteKind.STREAM, homes, isResumable = true),
         )
-        context.routes.set(RouteTable(RoutePlan(1, routes, mapOf("svc" to RoutedService("svc")))))
+        context.routes.set(RouteTable(RoutePlan(number, routes, mapOf("svc" to RoutedService("svc")))))
     }
 
     /** Opens a caller connection. */
@@ -152,11 +158,11 @@
     /** Puts all backend servers in the routing table as processes with [incarnation], as after a restart. */
     fun startServers(incarnation: Long) = scheduler.updateTable(
         RoutingTable(
-            "hue",
-            "hue-a",
+            region,
+            "$region-a",
             servers.mapIndexed { index, server -> state("s$index", server.address, incarnation) } +
                 oddServers.map { (name, address) -> state(name, address, incarnation) },
-            otherRegions = otherRegions(),
+            otherRegions = remoteRegions(),
             sentAwayPermille = 1_000,
         ),
     )
@@ -167,7 +173,7 @@
     /** Replaces the backend servers in the routing table by [addresses], by name. */
     fun useServers(addresses: Map<String, String>) {
         val states = addresses.map { (name, address) -> state(name, address, incarnation = 1) }
-        scheduler.updateTable(RoutingTable("hue", "hue-a", states, otherRegions(), sentAwayPermille = 1_000))
+        scheduler.updateTable(RoutingTable(region, "$region-a", states, remoteRegions(), sentAwayPermille = 1_000))
     }
 
     /** Applies the time limits of requests, as an entry host does every second. */
@@ -193,22 +199,24 @@
         servers.forEach { it.close() }
     }
 
-    private fun route(name: String, kind: RouteKind, isResumable: Boolean = false) = Route(
+    private fun route(name: String, kind: RouteKind, homes: List<String>, isResumable: Boolean = false) = Route(
         name, "a.example", "/$name/", kind, timeoutMs, 300, 0, listOf(RouteTarget("svc", 1)), 2, isResumable,
-        emptyList(), targetPauseMs,
+        homes, targetPauseMs,
     )
 
-    private fun otherRegions(): Map<String, RemoteRegion> {
+    private fun remoteRegions(): Map<String, RemoteRegion> {
         if (otherRegionPort == null) return emptyMap()
         val summary = ServiceSummary("svc", 1, 8, 0, 0, 0)
-        return mapOf("north" to RemoteRegion("north", RegionLink("hue", "north", 1, 1), mapOf("svc" to summary), 0))
+        return otherRegions.mapValues { (name, _) ->
+            RemoteRegion(name, RegionLink(region, name, 1, 1), mapOf("svc" to summary), 0)
+        }
     }
 
     private fun host(address: String, region: String) =
         HostState(address, region, "$region-a", 1, 1, "$address:1", "$address:2", 0, 0, false, false)
 
     private fun state(name: String, address: String, incarnation: Long) = BackendServerState(
-        name, "svc", "hue", "hue-a", address, incarnation, 1, capacity, emptyList(), emptyList(), "", 0, 0, false,
+        name, "svc", region, "$region-a", address, incarnation, 1, capacity, emptyList(), emptyList(), "", 0, 0, false,
         3_000,
     )
 
@@ -229,6 +237,7 @@
     companion object {
         const val MAX_BODY_BYTES = 1_000
         const val TIMEOUT_MS = 10_000
+        const val LOOPBACK = "127.0.0.1"
 
         fun Socket.send(path: String, method: String = "GET", headers: String = "", body: String = "") {
             val length = if (body.isEmpty()) "" else "Content-Length: ${body.length}\r\n"
