Apply the homes of the document in force to each send of a request

Cause: the allowed regions were computed once, at arrival. Change: they are computed again before each send, and queued requests that the new document keeps from a region in which they may be placed are placed anew before the queue is served. All else stays as in the document with which the request arrived, also where its route is dropped or moved to another service: its caller sent it before the change.

ChangedHomesTest (seven changes; rejected, lost, resumed, queued, starting up, forwarded) failed before in each of its three tests: a request whose homes had moved to `north` was sent to `hue` again, or waited there until it was refused. It passes with the change, as does ForwardedHomesTest.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -45,6 +45,9 @@
     private var attempts = 0
     private var possibleRuns = 0
     private var tried = emptySet<String>()
+
+    /** Regions that do not run the request because the document of their host does not allow it there. */
+    private var refusedRegions = emptySet<String>()
     private var fallbackResponse: FullResponse? = null
     private val silenceWatch = SilenceWatch(context, { attempt === it && phase == Phase.SENT }, ::onSilent)
 
@@ -186,6 +189,7 @@
     }
 
     private fun submit() {
+        applyHomes()
         if (crashEvidence?.isHeldBack == true) return failRequest(RelayError(ErrorKind.PROMPT_SUSPECTED))
         onPlacement(context.scheduler.submit(profile, context.clock.nowMs()))
     }
@@ -197,6 +201,29 @@
         failRequest(RelayError(ErrorKind.PROMPT_SUSPECTED))
     }
 
+    /** Places the request anew if it is queued and the document in force no longer allows it in all its regions. */
+    fun onDocumentChanged() {
+        val current = routeInForce()
+        if (phase != Phase.WAITING || current == null || profile.allowedRegions.all(current::allowsRegion)) return
+        context.cancelQueued(this)
+        submit()
+    }
+
+    /**
+     * Takes over the homes of the document in force, which may have changed since the request arrived.
+     *
+     * All else stays as in the request's own document: its caller sent it before the change.
+     */
+    private fun applyHomes() {
+        val current = routeInForce() ?: return
+        if (context.routes.get()?.plan?.number == documentNumber && refusedRegions.isEmpty()) return
+        val regions = profiles.allowedRegions(current, request.isForwarded) - refusedRegions
+        profile = profile.copy(allowedRegions = regions)
+    }
+
+    /** Returns the route of the request in the document in force, or its own if that has none for it. */
+    private fun routeInForce(): Route? = context.routes.get()?.find(request.authority, request.path) ?: route
+
     private fun enqueue() {
         phase = Phase.WAITING
         context.awaitPlacement(profile.id, this)
@@ -253,7 +280,9 @@
 
     /** Retries on another backend server if that is allowed after [idleMs] without progress; returns false if not. */
     private fun onSilent(silent: Attempt, idleMs: Long): Boolean {
-        val isRetryAllowed = decideRetry(AttemptFailure.SILENT) == RetryVerdict.RETRY
+        applyHomes()
+        val isRetryAllowed =
+            profile.allowedRegions.isNotEmpty() && decideRetry(AttemptFailure.SILENT) == RetryVerdict.RETRY
         if (!isRetryAllowed || !context.scheduler.tryRetry(profile, context.clock.nowMs())) return false
         silent.cancel(AttemptResult.TIMED_OUT)
         possibleRuns++
@@ -322,7 +351,9 @@
         context.complete(source.placed, failure.toResult(source.isMisdirected))
         if (phase != Phase.SENT) return
         val isExemptFromBudget = failure == AttemptFailure.NOT_SENT
-        val isRetried = regionsAfter(source).isNotEmpty() && decideRetry(failure) == RetryVerdict.RETRY &&
+        if (source.isRegionRefused) refusedRegions = refusedRegions + source.placed.region
+        applyHomes()
+        val isRetried = profile.allowedRegions.isNotEmpty() && decideRetry(failure) == RetryVerdict.RETRY &&
             (isExemptFromBudget || context.scheduler.tryRetry(profile, context.clock.nowMs()))
         source.reportFailed(failure, detail, isRetried)
         if (isRetried) return resend(source)
@@ -333,14 +364,10 @@
     private fun resend(source: Attempt) {
         attempt = null
         tried = tried + source.placed.backendServer + source.address
-        profile = profile.copy(triedBackendServers = tried, allowedRegions = regionsAfter(source))
+        profile = profile.copy(triedBackendServers = tried)
         submit()
     }
 
-    /** Returns the regions that may still run the request after [source], of which one may have refused it. */
-    private fun regionsAfter(source: Attempt): List<String> =
-        if (source.isRegionRefused) profile.allowedRegions - source.placed.region else profile.allowedRegions
-
     private fun decideRetry(failure: AttemptFailure): RetryVerdict {
         val call = resolved ?: return RetryVerdict.GIVE_UP
         // A timed-out attempt is still open and not counted yet; the others were counted when they ended.
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ProfileBuilder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ProfileBuilder.kt
@@ -51,7 +51,7 @@
      * A forwarded request runs here or nowhere. This host applies its own document to it, because that of the host
      * which sent it may be older or newer.
      */
-    private fun allowedRegions(route: Route, isForwarded: Boolean): List<String> {
+    fun allowedRegions(route: Route, isForwarded: Boolean): List<String> {
         val known = if (isForwarded) listOf(selfRegion) else listOf(selfRegion) + otherRegions()
         return known.filter(route::allowsRegion)
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
@@ -47,6 +47,7 @@
     private var requestNumber = 0L
     private var isPolling = false
     private var checkedHeldBack = emptySet<String>()
+    private var checkedRoutes: RouteTable? = null
 
     private val startedMs = clock.nowMs()
 
@@ -81,7 +82,7 @@
 
     /** Completes an attempt and places the queued requests that its capacity allows. */
     fun complete(attempt: PlacedAttempt, result: AttemptResult) {
-        refuseHeldBack()
+        checkQueued()
         applyPlacements(scheduler.complete(attempt, result, clock.nowMs()))
     }
 
@@ -96,7 +97,7 @@
 
     private fun poll() {
         try {
-            refuseHeldBack()
+            checkQueued()
             applyPlacements(scheduler.poll(clock.nowMs()))
         } finally {
             // One request that cannot be placed must not keep the others queued.
@@ -105,7 +106,15 @@
         }
     }
 
-    /** Refuses the queued requests that are held back; must precede their placement. */
+    /** Applies to the queued requests what has changed since they were queued; must precede their placement. */
+    private fun checkQueued() {
+        refuseHeldBack()
+        val current = routes.get()
+        if (current === checkedRoutes) return
+        checkedRoutes = current
+        queuedExchanges.values.toList().forEach { it.onDocumentChanged() }
+    }
+
     private fun refuseHeldBack() {
         val heldBack = crashEvidence.heldBack
         if (heldBack === checkedHeldBack) return
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -130,16 +130,19 @@
         server.start("$bindAddress:${this.port}")
     }
 
-    /** Puts a document in force whose routes all have [homes]. */
-    fun applyRoutes(homes: List<String> = emptyList(), number: Long = 1) {
-        val routes = listOf(
+    /** Puts a document in force whose routes all have [homes]; one without routes if that is null. */
+    fun applyRoutes(homes: List<String>? = emptyList(), number: Long = 1) {
+        val routes = if (homes == null) emptyList() else routes(homes)
+        val table = RouteTable(RoutePlan(number, routes, mapOf("svc" to RoutedService("svc"))))
+        loop.submit { context.routes.set(table) }.sync()
+    }
+
+    private fun routes(homes: List<String>) = listOf(
             route("safe", RouteKind.IDEMPOTENT, homes),
             route("once", RouteKind.AT_MOST_ONCE, homes),
             route("stream", RouteKind.STREAM, homes),
             route("resumable", RouteKind.STREAM, homes, isResumable = true),
         )
-        context.routes.set(RouteTable(RoutePlan(number, routes, mapOf("svc" to RoutedService("svc")))))
-    }
 
     /** Opens a caller connection. */
     fun connect(receiveBufferBytes: Int? = null): Socket = Socket().apply {
