Look up the route again only where the document has changed

Cause: each first send looked its route up a second time, on the path of every request, before it was seen that the document is the same.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -215,8 +215,8 @@
      * All else stays as in the request's own document: its caller sent it before the change.
      */
     private fun applyHomes() {
-        val current = routeInForce() ?: return
         if (context.routes.get()?.plan?.number == documentNumber && refusedRegions.isEmpty()) return
+        val current = routeInForce() ?: return
         val regions = profiles.allowedRegions(current, request.isForwarded) - refusedRegions
         profile = profile.copy(allowedRegions = regions)
     }
