Direct callers only to home regions of the name they ask for

The directory fell back from the region to the whole site and never saw the name.

The directory now gets the name and the homes of its routes. It names hosts that accept callers in the zone, in the region, then in regions that are homes of all routes with homes on the name (any region if none has homes), then hosts of the caller's region that are stopping and still accept connections, and nobody (503) otherwise. Without a confirmed document, or for a name without a route, only the caller's own region is named. A stopping host withdraws its caller address 0.5 s before it refuses requests, so that it is not named after that.

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/EntryHostDirectory.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/EntryHostDirectory.kt
@@ -2,6 +2,9 @@
 
 import org.arbutusrelay.schema.message.HostState
 
+/** What a caller tells when it asks for entry hosts; empty where it did not. */
+public data class DirectoryQuery(val name: String, val region: String, val availabilityZone: String)
+
 /** Selects the entry hosts that callers connect to. */
 public object EntryHostDirectory {
     /** Maximum addresses per response; more are of no use, because a caller picks one at random. */
@@ -11,21 +14,35 @@
     private const val MIN_ZONE_HOSTS = 2
 
     /**
-     * Returns the nearest [hosts] that accept callers, in the availability zone, the region or the whole site.
+     * Returns the [hosts] that the caller of [query] connects to, where it may be directed to [homes].
      *
-     * Callers select uniformly among the addresses, so distant hosts are included only if there are few nearby hosts.
+     * The first of these that has a host: its availability zone, its region, the allowed regions, and the hosts of its
+     * region that still accept connections although they are about to stop. Callers select uniformly among the
+     * addresses, so a farther group is used only if there are few nearby hosts. [hosts] includes leaving hosts.
      */
-    public fun select(hosts: List<HostState>, region: String, availabilityZone: String): DirectoryAnswer {
-        val eligible = hosts.filter { it.callerAddress.isNotEmpty() && !it.isLeaving && !it.isSuspected }
-        val inRegion = eligible.filter { it.region == region }
-        val inZone = inRegion.filter { it.availabilityZone == availabilityZone }
+    public fun select(hosts: List<HostState>, query: DirectoryQuery, homes: NameHomes): DirectoryAnswer {
+        val open = hosts.filter { it.callerAddress.isNotEmpty() && !it.isSuspected }
+        val (leaving, accepting) = open.partition { it.isLeaving }
+        val inRegion = accepting.filter { it.region == query.region }
+        val inZone = inRegion.filter { it.availabilityZone == query.availabilityZone }
         val (scope, selected) = when {
             inZone.size >= MIN_ZONE_HOSTS -> DirectoryScope.ZONE to inZone
             inRegion.isNotEmpty() -> DirectoryScope.REGION to inRegion
-            eligible.isNotEmpty() -> DirectoryScope.OTHER_REGION to eligible
-            else -> DirectoryScope.NONE to emptyList()
+            else -> elsewhere(accepting, homes) ?: stopping(leaving, query.region)
         }
-        return DirectoryAnswer(scope, selected.shuffledBy(availabilityZone).take(MAX_ADDRESSES))
+        return DirectoryAnswer(scope, selected.shuffledBy(query.availabilityZone).take(MAX_ADDRESSES))
+    }
+
+    private fun elsewhere(accepting: List<HostState>, homes: NameHomes): Pair<DirectoryScope, List<HostState>>? =
+        when (homes) {
+            NameHomes.Any -> DirectoryScope.OTHER_REGION to accepting
+            is NameHomes.Only -> DirectoryScope.HOME to accepting.filter { it.region in homes.regions }
+            NameHomes.Unknown -> null
+        }?.takeIf { it.second.isNotEmpty() }
+
+    private fun stopping(leaving: List<HostState>, region: String): Pair<DirectoryScope, List<HostState>> {
+        val inRegion = leaving.filter { it.region == region }
+        return if (inRegion.isEmpty()) DirectoryScope.NONE to inRegion else DirectoryScope.LEAVING to inRegion
     }
 
     /** Shuffles by [key], so that the cut at [MAX_ADDRESSES] does not always drop the same hosts. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.invariant.Guarantee
@@ -156,9 +157,11 @@
         site.updateSelf { it.copy(isLeaving = true) }
         val graceMs = (settings.bounds.graceSeconds * MS_PER_SECOND).toLong()
         val endMs = startMs + graceMs - EXIT_MARGIN_MS
+        val acceptMs = minOf(graceMs / 2, HOST_LIST_LIFETIME_MS)
+        scope.launch { withdrawCallerAddress(acceptMs - ADDRESS_WITHDRAWAL_MS) }
         val drain = ConnectionDrain(loop, connections, context.stopState, clock::nowMs)
         PlannedStop(context.stopState, callerServer, drain, clock::nowMs)
-            .await(minOf(graceMs / 2, HOST_LIST_LIFETIME_MS), endMs) { context.openExchanges }
+            .await(acceptMs, endMs) { context.openExchanges }
         val durationMs = clock.nowMs() - startMs
         log.write(
             siteLinks.eventLine(Event.STOPPED).copy(
@@ -207,7 +210,7 @@
             if (context.routes.get()?.plan !== plan && (context.routes.get()?.plan?.number ?: -1) <= plan.number) {
                 val isFirst = context.routes.getAndSet(RouteTable(plan)) == null
                 inForceSinceMs = clock.nowMs()
-                if (isFirst) advertiseCallerAddress()
+                if (isFirst && !context.stopState.isStopping) advertiseCallerAddress()
                 log.write(
                     EventLine(
                         Event.DOCUMENT_IN_FORCE,
@@ -232,6 +235,12 @@
         scope.launch { site.updateSelf { it.copy(callerAddress = callerAddress) } }
     }
 
+    /** Tells the state hosts after [delayMs] that callers of a region without another host can no longer connect. */
+    private suspend fun withdrawCallerAddress(delayMs: Long) {
+        delay(delayMs)
+        site.updateSelf { it.copy(callerAddress = "") }
+    }
+
     private fun parsePlan(view: SiteView): RoutePlan? {
         val document = view.state.document ?: return null
         latestPlan.get()?.takeIf { it.number == document.number }?.let { return it }
@@ -304,6 +313,9 @@
          */
         const val HOST_LIST_LIFETIME_MS = 2_800L
 
+        /** Lifetime of the lists that name a stopping host, which end before it refuses requests. */
+        const val ADDRESS_WITHDRAWAL_MS = 500L
+
         /** Margin to exit before the process is killed at the end of the grace period. */
         const val EXIT_MARGIN_MS = 700L
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -79,6 +79,8 @@
     /** Answers callers that ask which entry host to use. */
     public val directory: HostLookup = HostLookup(
         { site.view },
+        { site.isStateConfirmed },
+        parser,
         metrics.directory(settings.availabilityZones.mapTo(sortedSetOf()) { it.region }),
         eventLog,
         clock::nowMs,
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/node/HostLookupTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/node/HostLookupTest.kt
@@ -1,10 +1,16 @@
 package org.arbutusrelay.relay.node
 
-import org.arbutusrelay.core.site.SiteStateMachine
+import arrow.core.right
+import org.arbutusrelay.core.route.Route
+import org.arbutusrelay.core.route.RouteKind
+import org.arbutusrelay.core.route.RoutePlan
+import org.arbutusrelay.core.site.DirectoryQuery
 import org.arbutusrelay.daemon.observe.RelayMetrics
 import org.arbutusrelay.daemon.site.SiteView
 import org.arbutusrelay.schema.log.EventLine
+import org.arbutusrelay.schema.message.DocumentRecord
 import org.arbutusrelay.schema.message.HostState
+import org.arbutusrelay.schema.message.SiteState
 import kotlin.test.Test
 import kotlin.test.assertContains
 import kotlin.test.assertEquals
@@ -14,8 +20,20 @@
     private val metrics = RelayMetrics()
     private val lines = mutableListOf<EventLine>()
     private var hosts = emptyList<HostState>()
+    private var documentNumber = 1L
+    private var isStateConfirmed = true
+    private var route = route()
     private val lookup = HostLookup(
-        { SiteView(SiteStateMachine.EMPTY, hosts, emptyList(), 1_000) },
+        {
+            SiteView(
+                SiteState(1, DocumentRecord(documentNumber, "", ByteArray(0)), emptyList()),
+                hosts,
+                emptyList(),
+                1_000,
+            )
+        },
+        { isStateConfirmed },
+        { RoutePlan(documentNumber, listOf(route), emptyMap()).right() },
         metrics.directory(setOf("hue", "danang")),
         { lines += it },
         { 1_300 },
@@ -24,23 +42,45 @@
     private fun host(name: String, region: String, zone: String, isLeaving: Boolean = false) =
         HostState(name, region, zone, 1, 1, "", "$name:80", 0, 0, isLeaving, false)
 
+    private fun query(region: String, zone: String) = DirectoryQuery("x", region, zone)
+
+    private fun route(vararg homes: String) =
+        Route("r", "x", "/", RouteKind.IDEMPOTENT, 1_000, 500, 0, emptyList(), 1, false, homes.toList())
+
+    /** Guards against homes of an old document, or of one from the disk that is no longer in force. */
+    @Test
+    fun `callers are directed to the homes of the confirmed document`() {
+        hosts = listOf(host("d", "danang", "danang-a"), host("q", "quangtri", "quangtri-a"))
+        fun named() = lookup.lookUp(query("hue", "hue-a")).hosts.map { it.hostName }
+        isStateConfirmed = false
+        assertEquals(emptyList(), named())
+        isStateConfirmed = true
+        assertEquals(setOf("d", "q"), named().toSet())
+        documentNumber = 2
+        route = route("danang")
+        assertEquals(listOf("d"), named())
+        documentNumber = 3
+        route = route("quangtri", "hue")
+        assertEquals(listOf("q"), named())
+    }
+
     /** Guards against a caller that is sent abroad without any trace of it, and against a line for each look-up. */
     @Test
     fun `a line tells when callers of a region are directed elsewhere`() {
         hosts = listOf(host("a", "hue", "hue-a"), host("b", "hue", "hue-a"), host("d", "danang", "danang-a"))
-        repeat(3) { listOf("hue-a", "hue-b").forEach { lookup.lookUp("hue", it) } }
+        repeat(3) { listOf("hue-a", "hue-b").forEach { lookup.lookUp(query("hue", it)) } }
         assertEquals(emptyList(), lines)
 
         hosts = listOf(host("a", "hue", "hue-a", isLeaving = true), host("d", "danang", "danang-a"))
-        repeat(3) { lookup.lookUp("hue", "hue-a") }
-        lookup.lookUp("danang", "danang-a")
+        repeat(3) { lookup.lookUp(query("hue", "hue-a")) }
+        lookup.lookUp(query("danang", "danang-a"))
         assertEquals(1, lines.size)
         assertEquals(300, lines.single().viewAgeMs)
         assertEquals("hue", lines.single().region)
-        assertEquals("accepting+leaving: danang 1+0 hue 0+1", lines.single().detail)
+        assertEquals("names without homes; accepting+leaving: danang 1+0 hue 0+1", lines.single().detail)
 
         hosts = listOf(host("a", "hue", "hue-a"))
-        lookup.lookUp("hue", "hue-a")
+        lookup.lookUp(query("hue", "hue-a"))
         assertEquals("region", lines.last().directedTo)
         assertEquals(2, lines.size)
     }
@@ -49,8 +89,8 @@
     @Test
     fun `regions that the site does not have are counted together`() {
         hosts = listOf(host("a", "hue", "hue-a"), host("b", "hue", "hue-a"))
-        repeat(2) { lookup.lookUp("hue", "hue-a") }
-        repeat(100) { lookup.lookUp("region-$it", "zone-$it") }
+        repeat(2) { lookup.lookUp(query("hue", "hue-a")) }
+        repeat(100) { lookup.lookUp(query("region-$it", "zone-$it")) }
         val text = metrics.scrape()
         assertContains(text, "arbutus_directory_lookups_total{region=\"hue\",scope=\"zone\"} 2.0")
         assertFalse("region-1" in text)
