Decide the regions of a request apart from its input and output

Change: RequestHomes (core.route) holds them: the homes of the route in the document in force, the region of this host alone for a forwarded request, and regions that do not take the request. The regions are computed at each submission, so that a request that waits for the first servers also finds regions that became known meanwhile.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -45,9 +45,7 @@
     private var attempts = 0
     private var possibleRuns = 0
     private var tried = emptySet<String>()
-
-    /** Regions that do not run the request because the document of their host does not allow it there. */
-    private var refusedRegions = emptySet<String>()
+    private val homes = profiles.homesOf(request.isForwarded)
     private var fallbackResponse: FullResponse? = null
     private val silenceWatch = SilenceWatch(context, { attempt === it && phase == Phase.SENT }, ::onSilent)
 
@@ -110,7 +108,7 @@
             metadata,
             request.receivedMs - if (request.isForwarded) ForwardHeaders.ageMsOf(request.headers) else 0,
             request.receivedMs + waitMs,
-            request.isForwarded,
+            homes,
         )
         submit()
     }
@@ -204,7 +202,7 @@
     /** Places the request anew if it is queued and the document in force no longer allows it in all its regions. */
     fun onDocumentChanged() {
         val current = routeInForce()
-        if (phase != Phase.WAITING || current == null || profile.allowedRegions.all(current::allowsRegion)) return
+        if (phase != Phase.WAITING || current == null || !homes.mustMove(profile.allowedRegions, current)) return
         context.cancelQueued(this)
         submit()
     }
@@ -216,9 +214,8 @@
      */
     private fun applyHomes() {
         val current = routeInForce() ?: return
-        if (context.routes.get()?.plan?.number == documentNumber && refusedRegions.isEmpty()) return
-        val regions = profiles.allowedRegions(current, request.isForwarded) - refusedRegions
-        profile = profile.copy(allowedRegions = regions)
+        val regions = homes.regionsFor(current)
+        if (regions != profile.allowedRegions) profile = profile.copy(allowedRegions = regions)
     }
 
     /** Returns the route of the request in the document in force, or its own if that has none for it. */
@@ -351,7 +348,7 @@
         context.complete(source.placed, failure.toResult(source.isMisdirected))
         if (phase != Phase.SENT) return
         val isExemptFromBudget = failure == AttemptFailure.NOT_SENT
-        if (source.isRegionRefused) refusedRegions = refusedRegions + source.placed.region
+        if (source.isRegionRefused) homes.close(source.placed.region)
         applyHomes()
         val isRetried = profile.allowedRegions.isNotEmpty() && decideRetry(failure) == RetryVerdict.RETRY &&
             (isExemptFromBudget || context.scheduler.tryRetry(profile, context.clock.nowMs()))
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ProfileBuilder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ProfileBuilder.kt
@@ -1,6 +1,7 @@
 package org.arbutusrelay.relay.exchange
 
 import org.arbutusrelay.core.request.RequestId
+import org.arbutusrelay.core.route.RequestHomes
 import org.arbutusrelay.core.route.Route
 import org.arbutusrelay.core.route.RouteKind
 import org.arbutusrelay.core.routing.PrefixHashes
@@ -9,6 +10,9 @@
 
 /** Builds the request profiles used by the scheduler. */
 internal class ProfileBuilder(private val selfRegion: String, private val otherRegions: () -> List<String>) {
+    /** Returns the decision on the regions of one request; other regions come in order of increasing load. */
+    fun homesOf(isForwarded: Boolean): RequestHomes = RequestHomes(selfRegion, isForwarded, otherRegions)
+
     fun build(
         id: RequestId,
         route: Route,
@@ -17,7 +21,7 @@
         metadata: RequestMetadata,
         submittedAtMs: Long,
         deadlineMs: Long,
-        isForwarded: Boolean,
+        homes: RequestHomes,
     ): RequestProfile {
         val parts = metadata.promptParts.map { it.id to it.tokens }
         // The last part is specific to the request.
@@ -31,7 +35,7 @@
             priority = route.priority,
             isIdempotent = route.isRepeatable,
             deadlineMs = deadlineMs,
-            allowedRegions = allowedRegions(route, isForwarded),
+            allowedRegions = homes.regionsFor(route),
             prefixHashes = hashes,
             promptTokens = metadata.promptTokens,
             responseTokens = metadata.responseTokens,
@@ -41,21 +45,10 @@
             isStream = route.kind == RouteKind.STREAM,
             targetMs = route.targetLatencyMs,
             submittedAtMs = submittedAtMs,
-            isForwarded = isForwarded,
+            isForwarded = homes.isForwarded,
         )
     }
 
-    /**
-     * Returns the local region first, if allowed, followed by the other regions in order of increasing load.
-     *
-     * A forwarded request runs here or nowhere. This host applies its own document to it, because that of the host
-     * which sent it may be older or newer.
-     */
-    fun allowedRegions(route: Route, isForwarded: Boolean): List<String> {
-        val known = if (isForwarded) listOf(selfRegion) else listOf(selfRegion) + otherRegions()
-        return known.filter(route::allowsRegion)
-    }
-
     private companion object {
         /** Routes do not identify callers, so the scheduler's fairness between callers does not apply. */
         const val ANY_CALLER = ""
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ChangedHomesTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ChangedHomesTest.kt
@@ -105,7 +105,11 @@
         servers[1].use { north ->
             val port = portOf(north)
             RelayFixture(
-                servers[0], otherRegionPort = port, homes = change.old, capacity = 1, timeoutMs = 8_000,
+                servers[0],
+                otherRegionPort = port,
+                homes = change.old,
+                capacity = 1,
+                timeoutMs = 8_000,
             ).use { relay ->
                 val busy = relay.connect()
                 if (isStarting) relay.useServers(emptyMap()) else relay.startBusy(busy, sends)
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ForwardedHomesTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ForwardedHomesTest.kt
@@ -26,7 +26,12 @@
         Case("receiver has no homes", listOf("north"), emptyList(), emptyList(), 200, "north"),
         Case("receiver has no document", listOf("north"), emptyList(), emptyList(), 503, null, false),
         Case(
-            "receiver has no document, another", listOf("north", "south"), emptyList(), listOf("south"), 200, "south",
+            "receiver has no document, another",
+            listOf("north", "south"),
+            emptyList(),
+            listOf("south"),
+            200,
+            "south",
             hasNorthDocument = false,
         ),
     )
@@ -49,16 +54,26 @@
             ScriptedServer { socket, request, _ -> socket.write(signedResponse(request, "id: 1\ndata: $region\n\n")) }
         }
         RelayFixture(
-            servers.getValue("north"), region = "north", isForwarded = true, homes = case.north,
+            servers.getValue("north"),
+            region = "north",
+            isForwarded = true,
+            homes = case.north,
             hasRoutes = case.hasNorthDocument,
         ).use { north ->
             val south = RelayFixture(
-                servers.getValue("south"), region = "south", isForwarded = true, homes = case.south,
-                bindAddress = SOUTH_ADDRESS, port = north.port,
+                servers.getValue("south"),
+                region = "south",
+                isForwarded = true,
+                homes = case.south,
+                bindAddress = SOUTH_ADDRESS,
+                port = north.port,
             )
             val hosts = mapOf("north" to RelayFixture.LOOPBACK, "south" to SOUTH_ADDRESS)
             val sender = RelayFixture(
-                servers.getValue("hue"), otherRegionPort = north.port, otherRegions = hosts, homes = case.sender,
+                servers.getValue("hue"),
+                otherRegionPort = north.port,
+                otherRegions = hosts,
+                homes = case.sender,
                 timeoutMs = 5_000,
             )
             south.use { sender.use { assertResult(case, path, it.exchange(path, "POST", body = "b"), servers) } }
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -91,7 +91,13 @@
         serverSelector = FirstByteServerSelector(),
     )
     private val context = RelayContext(
-        HostIdentity("host", region, "$region-a", 1), clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
+        HostIdentity(
+            "host",
+            region,
+            "$region-a",
+            1,
+        ),
+        clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
         ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), StopState(clock::nowMs),
         crashEvidence, Random(1), { _, _ -> },
     ) { leaving += it.backendServer }
@@ -138,11 +144,11 @@
     }
 
     private fun routes(homes: List<String>) = listOf(
-            route("safe", RouteKind.IDEMPOTENT, homes),
-            route("once", RouteKind.AT_MOST_ONCE, homes),
-            route("stream", RouteKind.STREAM, homes),
-            route("resumable", RouteKind.STREAM, homes, isResumable = true),
-        )
+        route("safe", RouteKind.IDEMPOTENT, homes),
+        route("once", RouteKind.AT_MOST_ONCE, homes),
+        route("stream", RouteKind.STREAM, homes),
+        route("resumable", RouteKind.STREAM, homes, isResumable = true),
+    )
 
     /** Opens a caller connection. */
     fun connect(receiveBufferBytes: Int? = null): Socket = Socket().apply {
