Send a request to another home when no host of a region can be reached

A caller of a host abroad was refused although one of two home regions was up: each send of the request went to the only host of the other, until the attempts were used up.

Cause: a host that cannot be connected to is avoided within its region only; the choice of the region does not know of it. Change: a region without another host is left out for the rest of the request. With none left the request is refused at once, as not run, in place of two more sends.

EntryHostAbroadTest failed before (503 in place of 200 with one of two homes up). Its other cases show that a host that is no home sends nothing to a third region and runs nothing itself; they held before.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -344,7 +344,7 @@
         attempt = null
         if (failure != AttemptFailure.NOT_SENT && failure != AttemptFailure.NOT_EXECUTED) possibleRuns++
         val isHostUnreachable = failure == AttemptFailure.NOT_SENT && source.placed.backendServer.isEmpty()
-        if (isHostUnreachable) context.forwardTargets.recordUnreachable(source.address, context.clock.nowMs())
+        if (isHostUnreachable) onHostUnreachable(source)
         context.complete(source.placed, failure.toResult(source.isMisdirected))
         if (phase != Phase.SENT) return
         val isExemptFromBudget = failure == AttemptFailure.NOT_SENT
@@ -358,6 +358,13 @@
         failRequest(RelayError(kind, detail, retryAfterMs ?: DEFAULT_RETRY_AFTER_MS))
     }
 
+    /** Avoids the host, and for this request also its region if that has no other host. */
+    private fun onHostUnreachable(source: Attempt) {
+        context.forwardTargets.recordUnreachable(source.address, context.clock.nowMs())
+        val region = source.placed.region
+        if (!context.forwardTargets.hasOther(region, tried + source.address)) homes.close(region)
+    }
+
     private fun resend(source: Attempt) {
         attempt = null
         tried = tried + source.placed.backendServer + source.address
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ForwardTargets.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ForwardTargets.kt
@@ -33,6 +33,10 @@
             ?: ranked.firstOrNull()
     }
 
+    /** Returns true if [region] has a host that is not among the [tried] addresses. */
+    fun hasOther(region: String, tried: Set<String>): Boolean =
+        byRegion.get()[region].orEmpty().any { "${it.hostName}:$forwardPort" !in tried }
+
     /** Avoids the host at [address] for a while, because it could not be connected to. */
     fun recordUnreachable(address: String, nowMs: Long) {
         unreachableUntilMs[address] = nowMs + AVOIDANCE_MS
