Wait on for a silent server when a stop allows no other send

Cause: Exchange.onSilent gave the attempt up, and the next send was refused because it may outlast the stop. Change: a silent attempt is given up only where another one may be placed and sent: not where the stop allows none, the request is held back as one that crashes servers, or no region may run it.

SilentServerStopTest failed before (502 after a second in place of the response after two).

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -239,7 +239,7 @@
 
     private fun send(placed: PlacedAttempt, address: String, backendServer: String?) {
         val call = resolved ?: return
-        if (!response.isStarted && !context.stopState.mayAccept(call.deadlineMs)) {
+        if (!mayBeSent(call)) {
             context.complete(placed, AttemptResult.CANCELLED)
             return failRequest(RelayError(ErrorKind.SHUTTING_DOWN))
         }
@@ -277,9 +277,7 @@
 
     /** Retries on another backend server if that is allowed after [idleMs] without progress; returns false if not. */
     private fun onSilent(silent: Attempt, idleMs: Long): Boolean {
-        applyHomes()
-        val isRetryAllowed =
-            profile.allowedRegions.isNotEmpty() && decideRetry(AttemptFailure.SILENT) == RetryVerdict.RETRY
+        val isRetryAllowed = mayBePlaced() && decideRetry(AttemptFailure.SILENT) == RetryVerdict.RETRY
         if (!isRetryAllowed || !context.scheduler.tryRetry(profile, context.clock.nowMs())) return false
         silent.cancel(AttemptResult.TIMED_OUT)
         possibleRuns++
@@ -288,6 +286,17 @@
         return true
     }
 
+    /** Returns false if no other attempt can follow, so that one that runs is better waited for. */
+    private fun mayBePlaced(): Boolean {
+        val call = resolved ?: return false
+        applyHomes()
+        return profile.allowedRegions.isNotEmpty() && crashEvidence?.isHeldBack != true && mayBeSent(call)
+    }
+
+    /** Returns false if the request may outlast the stop of this host; a stream that has begun goes on in any case. */
+    private fun mayBeSent(call: ResolvedRequest): Boolean =
+        response.isStarted || context.stopState.mayAccept(call.deadlineMs)
+
     /** Returns false if a stream has begun that a response with [head] cannot continue. */
     fun canContinueWith(head: BackendHead): Boolean = !response.isStarted || response.isContinuedBy(head)
 
