--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -45,9 +45,7 @@
     private var attempts = 0
     private var possibleRuns = 0
     private var tried = emptySet<String>()
-
-    /** Regions that do not run the request because the document of their host does not allow it there. */
-    private var refusedRegions = emptySet<String>()
+    private val homes = profiles.homesOf(request.isForwarded)
     private var fallbackResponse: FullResponse? = null
     private val silenceWatch = SilenceWatch(context, { attempt === it && phase == Phase.SENT }, ::onSilent)
 
@@ -110,7 +108,7 @@
             metadata,
             request.receivedMs - if (request.isForwarded) ForwardHeaders.ageMsOf(request.headers) else 0,
             request.receivedMs + waitMs,
-            request.isForwarded,
+            homes,
         )
         submit()
     }
@@ -204,7 +202,7 @@
     /** Places the request anew if it is queued and the document in force no longer allows it in all its regions. */
     fun onDocumentChanged() {
         val current = routeInForce()
-        if (phase != Phase.WAITING || current == null || profile.allowedRegions.all(current::allowsRegion)) return
+        if (phase != Phase.WAITING || current == null || !homes.mustMove(profile.allowedRegions, current)) return
         context.cancelQueued(this)
         submit()
     }
@@ -215,10 +213,9 @@
      * All else stays as in the request's own document: its caller sent it before the change.
      */
     private fun applyHomes() {
-        if (context.routes.get()?.plan?.number == documentNumber && refusedRegions.isEmpty()) return
         val current = routeInForce() ?: return
-        val regions = profiles.allowedRegions(current, request.isForwarded) - refusedRegions
-        profile = profile.copy(allowedRegions = regions)
+        val regions = homes.regionsFor(current)
+        if (regions != profile.allowedRegions) profile = profile.copy(allowedRegions = regions)
     }
 
     /** Returns the route of the request in the document in force, or its own if that has none for it. */
@@ -242,7 +239,7 @@
 
     private fun send(placed: PlacedAttempt, address: String, backendServer: String?) {
         val call = resolved ?: return
-        if (!response.isStarted && !context.stopState.mayAccept(call.deadlineMs)) {
+        if (!mayBeSent(call)) {
             context.complete(placed, AttemptResult.CANCELLED)
             return failRequest(RelayError(ErrorKind.SHUTTING_DOWN))
         }
@@ -280,9 +277,7 @@
 
     /** Retries on another backend server if that is allowed after [idleMs] without progress; returns false if not. */
     private fun onSilent(silent: Attempt, idleMs: Long): Boolean {
-        applyHomes()
-        val isRetryAllowed =
-            profile.allowedRegions.isNotEmpty() && decideRetry(AttemptFailure.SILENT) == RetryVerdict.RETRY
+        val isRetryAllowed = mayBePlaced() && decideRetry(AttemptFailure.SILENT) == RetryVerdict.RETRY
         if (!isRetryAllowed || !context.scheduler.tryRetry(profile, context.clock.nowMs())) return false
         silent.cancel(AttemptResult.TIMED_OUT)
         possibleRuns++
@@ -291,6 +286,17 @@
         return true
     }
 
+    /** Returns false if no other attempt can follow, so that one that runs is better waited for. */
+    private fun mayBePlaced(): Boolean {
+        val call = resolved ?: return false
+        applyHomes()
+        return profile.allowedRegions.isNotEmpty() && crashEvidence?.isHeldBack != true && mayBeSent(call)
+    }
+
+    /** Returns false if the request may outlast the stop of this host; a stream that has begun goes on in any case. */
+    private fun mayBeSent(call: ResolvedRequest): Boolean =
+        response.isStarted || context.stopState.mayAccept(call.deadlineMs)
+
     /** Returns false if a stream has begun that a response with [head] cannot continue. */
     fun canContinueWith(head: BackendHead): Boolean = !response.isStarted || response.isContinuedBy(head)
 
@@ -347,11 +353,11 @@
         attempt = null
         if (failure != AttemptFailure.NOT_SENT && failure != AttemptFailure.NOT_EXECUTED) possibleRuns++
         val isHostUnreachable = failure == AttemptFailure.NOT_SENT && source.placed.backendServer.isEmpty()
-        if (isHostUnreachable) context.forwardTargets.recordUnreachable(source.address, context.clock.nowMs())
+        if (isHostUnreachable) onHostUnreachable(source)
         context.complete(source.placed, failure.toResult(source.isMisdirected))
         if (phase != Phase.SENT) return
         val isExemptFromBudget = failure == AttemptFailure.NOT_SENT
-        if (source.isRegionRefused) refusedRegions = refusedRegions + source.placed.region
+        if (source.isRegionRefused) homes.close(source.placed.region)
         applyHomes()
         val isRetried = profile.allowedRegions.isNotEmpty() && decideRetry(failure) == RetryVerdict.RETRY &&
             (isExemptFromBudget || context.scheduler.tryRetry(profile, context.clock.nowMs()))
@@ -361,6 +367,13 @@
         failRequest(RelayError(kind, detail, retryAfterMs ?: DEFAULT_RETRY_AFTER_MS))
     }
 
+    /** Avoids the host, and for this request also its region if that has no other host. */
+    private fun onHostUnreachable(source: Attempt) {
+        context.forwardTargets.recordUnreachable(source.address, context.clock.nowMs())
+        val region = source.placed.region
+        if (!context.forwardTargets.hasOther(region, tried + source.address)) homes.close(region)
+    }
+
     private fun resend(source: Attempt) {
         attempt = null
         tried = tried + source.placed.backendServer + source.address
