Measure pauses that engines ask for

Hosts that ignore the Retry-After of an engine's 503 and hosts that observe it, under the same arrivals in one run of the fleet model: engines refuse a quarter of the requests for 0.5 to 3 s.

--- a/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetHost.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetHost.kt
@@ -26,11 +26,12 @@
 ) {
     private class Pending(
         val request: FleetRequest,
-        val profile: RequestProfile,
+        var profile: RequestProfile,
         val onFirstByte: () -> Unit,
         val onEnd: (AttemptResult) -> Unit,
     ) {
         var hasFirstByte = false
+        var attempts = 0
 
         /** Ends the current attempt when the caller leaves; a queued request has none. */
         var cancel: () -> Unit = {}
@@ -186,7 +187,25 @@
             scheduler.complete(attempt, AttemptResult.CANCELLED, model.nowMs())
                 .forEach { place(it.profile.id, it.placement) }
         }
-        clock.schedule(clock.nowMs + HOST_DELAY_MS) { if (pending[attempt.profile.id] === current) engine.submit(job) }
+        clock.schedule(clock.nowMs + HOST_DELAY_MS) {
+            if (pending[attempt.profile.id] !== current) return@schedule
+            val refusalMs = model.shedding?.refusalMs(engine.name, name, clock.nowMs)
+            if (refusalMs == null) engine.submit(job) else onShed(attempt, current, refusalMs)
+        }
+    }
+
+    /** Sends a request that an engine has refused to another one, as long as its route allows attempts. */
+    private fun onShed(attempt: PlacedAttempt, current: Pending, refusalMs: Long) {
+        val isObserved = spec.shedding?.isPauseObserved == true
+        model.shedding?.let {
+            if (isObserved) scheduler.recordPause(attempt, refusalMs, it.nextSpread(), model.nowMs())
+        }
+        if (++current.attempts >= MAX_ATTEMPTS) return complete(attempt, AttemptResult.REFUSED)
+        val placements = scheduler.complete(attempt, AttemptResult.REFUSED, model.nowMs())
+        placements.forEach { place(it.profile.id, it.placement) }
+        val tried = current.profile.triedBackendServers + attempt.backendServer
+        current.profile = current.profile.copy(triedBackendServers = tried)
+        place(attempt.profile.id, scheduler.submit(current.profile, model.nowMs()))
     }
 
     private fun forward(attempt: PlacedAttempt, target: String) {
@@ -226,6 +245,7 @@
         const val FULL_PERMILLE = 1_000L
         const val LINK_BITS_PER_SECOND = 1_000_000_000L
         const val HOST_DELAY_MS = 1.0
+        const val MAX_ATTEMPTS = 2
 
         /** Callers leave after this many times their target without a first byte. */
         const val PATIENCE_TARGETS = 4.0
--- a/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetModel.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetModel.kt
@@ -33,6 +33,9 @@
     private val hosts = spec.regions.associate { region ->
         region.name to List(region.hosts) { FleetHost(this, region, "${region.name}-$it", selector()) }
     }
+
+    /** What the engines shed, or null if they do not. */
+    val shedding: EngineShedding? = spec.shedding?.let { EngineShedding(it, seed) }
     private val reported = HashMap<String, ObservedLoad>()
     val tallies: Map<String, FleetTally> = spec.kinds.associate { it.name to FleetTally() }
 
--- a/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetSpec.kt
+++ b/standin/src/main/kotlin/org/arbutusrelay/standin/fleet/FleetSpec.kt
@@ -32,6 +32,8 @@
     val reportIntervalMs: Double = 1_000.0,
     val linkDelayMs: Long = 55,
     val engine: BatchingEngineSpec = BatchingEngineSpec(),
+    /** How the engines shed load, or null if they do not. */
+    val shedding: SheddingSpec? = null,
 ) {
     companion object {
         const val LONG: String = "long"
--- a/standin/src/test/kotlin/org/arbutusrelay/standin/fleet/FleetModelTest.kt
+++ b/standin/src/test/kotlin/org/arbutusrelay/standin/fleet/FleetModelTest.kt
@@ -44,6 +44,23 @@
         results[0].tallies.values.forEach { assertEquals(it.arrivals, it.ended) }
     }
 
+    /** Guards against requests that reach an engine during the pause that it has asked for, and are refused for it. */
+    @Test
+    fun `hosts that observe pauses send nothing to an engine that asked for one`() {
+        val runs = listOf(true, false).associateWith { isObserved ->
+            val spec = FleetSpec.unevenPeak(hosts = 10, loadPermille = 300).copy(
+                durationMs = 12_000.0,
+                warmUpMs = 4_000.0,
+                shedding = SheddingSpec(isPauseObserved = isObserved),
+            )
+            FleetModel(spec, { FirstByteServerSelector() }, seed = 3).run()
+        }
+        runs.values.flatMap { it.tallies.values }.forEach { assertEquals(it.arrivals, it.ended) }
+        fun refused(isObserved: Boolean) = runs.getValue(isObserved).tallies.values.sumOf { it.refused }
+        assertEquals(0, runs.getValue(true).shedding?.sentLateInPause)
+        assertTrue(refused(isObserved = true) < refused(isObserved = false))
+    }
+
     private companion object {
         const val MIN_SHARE_OF_FEW_HOSTS = 0.9
     }
