Send no caller abroad from a state host whose view is not whole

A state host that is starting, paused or alone hears of the entry hosts one after the other, or loses them so, and for a part of that time takes a region whose hosts all run for an empty one: its callers were sent to other regions while the other state hosts named hosts of their own.

ViewTrust tells whether the view can be relied on: a majority of the state hosts has been connected for 1 s and the process was not paused for more than 2 s. Otherwise the directory names only hosts of the caller's region, and refuses if there are none, so that the caller asks the next state host. ViewTrust also covers the moment between a pause and the next step of the site service.

A process that is really suspended was not tried.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -8,6 +8,7 @@
 import org.arbutusrelay.core.site.PendingChanges
 import org.arbutusrelay.core.site.SitePulses
 import org.arbutusrelay.core.site.SiteStateMachine
+import org.arbutusrelay.core.site.ViewTrust
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.FrameReceiver
 import org.arbutusrelay.daemon.link.HostIdentity
@@ -78,6 +79,11 @@
     private var publishedAtMs = Long.MIN_VALUE / 2
     private val currentView = AtomicReference(SiteView(SiteStateMachine.EMPTY, listOf(self), emptyList(), 0))
 
+    private val viewTrust = ViewTrust()
+
+    /** True while [view] is complete enough to conclude that a region has no hosts; see [ViewTrust]. */
+    public val isViewWhole: Boolean get() = viewTrust.isWhole(clock.nowMs())
+
     /** What is known about prompt parts and requests that crash backend servers. */
     public val crashEvidence: CrashEvidenceReplica = CrashEvidenceReplica(clock, ::scheduleBatch)
 
@@ -208,6 +214,8 @@
         if (isBehind && isStateConfirmed) pushState(latest, setOf(from.hostName))
     }
 
+    override fun onLinkDown(host: HostIdentity): Unit = updateViewTrust(clock.nowMs())
+
     override fun onLinkUp(host: HostIdentity) {
         // A newly started host needs the state of the site before the next periodic message is due.
         val nowMs = clock.nowMs()
@@ -293,6 +301,7 @@
 
     private fun tick() {
         val nowMs = clock.nowMs()
+        updateViewTrust(nowMs)
         synchronized(this) {
             hosts.recordReport(self, nowMs)
             hosts.tick(nowMs)
@@ -307,6 +316,11 @@
         if (nowMs - publishedAtMs >= times.publishIntervalMs) publish()
     }
 
+    private fun updateViewTrust(nowMs: Long) {
+        val all = stateHosts() + self.hostName
+        viewTrust.update((connectedStateHosts() - self.hostName).size + 1 > all.size / 2, nowMs)
+    }
+
     private fun isAnnouncementMissing(): Boolean =
         synchronized(this) { servers.hasOverdue(times.renewalOverdueMs, clock.nowMs()) }
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
@@ -19,13 +19,14 @@
 /**
  * Answers look-ups of callers from the latest view of the site, and records where they are directed.
  *
- * While [isStateConfirmed] is false, the document may be an old one from the disk, with other homes than the one in
- * force; callers are then directed as if there were none. A line is written when callers of a region that ask for names
+ * While [isInTouch] is false, the document may be an old one from the disk, with other homes than the one in force, and
+ * a region may seem to have no hosts only because they were not heard of; callers are then directed as if there were no
+ * document. A line is written when callers of a region that ask for names
  * with the same homes are directed elsewhere than at their previous look-up. Thread-safe.
  */
 public class HostLookup(
     private val view: () -> SiteView,
-    private val isStateConfirmed: () -> Boolean,
+    private val isInTouch: () -> Boolean,
     private val parser: RoutePlanParser,
     private val metrics: DirectoryMetrics,
     private val log: EventSink,
@@ -39,7 +40,7 @@
     /** Returns the entry hosts for the caller of [query]. */
     public fun lookUp(query: DirectoryQuery): DirectoryAnswer {
         val current = view()
-        val homes = homesTable(current.state.document?.takeIf { isStateConfirmed() }).find(query.name)
+        val homes = homesTable(current.state.document?.takeIf { isInTouch() }).find(query.name)
         val answer = EntryHostDirectory.select(current.hosts, query, homes)
         record(query.region, homes, answer, current)
         return answer
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -79,7 +79,7 @@
     /** Answers callers that ask which entry host to use. */
     public val directory: HostLookup = HostLookup(
         { site.view },
-        { site.isStateConfirmed },
+        { site.isStateConfirmed && site.isViewWhole },
         parser,
         metrics.directory(settings.availabilityZones.mapTo(sortedSetOf()) { it.region }),
         eventLog,
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/node/HostLookupTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/node/HostLookupTest.kt
@@ -21,7 +21,7 @@
     private val lines = mutableListOf<EventLine>()
     private var hosts = emptyList<HostState>()
     private var documentNumber = 1L
-    private var isStateConfirmed = true
+    private var isInTouch = true
     private var route = route()
     private val lookup = HostLookup(
         {
@@ -32,7 +32,7 @@
                 1_000,
             )
         },
-        { isStateConfirmed },
+        { isInTouch },
         { RoutePlan(documentNumber, listOf(route), emptyMap()).right() },
         metrics.directory(setOf("hue", "danang")),
         { lines += it },
@@ -52,9 +52,9 @@
     fun `callers are directed to the homes of the confirmed document`() {
         hosts = listOf(host("d", "danang", "danang-a"), host("q", "quangtri", "quangtri-a"))
         fun named() = lookup.lookUp(query("hue", "hue-a")).hosts.map { it.hostName }
-        isStateConfirmed = false
+        isInTouch = false
         assertEquals(emptyList(), named())
-        isStateConfirmed = true
+        isInTouch = true
         assertEquals(setOf("d", "q"), named().toSet())
         documentNumber = 2
         route = route("danang")
