Name the sets of homes in the line on where callers are directed

It now lists each set, such as "astana,karaganda | almaty". Whom the directory names is unchanged; HostLookupTest checks the text.

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/NameHomes.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/NameHomes.kt
@@ -13,7 +13,11 @@
      *
      * A caller asks for the name before it sends a request, so that the path, and with it the route, is not known.
      */
-    public data class Only(val regions: Set<String>) : NameHomes
+    public data class Only(
+        val regions: Set<String>,
+        /** The different sets of homes that routes of the name have. */
+        val routeHomes: Set<Set<String>>,
+    ) : NameHomes
 
     /** No region: the homes are not known, because the name has no route here or there is no document yet. */
     public data object Unknown : NameHomes
@@ -28,7 +32,8 @@
     public fun find(name: String): NameHomes = homesByName[name.substringBefore(':').lowercase()] ?: NameHomes.Unknown
 
     private fun homesOf(routes: List<Route>): NameHomes {
-        val restricted = routes.filter { it.homeRegions.isNotEmpty() }.map { it.homeRegions.toSet() }
-        return if (restricted.isEmpty()) NameHomes.Any else NameHomes.Only(restricted.reduce(Set<String>::intersect))
+        val restricted = routes.filter { it.homeRegions.isNotEmpty() }.mapTo(HashSet()) { it.homeRegions.toSet() }
+        if (restricted.isEmpty()) return NameHomes.Any
+        return NameHomes.Only(restricted.reduce(Set<String>::intersect), restricted)
     }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
@@ -79,8 +79,11 @@
 
     private fun describe(homes: NameHomes): String = when (homes) {
         NameHomes.Any -> "names without homes"
+
         NameHomes.Unknown -> "names that are not known"
-        is NameHomes.Only -> "names with homes ${homes.regions.sorted().joinToString(",")}"
+
+        is NameHomes.Only ->
+            "names with homes " + homes.routeHomes.map { it.sorted().joinToString(",") }.sorted().joinToString(" | ")
     }
 
     /** Returns the number of accepting and of leaving entry hosts of each region, such as `hue 2+1`. */
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/node/HostLookupTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/node/HostLookupTest.kt
@@ -62,6 +62,7 @@
         documentNumber = 3
         route = route("quangtri", "hue")
         assertEquals(listOf("q"), named())
+        assertContains(lines.last().detail.orEmpty(), "names with homes hue,quangtri;")
     }
 
     /** Guards against a caller that is sent abroad without any trace of it, and against a line for each look-up. */
