Direct callers to the homes of nearly all requests of a name

Callers of a region without hosts got no address although a home of their requests had some.

Cause: the directory knows the name and not how much each route is used. Change: entry hosts count the requests on routes with homes and report them to the state hosts each second. A region is named if at most 1 in 50 recent requests on routes with homes has its homes elsewhere; under 100 requests are no basis, and the homes of all routes apply as before.

HostLookupTest (nearly all requests) asks with no counts first, which is the behaviour before and names nobody, and then with them.

--- a/core/src/main/kotlin/org/arbutusrelay/core/route/RouteTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/route/RouteTable.kt
@@ -2,6 +2,9 @@
 
 /** Finds the route of a request. The table is immutable; a new plan replaces it as a whole. */
 public class RouteTable(public val plan: RoutePlan) {
+    /** Requests of callers on the routes with homes, for the directory. */
+    public val homeRequests: HomeRequestCounters = HomeRequestCounters(plan.routes)
+
     private val routesByAuthority: Map<String, Map<String, Route>> =
         plan.routes.groupBy {
             it.authority.lowercase()
--- a/core/src/main/kotlin/org/arbutusrelay/core/site/NameHomes.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/NameHomes.kt
@@ -17,7 +17,32 @@
         val regions: Set<String>,
         /** The different sets of homes that routes of the name have. */
         val routeHomes: Set<Set<String>>,
-    ) : NameHomes
+    ) : NameHomes {
+        /**
+         * Adds to [regions] those outside the homes of a few requests only, by the recent [requests] for the routes with
+         * each set of homes.
+         *
+         * Without it, a route that is hardly used keeps the callers of all others from every region but its home.
+         */
+        public fun withTraffic(requests: Map<Set<String>, Long>): Only {
+            val counted = routeHomes.associateWith { requests[it] ?: 0 }
+            val total = counted.values.sum()
+            if (total < MIN_REQUESTS) return this
+            val added = routeHomes.flatten().filter { region ->
+                val outside = counted.filterKeys { region !in it }.values.sum()
+                outside * MIN_REQUESTS_PER_OUTSIDE <= total
+            }
+            return copy(regions = regions + added)
+        }
+
+        private companion object {
+            /** Fewer requests do not show the shares of the routes. */
+            const val MIN_REQUESTS = 100L
+
+            /** Under half of the 1 in 20 requests that may be led outside their homes, as shares change. */
+            const val MIN_REQUESTS_PER_OUTSIDE = 50L
+        }
+    }
 
     /** No region: the homes are not known, because the name has no route here or there is no document yet. */
     public data object Unknown : NameHomes
@@ -29,7 +54,7 @@
         plan?.routes.orEmpty().groupBy { it.authority.lowercase() }.mapValues { (_, routes) -> homesOf(routes) }
 
     /** Returns the homes of [name], which may be in any letter case and may end with a port. */
-    public fun find(name: String): NameHomes = homesByName[name.substringBefore(':').lowercase()] ?: NameHomes.Unknown
+    public fun find(name: String): NameHomes = homesByName[directoryName(name)] ?: NameHomes.Unknown
 
     private fun homesOf(routes: List<Route>): NameHomes {
         val restricted = routes.filter { it.homeRegions.isNotEmpty() }.mapTo(HashSet()) { it.homeRegions.toSet() }
@@ -37,3 +62,6 @@
         return NameHomes.Only(restricted.reduce(Set<String>::intersect), restricted)
     }
 }
+
+/** Returns [name] as the routes of a document are found by it: without a port, in lower case. */
+internal fun directoryName(name: String): String = name.substringBefore(':').lowercase()
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.arbutusrelay.core.site.BackendServerRegistry
+import org.arbutusrelay.core.site.HomeTraffic
 import org.arbutusrelay.core.site.HostRegistry
 import org.arbutusrelay.core.site.PendingChanges
 import org.arbutusrelay.core.site.SitePulses
@@ -17,6 +18,7 @@
 import org.arbutusrelay.schema.message.BackendLoad
 import org.arbutusrelay.schema.message.BackendServerState
 import org.arbutusrelay.schema.message.CrashEvidence
+import org.arbutusrelay.schema.message.HomeRequests
 import org.arbutusrelay.schema.message.HostState
 import org.arbutusrelay.schema.message.LinkFrame
 import org.arbutusrelay.schema.message.SiteDigest
@@ -45,6 +47,7 @@
     private val clock: RelayClock,
     private val times: SiteTimes = SiteTimes(),
     private val otherStateHosts: () -> Set<String> = { emptySet() },
+    private val takeHomeRequests: () -> List<HomeRequests> = { emptyList() },
 ) : FrameReceiver {
     private val publishLock = Any()
     private val hosts = HostRegistry()
@@ -81,6 +84,9 @@
 
     private val viewTrust = ViewTrust()
 
+    /** Recent requests on routes with homes, on a state host. */
+    public val homeTraffic: HomeTraffic = HomeTraffic()
+
     /** True while [view] is complete enough to conclude that a region has no hosts; see [ViewTrust]. */
     public val isViewWhole: Boolean get() = viewTrust.isWhole(clock.nowMs())
 
@@ -200,6 +206,7 @@
         val isNewSubscriber = subscriptions.record(from.hostName, from.epoch, needsEveryPulse, nowMs)
         val isChanged = synchronized(this) {
             report.loads.forEach { servers.recordLoad(it, nowMs) }
+            homeTraffic.record(report.homeRequests, nowMs)
             val newDepartures = report.departures.filter { servers.merge(it, nowMs) }
             newDepartures.forEach(changesForAll::add)
             val isNew = hosts.recordReport(report.host, nowMs)
@@ -348,6 +355,7 @@
                 departures = recent,
                 primaryName = primaryName,
                 crashEvidence = crashEvidence.recent(),
+                homeRequests = takeHomeRequests(),
             )
         }
         network.sendAll(targets, LinkFrame(siteReport = report))
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -87,6 +87,7 @@
             ?: return sendError(
                 RelayError(ErrorKind.UNKNOWN_SERVICE, "no route for ${request.authority}${request.path}"),
             )
+        if (!request.isForwarded) table.homeRequests.record(matchedRoute)
         val metadata = context.dialect.decodeRequest(request.headers).fold({ return sendError(it) }, { it })
         val waitMs = minOf(metadata.deadlineMs ?: matchedRoute.timeoutMs, matchedRoute.timeoutMs)
         if (!context.stopState.mayAccept(
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -77,7 +77,7 @@
     private val loop = group.next()
     private val loopWatch = EventLoopWatch(loop, processFailure)
     private val callerAddress = requireNotNull(settings.callerAddress) { "an entry host requires callerAddress" }
-    private val site = siteLinks.siteService(clock)
+    private val site = siteLinks.siteService(clock, { context.routes.get()?.homeRequests?.take().orEmpty() })
     private val routing = RoutingTableBuilder(siteLinks.identity, settings.bounds)
     private val pool = BackendPool(loop, clock::nowMs)
     private val scheduler = DefaultRequestScheduler(
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
@@ -5,6 +5,7 @@
 import org.arbutusrelay.core.site.DirectoryQuery
 import org.arbutusrelay.core.site.DirectoryScope
 import org.arbutusrelay.core.site.EntryHostDirectory
+import org.arbutusrelay.core.site.HomeTraffic
 import org.arbutusrelay.core.site.NameHomes
 import org.arbutusrelay.core.site.NameHomesTable
 import org.arbutusrelay.daemon.observe.DirectoryMetrics
@@ -30,6 +31,7 @@
     private val parser: RoutePlanParser,
     private val metrics: DirectoryMetrics,
     private val log: EventSink,
+    private val traffic: HomeTraffic,
     private val nowMs: () -> Long,
 ) {
     private val scopes = ConcurrentHashMap<Pair<String, NameHomes>, DirectoryScope>()
@@ -41,11 +43,14 @@
     public fun lookUp(query: DirectoryQuery): DirectoryAnswer {
         val current = view()
         val homes = homesTable(current.state.document?.takeIf { isInTouch() }).find(query.name)
-        val answer = EntryHostDirectory.select(current.hosts, query, homes)
+        val answer = EntryHostDirectory.select(current.hosts, query, withTraffic(homes, query.name))
         record(query.region, homes, answer, current)
         return answer
     }
 
+    private fun withTraffic(homes: NameHomes, name: String): NameHomes =
+        if (homes is NameHomes.Only) homes.withTraffic(traffic.requests(name, nowMs())) else homes
+
     /** Parses each document once; concurrent look-ups may both parse a new one, with the same result. */
     private fun homesTable(document: DocumentRecord?): NameHomesTable {
         parsed.takeIf { it.document === document }?.let { return it.table }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteLinks.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteLinks.kt
@@ -8,6 +8,7 @@
 import org.arbutusrelay.daemon.site.SiteService
 import org.arbutusrelay.schema.log.EventLine
 import org.arbutusrelay.schema.log.EventLine.Event
+import org.arbutusrelay.schema.message.HomeRequests
 import org.arbutusrelay.schema.settings.SiteSettings
 import java.security.SecureRandom
 
@@ -23,14 +24,23 @@
     val network: SocketLinkNetwork =
         SocketLinkNetwork(identity, settings.sharedSecret.toByteArray(), scope, LINK_OPTIONS)
 
-    /** Creates the service that exchanges state with other hosts; [otherStateHosts] are those not in the settings. */
-    fun siteService(clock: RelayClock, otherStateHosts: () -> Set<String> = { emptySet() }): SiteService = SiteService(
+    /**
+     * Creates the service that exchanges state with other hosts; [otherStateHosts] are those not in the settings.
+     *
+     * [takeHomeRequests] returns the requests that an entry host reports.
+     */
+    fun siteService(
+        clock: RelayClock,
+        takeHomeRequests: () -> List<HomeRequests> = { emptyList() },
+        otherStateHosts: () -> Set<String> = { emptySet() },
+    ): SiteService = SiteService(
         network,
         identity.initialState("${settings.bindAddress}:${settings.linkPort}", settings.dataFolder != null),
         seedNames(settings),
         settings.linkPort,
         clock,
         otherStateHosts = otherStateHosts,
+        takeHomeRequests = takeHomeRequests,
     )
 
     /** Returns a log line about the process of this host. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -83,6 +83,7 @@
         parser,
         metrics.directory(settings.availabilityZones.mapTo(sortedSetOf()) { it.region }),
         eventLog,
+        site.homeTraffic,
         clock::nowMs,
     )
 
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/node/HostLookupTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/node/HostLookupTest.kt
@@ -5,10 +5,12 @@
 import org.arbutusrelay.core.route.RouteKind
 import org.arbutusrelay.core.route.RoutePlan
 import org.arbutusrelay.core.site.DirectoryQuery
+import org.arbutusrelay.core.site.HomeTraffic
 import org.arbutusrelay.daemon.observe.RelayMetrics
 import org.arbutusrelay.daemon.site.SiteView
 import org.arbutusrelay.schema.log.EventLine
 import org.arbutusrelay.schema.message.DocumentRecord
+import org.arbutusrelay.schema.message.HomeRequests
 import org.arbutusrelay.schema.message.HostState
 import org.arbutusrelay.schema.message.SiteState
 import kotlin.test.Test
@@ -22,7 +24,8 @@
     private var hosts = emptyList<HostState>()
     private var documentNumber = 1L
     private var isInTouch = true
-    private var route = route()
+    private val traffic = HomeTraffic()
+    private var routes = listOf(route())
     private val lookup = HostLookup(
         {
             SiteView(
@@ -33,9 +36,10 @@
             )
         },
         { isInTouch },
-        { RoutePlan(documentNumber, listOf(route), emptyMap()).right() },
+        { RoutePlan(documentNumber, routes, emptyMap()).right() },
         metrics.directory(setOf("hue", "danang")),
         { lines += it },
+        traffic,
         { 1_300 },
     )
 
@@ -57,14 +61,28 @@
         isInTouch = true
         assertEquals(setOf("d", "q"), named().toSet())
         documentNumber = 2
-        route = route("danang")
+        routes = listOf(route("danang"))
         assertEquals(listOf("d"), named())
         documentNumber = 3
-        route = route("quangtri", "hue")
+        routes = listOf(route("quangtri", "hue"))
         assertEquals(listOf("q"), named())
         assertContains(lines.last().detail.orEmpty(), "names with homes hue,quangtri;")
     }
 
+    /** Guards against callers who are refused because a route that is hardly used has other homes. */
+    @Test
+    fun `callers are directed to the homes of nearly all requests`() {
+        hosts = listOf(host("d", "danang", "danang-a"), host("q", "quangtri", "quangtri-a"))
+        routes = listOf(route("hue", "danang"), route("quangtri"))
+        fun named() = lookup.lookUp(query("hue", "hue-a")).hosts.map { it.hostName }
+        assertEquals(emptyList(), named())
+        traffic.record(
+            listOf(HomeRequests("x", listOf("danang", "hue"), 990), HomeRequests("x", listOf("quangtri"), 10)),
+            1_200,
+        )
+        assertEquals(listOf("d"), named())
+    }
+
     /** Guards against a caller that is sent abroad without any trace of it, and against a line for each look-up. */
     @Test
     fun `a line tells when callers of a region are directed elsewhere`() {
