--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -214,8 +214,6 @@
         if (isBehind && isStateConfirmed) pushState(latest, setOf(from.hostName))
     }
 
-    override fun onLinkDown(host: HostIdentity): Unit = updateViewTrust(clock.nowMs())
-
     override fun onLinkUp(host: HostIdentity) {
         // A newly started host needs the state of the site before the next periodic message is due.
         val nowMs = clock.nowMs()
@@ -301,7 +299,8 @@
 
     private fun tick() {
         val nowMs = clock.nowMs()
-        updateViewTrust(nowMs)
+        val majority = (stateHosts() + self.hostName).size / 2 + 1
+        viewTrust.update((connectedStateHosts() - self.hostName).size + 1 >= majority, nowMs)
         synchronized(this) {
             hosts.recordReport(self, nowMs)
             hosts.tick(nowMs)
@@ -316,11 +315,6 @@
         if (nowMs - publishedAtMs >= times.publishIntervalMs) publish()
     }
 
-    private fun updateViewTrust(nowMs: Long) {
-        val all = stateHosts() + self.hostName
-        viewTrust.update((connectedStateHosts() - self.hostName).size + 1 > all.size / 2, nowMs)
-    }
-
     private fun isAnnouncementMissing(): Boolean =
         synchronized(this) { servers.hasOverdue(times.renewalOverdueMs, clock.nowMs()) }
 
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/DirectoryViewTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/DirectoryViewTest.kt
@@ -19,7 +19,7 @@
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
-/** What the directories of several state hosts answer while all entry hosts run and only the state hosts are disturbed. */
+/** What several state hosts answer callers while all entry hosts run and only the state hosts are disturbed. */
 @OptIn(ExperimentalCoroutinesApi::class)
 class DirectoryViewTest {
     private val regions = listOf("1", "2", "3")
@@ -113,7 +113,7 @@
         }
     }
 
-    /** Guards against a state host that has just started and sends callers to other regions until it has heard of theirs. */
+    /** Guards against a starting state host that sends callers abroad until it has heard of their region. */
     @Test
     fun `one state host restarts`() = site {
         kill(stateHosts[0])
