Split the start-up wait and the regions of a request from the exchange

Change: StartupWait holds a request while the host starts, RequestRegions applies the homes of the document in force. No change of behaviour.

--- a/core/src/main/kotlin/org/arbutusrelay/core/route/RequestHomes.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/route/RequestHomes.kt
@@ -3,8 +3,9 @@
 /**
  * Decides in which regions one request may run, by the homes of its route in the document in force at each send.
  *
- * A forwarded request runs in the region of this host or nowhere. This host applies its own document to it, because that
- * of the host which sent it may be older or newer. [otherRegions] returns those that are known now. Not thread-safe.
+ * A forwarded request runs in the region of this host or nowhere. This host applies its own document to it, because
+ * that of the host which sent it may be older or newer. [otherRegions] returns those that are known now. Not
+ * thread-safe.
  */
 public class RequestHomes(
     private val selfRegion: String,
@@ -14,7 +15,7 @@
 ) {
     private var closedRegions = emptySet<String>()
 
-    /** Returns the regions for the next send: this one first, if [route] allows it, then others in their given order. */
+    /** Returns the regions for the next send: this one first, if [route] allows it, then the others. */
     public fun regionsFor(route: Route): List<String> {
         val known = if (isForwarded) listOf(selfRegion) else listOf(selfRegion) + otherRegions()
         return known.filter { route.allowsRegion(it) && it !in closedRegions }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -45,7 +45,8 @@
     private var attempts = 0
     private var possibleRuns = 0
     private var tried = emptySet<String>()
-    private val homes = profiles.homesOf(request.isForwarded)
+    private val regions = RequestRegions(context, request, profiles)
+    private val startup = StartupWait(context, request) { phase == Phase.NEW || phase == Phase.WAITING }
     private var fallbackResponse: FullResponse? = null
     private val silenceWatch = SilenceWatch(context, { attempt === it && phase == Phase.SENT }, ::onSilent)
 
@@ -108,7 +109,7 @@
             metadata,
             request.receivedMs - if (request.isForwarded) ForwardHeaders.ageMsOf(request.headers) else 0,
             request.receivedMs + waitMs,
-            homes,
+            regions.homes,
         )
         submit()
     }
@@ -116,16 +117,7 @@
     /** Holds the request until the first document arrives; a caller's own request for a part of the caller's time. */
     private fun awaitRoutes() {
         val metadata = context.dialect.decodeRequest(request.headers).fold({ return sendError(it) }, { it })
-        val callerMs = metadata.deadlineMs?.takeUnless { request.isForwarded }
-        pollRoutes(callerMs?.let { it / ROUTES_WAIT_DIVISOR } ?: ROUTES_WAIT_MS)
-    }
-
-    private fun pollRoutes(waitMs: Long) {
-        when {
-            context.routes.get() != null -> resolve()
-            mayAwaitStartup(waitMs) -> pollStartup { pollRoutes(waitMs) }
-            else -> sendError(RelayError(ErrorKind.NOT_READY))
-        }
+        startup.awaitRoutes(metadata, ::resolve) { sendError(RelayError(ErrorKind.NOT_READY)) }
     }
 
     override fun onCallerDisconnected() {
@@ -176,18 +168,13 @@
     /** Retries for a limited time while this host is starting and has not yet discovered all backend servers. */
     private fun onRefused(error: RelayError) {
         val hasNoTarget = error.kind == ErrorKind.NO_BACKEND_SERVER || error.kind == ErrorKind.REGION_UNREACHABLE
-        val waitMs = resolved?.let { (it.deadlineMs - request.receivedMs) / STARTUP_WAIT_DIVISOR } ?: 0
-        if (hasNoTarget && attempts == 0 && mayAwaitStartup(waitMs)) pollStartup(::submit) else failRequest(error)
-    }
-
-    private fun mayAwaitStartup(waitMs: Long) = context.isStartingUp && ageMs < waitMs
-
-    private fun pollStartup(action: () -> Unit) {
-        context.schedule(STARTUP_POLL_MS) { if (phase == Phase.NEW || phase == Phase.WAITING) action() }
+        val deadlineMs = resolved?.deadlineMs ?: 0
+        val isHeld = hasNoTarget && attempts == 0 && startup.tryPoll(deadlineMs, ::submit)
+        if (!isHeld) failRequest(error)
     }
 
     private fun submit() {
-        applyHomes()
+        route?.let { profile = regions.applyTo(profile, it) }
         if (crashEvidence?.isHeldBack == true) return failRequest(RelayError(ErrorKind.PROMPT_SUSPECTED))
         onPlacement(context.scheduler.submit(profile, context.clock.nowMs()))
     }
@@ -201,26 +188,12 @@
 
     /** Places the request anew if it is queued and the document in force no longer allows it in all its regions. */
     fun onDocumentChanged() {
-        val current = routeInForce()
-        if (phase != Phase.WAITING || current == null || !homes.mustMove(profile.allowedRegions, current)) return
+        val ownRoute = route ?: return
+        if (phase != Phase.WAITING || !regions.mustMove(profile, ownRoute)) return
         context.cancelQueued(this)
         submit()
     }
 
-    /**
-     * Takes over the homes of the document in force, which may have changed since the request arrived.
-     *
-     * All else stays as in the request's own document: its caller sent it before the change.
-     */
-    private fun applyHomes() {
-        val current = routeInForce() ?: return
-        val regions = homes.regionsFor(current)
-        if (regions != profile.allowedRegions) profile = profile.copy(allowedRegions = regions)
-    }
-
-    /** Returns the route of the request in the document in force, or its own if that has none for it. */
-    private fun routeInForce(): Route? = context.routes.get()?.find(request.authority, request.path) ?: route
-
     private fun enqueue() {
         phase = Phase.WAITING
         context.awaitPlacement(profile.id, this)
@@ -289,7 +262,7 @@
     /** Returns false if no other attempt can follow, so that one that runs is better waited for. */
     private fun mayBePlaced(): Boolean {
         val call = resolved ?: return false
-        applyHomes()
+        profile = regions.applyTo(profile, call.route)
         return profile.allowedRegions.isNotEmpty() && crashEvidence?.isHeldBack != true && mayBeSent(call)
     }
 
@@ -352,13 +325,11 @@
         if (attempt !== source) return
         attempt = null
         if (failure != AttemptFailure.NOT_SENT && failure != AttemptFailure.NOT_EXECUTED) possibleRuns++
-        val isHostUnreachable = failure == AttemptFailure.NOT_SENT && source.placed.backendServer.isEmpty()
-        if (isHostUnreachable) onHostUnreachable(source)
+        regions.recordFailed(source, failure, tried)
         context.complete(source.placed, failure.toResult(source.isMisdirected))
         if (phase != Phase.SENT) return
         val isExemptFromBudget = failure == AttemptFailure.NOT_SENT
-        if (source.isRegionRefused) homes.close(source.placed.region)
-        applyHomes()
+        route?.let { profile = regions.applyTo(profile, it) }
         val isRetried = profile.allowedRegions.isNotEmpty() && decideRetry(failure) == RetryVerdict.RETRY &&
             (isExemptFromBudget || context.scheduler.tryRetry(profile, context.clock.nowMs()))
         source.reportFailed(failure, detail, isRetried)
@@ -367,13 +338,6 @@
         failRequest(RelayError(kind, detail, retryAfterMs ?: DEFAULT_RETRY_AFTER_MS))
     }
 
-    /** Avoids the host, and for this request also its region if that has no other host. */
-    private fun onHostUnreachable(source: Attempt) {
-        context.forwardTargets.recordUnreachable(source.address, context.clock.nowMs())
-        val region = source.placed.region
-        if (!context.forwardTargets.hasOther(region, tried + source.address)) homes.close(region)
-    }
-
     private fun resend(source: Attempt) {
         attempt = null
         tried = tried + source.placed.backendServer + source.address
@@ -460,21 +424,6 @@
         /** Prompt block that distinguishes sessions; many sessions share the blocks before it. */
         const val AFFINITY_BLOCK_INDEX = 12
 
-        /**
-         * After the start of this host, a request waits for the first document for at most its time divided by this
-         * value. Its caller would otherwise come back to a host that has just started as well.
-         */
-        const val ROUTES_WAIT_DIVISOR = 2
-
-        /**
-         * Maximum wait for the first document of other requests: without a deadline, or forwarded by a host that can
-         * send them elsewhere.
-         */
-        const val ROUTES_WAIT_MS = 1_000L
-
-        /** During startup, a request waits for backend servers for at most its timeout divided by this value. */
-        const val STARTUP_WAIT_DIVISOR = 4
-        const val STARTUP_POLL_MS = 50L
         const val DEFAULT_RETRY_AFTER_MS = 200L
     }
 }
--- /dev/null
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RequestRegions.kt
@@ -0,0 +1,43 @@
+package org.arbutusrelay.relay.exchange
+
+import org.arbutusrelay.core.relay.AttemptFailure
+import org.arbutusrelay.core.route.Route
+import org.arbutusrelay.core.routing.RequestProfile
+import org.arbutusrelay.relay.ingress.IngressRequest
+
+/** Applies the homes of the document in force to one request, which may have arrived under another document. */
+internal class RequestRegions(
+    private val context: RelayContext,
+    private val request: IngressRequest,
+    profiles: ProfileBuilder,
+) {
+    /** Decides in which regions the request may run. */
+    val homes = profiles.homesOf(request.isForwarded)
+
+    /**
+     * Returns [profile], that of a request of [ownRoute], with the regions that the next send may go to.
+     *
+     * All else stays as in the request's own document: its caller sent it before the change.
+     */
+    fun applyTo(profile: RequestProfile, ownRoute: Route): RequestProfile {
+        val regions = homes.regionsFor(routeInForce(ownRoute))
+        return if (regions == profile.allowedRegions) profile else profile.copy(allowedRegions = regions)
+    }
+
+    /** Returns true if the request must not wait on with the regions of [profile]. */
+    fun mustMove(profile: RequestProfile, ownRoute: Route): Boolean =
+        homes.mustMove(profile.allowedRegions, routeInForce(ownRoute))
+
+    /** Closes the region of [failed] to the request if no host there takes it; [tried] are the addresses before. */
+    fun recordFailed(failed: Attempt, failure: AttemptFailure, tried: Set<String>) {
+        val region = failed.placed.region
+        if (failed.isRegionRefused) homes.close(region)
+        if (failure != AttemptFailure.NOT_SENT || failed.placed.backendServer.isNotEmpty()) return
+        context.forwardTargets.recordUnreachable(failed.address, context.clock.nowMs())
+        if (!context.forwardTargets.hasOther(region, tried + failed.address)) homes.close(region)
+    }
+
+    /** Returns the route of the request in the document in force, or its own if that has none for it. */
+    private fun routeInForce(ownRoute: Route): Route =
+        context.routes.get()?.find(request.authority, request.path) ?: ownRoute
+}
