Keep the tests of homes within the linter's limits

Three findings of detekt in tests: too many parameters of RelayFixture, which now takes a HostPlace, and two functions nested too deeply. No case or assertion changes.

--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ChangedHomesTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ChangedHomesTest.kt
@@ -118,9 +118,9 @@
                     if (isStarting) Thread.sleep(STARTUP_MS) else awaitTrue { relay.queuedRequests == 1 }
                     relay.applyRoutes(change.new, number = 2)
                     // A request that stays here needs a slot or a server; one that does not must need neither.
-                    if ("hue" in change.regions) {
-                        if (isStarting) relay.useServers(mapOf("s0" to servers[0].address)) else mayEnd.countDown()
-                    }
+                    val staysHere = "hue" in change.regions
+                    if (staysHere && isStarting) relay.useServers(mapOf("s0" to servers[0].address))
+                    if (staysHere && !isStarting) mayEnd.countDown()
                     val response = String(caller.getInputStream().readAllBytes())
                     val label = "${change.name}, starting $isStarting: $sends $response"
                     val status = if (change.regions.isEmpty()) "503" else "200"
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/EntryHostAbroadTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/EntryHostAbroadTest.kt
@@ -4,6 +4,7 @@
 import org.arbutusrelay.relay.RelayFixture.Companion.send
 import org.arbutusrelay.relay.ScriptedServer.Companion.signedResponse
 import org.arbutusrelay.relay.ScriptedServer.Companion.write
+import java.net.Socket
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -27,28 +28,25 @@
         val servers = List(3) {
             ScriptedServer { socket, request, _ -> socket.write(signedResponse(request, "served")) }
         }
-        val home = RelayFixture(servers[0], region = "north", isForwarded = true, homes = case.homes)
+        val home = RelayFixture(servers[0], place = HostPlace("north"), isForwarded = true, homes = case.homes)
         val east = RelayFixture(
             servers[1],
-            region = "east",
+            place = HostPlace("east", bindAddress = EAST_ADDRESS, port = home.port),
             isForwarded = true,
-            bindAddress = EAST_ADDRESS,
-            port = home.port,
         )
         val north = if (case.reachable == "north") RelayFixture.LOOPBACK else SILENT_ADDRESSES[1]
         val hosts = mapOf("east" to EAST_ADDRESS, "south" to SILENT_ADDRESSES[0], "north" to north)
         val abroad =
-            RelayFixture(servers[2], otherRegionPort = home.port, otherRegions = hosts, homes = case.homes)
+            RelayFixture(
+                servers[2],
+                otherRegionPort = home.port,
+                place = HostPlace(otherRegions = hosts),
+                homes = case.homes,
+            )
         home.use {
             east.use {
                 abroad.use { relay ->
-                    relay.connect().use { caller ->
-                        repeat(REQUESTS) {
-                            caller.send("$path$it", "POST", body = "b")
-                            val response = caller.readResponse()
-                            assertEquals(case.status, response.substringAfter(' ').take(3), "${case.name} $path")
-                        }
-                    }
+                    relay.connect().use { sendAll(it, case, path) }
                     val label = "${case.name} $path"
                     assertEquals(0, east.acceptedConnections.get(), label)
                     assertEquals(0, servers[2].requests.size, label)
@@ -58,6 +56,11 @@
         }
     }
 
+    private fun sendAll(caller: Socket, case: Case, path: String) = repeat(REQUESTS) {
+        caller.send("$path$it", "POST", body = "b")
+        assertEquals(case.status, caller.readResponse().substringAfter(' ').take(3), "${case.name} $path")
+    }
+
     private companion object {
         const val REQUESTS = 3
 
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ForwardedHomesTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ForwardedHomesTest.kt
@@ -55,24 +55,22 @@
         }
         RelayFixture(
             servers.getValue("north"),
-            region = "north",
+            place = HostPlace("north"),
             isForwarded = true,
             homes = case.north,
             hasRoutes = case.hasNorthDocument,
         ).use { north ->
             val south = RelayFixture(
                 servers.getValue("south"),
-                region = "south",
+                place = HostPlace("south", bindAddress = SOUTH_ADDRESS, port = north.port),
                 isForwarded = true,
                 homes = case.south,
-                bindAddress = SOUTH_ADDRESS,
-                port = north.port,
             )
             val hosts = mapOf("north" to RelayFixture.LOOPBACK, "south" to SOUTH_ADDRESS)
             val sender = RelayFixture(
                 servers.getValue("hue"),
                 otherRegionPort = north.port,
-                otherRegions = hosts,
+                place = HostPlace(otherRegions = hosts),
                 homes = case.sender,
                 timeoutMs = 5_000,
             )
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -50,10 +50,18 @@
 import kotlin.random.Random
 import kotlin.time.TestTimeSource
 
+/** Region of a host in tests, its own loopback address and those of the hosts of the other regions that it knows. */
+internal class HostPlace(
+    val region: String = "hue",
+    val otherRegions: Map<String, String> = mapOf("north" to RelayFixture.LOOPBACK),
+    val bindAddress: String = RelayFixture.LOOPBACK,
+    val port: Int? = null,
+)
+
 /**
- * The request path of an entry host of [region] on the loopback interface, with [servers] as its backend servers.
+ * The request path of an entry host of a region on the loopback interface, with [servers] as its backend servers.
  *
- * [log] receives the log lines about requests. If [otherRegionPort] is set, the host knows [otherRegions] with a single
+ * [log] receives the log lines about requests. If [otherRegionPort] is set, the host knows the other regions of [place] with a single
  * entry host each, by loopback address, that listens on that port. With [hasRoutes] false, it has none until
  * [applyRoutes]; [homes] are those of its first document. [oddServers] maps the names of further backend servers to
  * their addresses.
@@ -70,12 +78,12 @@
     private val oddServers: Map<String, String> = emptyMap(),
     maxBodyBytes: Int = MAX_BODY_BYTES,
     bodies: BodyAdmission = BodyAdmission(),
-    private val region: String = "hue",
-    private val otherRegions: Map<String, String> = mapOf("north" to LOOPBACK),
+    place: HostPlace = HostPlace(),
     homes: List<String> = emptyList(),
-    bindAddress: String = LOOPBACK,
-    port: Int? = null,
 ) : AutoCloseable {
+    private val region = place.region
+    private val otherRegions = place.otherRegions
+
     private val group = NioEventLoopGroup(1)
     private val loop = group.next()
     private val clock = RelayClock()
@@ -102,7 +110,7 @@
         crashEvidence, Random(1), { _, _ -> },
     ) { leaving += it.backendServer }
     private val profiles = ProfileBuilder(region) { otherRegions.keys.toList() }
-    val port: Int = port ?: ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+    val port: Int = place.port ?: ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     private val options = IngressOptions(clock::nowMs, { lagMs }, bodies) { maxBodyBytes }
     private val connections = OpenConnections()
 
@@ -133,7 +141,7 @@
         if (hasRoutes) applyRoutes(homes)
         startServers(incarnation = 1)
         context.forwardTargets.update(otherRegions.map { (name, address) -> host(address, name) })
-        server.start("$bindAddress:${this.port}")
+        server.start("${place.bindAddress}:$port")
     }
 
     /** Puts a document in force whose routes all have [homes]; one without routes if that is null. */
