--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/BodyAdmission.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/BodyAdmission.kt
@@ -3,7 +3,10 @@
 import org.arbutusrelay.core.relay.BodyBudget
 
 /**
- * Lets connections read request bodies within a limit of [totalBytes], in the order in which they asked for room.
+ * Lets connections read request bodies within a limit of [totalBytes].
+ *
+ * Connections that wait are tried in the order in which they asked for room; one whose body does not fit does not hold
+ * up the others, and a body that comes while they wait may take room that is free.
  *
  * Confined to the event loop.
  */
