--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -185,6 +185,29 @@
         scheduler.updateTable(RoutingTable(region, "$region-a", states, remoteRegions(), sentAwayPermille = 1_000))
     }
 
+    /** Replaces the entry hosts of other regions by [hosts], pairs of loopback address and region. */
+    fun useEntryHosts(hosts: List<Pair<String, String>>): Unit =
+        context.forwardTargets.update(hosts.map { (address, region) -> host(address, region) })
+
+    /** Applies a document and a table of servers in one step of the event loop, as an entry host does. */
+    fun applyView(homes: List<String>, number: Long, addresses: Map<String, String>) {
+        val table = RouteTable(RoutePlan(number, routes(homes), mapOf("svc" to RoutedService("svc"))))
+        loop.submit {
+            context.routes.set(table)
+            useServers(addresses)
+        }.sync()
+    }
+
+    /** Puts a document in force and keeps the event loop busy for [busyMs] after [action], as when it is late. */
+    fun applyRoutesLate(homes: List<String>, number: Long, busyMs: Long, action: () -> Unit) {
+        val table = RouteTable(RoutePlan(number, routes(homes), mapOf("svc" to RoutedService("svc"))))
+        loop.submit {
+            context.routes.set(table)
+            action()
+            Thread.sleep(busyMs)
+        }.sync()
+    }
+
     /** Applies the time limits of requests, as an entry host does every second. */
     fun rejectSlow(headMs: Long, requestMs: Long) {
         loop.submit { connections.rejectSlow(headMs, requestMs) }.sync()
