--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -25,6 +25,7 @@
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.observe.EventLog
 import org.arbutusrelay.daemon.observe.RelayMetrics
+import org.arbutusrelay.daemon.site.SiteService
 import org.arbutusrelay.daemon.site.SiteView
 import org.arbutusrelay.relay.backend.BackendPool
 import org.arbutusrelay.relay.dialect.HeaderDialect
@@ -77,7 +78,8 @@
     private val loop = group.next()
     private val loopWatch = EventLoopWatch(loop, processFailure)
     private val callerAddress = requireNotNull(settings.callerAddress) { "an entry host requires callerAddress" }
-    private val site = siteLinks.siteService(clock, { context.routes.get()?.homeRequests?.take().orEmpty() })
+    private val site: SiteService =
+        siteLinks.siteService(clock, { context.routes.get()?.homeRequests?.take().orEmpty() })
     private val routing = RoutingTableBuilder(siteLinks.identity, settings.bounds)
     private val pool = BackendPool(loop, clock::nowMs)
     private val scheduler = DefaultRequestScheduler(
@@ -94,7 +96,7 @@
         regionSelector = FirstByteRegionSelector(),
     )
     private val forwardTargets = ForwardTargets(settings.linkPort + 1)
-    private val context = RelayContext(
+    private val context: RelayContext = RelayContext(
         siteLinks.identity, clock, loop, pool, scheduler, dialect, forwardTargets,
         RequestMetricsListener(metrics, RequestLogListener(log, clock::nowMs)), StopState(clock::nowMs),
         site.crashEvidence, Random(siteLinks.identity.epoch), ::reportLoad,
