Take all moved requests out of the queue before one is placed again

A queued request could run at home by its old homes after a newer document was in force: placing the request before it again failed at once, which served the queue. Cause: requests were cancelled and submitted one at a time. Change: all that must move leave the queue first.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -187,12 +187,12 @@
         failRequest(RelayError(ErrorKind.PROMPT_SUSPECTED))
     }
 
-    /** Places the request anew if it is queued and the document in force no longer allows it in all its regions. */
-    fun onDocumentChanged() {
-        val ownRoute = route ?: return
-        if (phase != Phase.WAITING || !regions.mustMove(profile, ownRoute)) return
-        context.cancelQueued(this)
-        submit()
+    /** Returns true if the request is queued and the document in force no longer allows it in all its regions. */
+    fun mustMove(): Boolean = phase == Phase.WAITING && route?.let { regions.mustMove(profile, it) } == true
+
+    /** Places the request, which was taken from the queue, anew. */
+    fun placeAgain() {
+        if (phase == Phase.WAITING) submit()
     }
 
     private fun enqueue() {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
@@ -112,7 +112,10 @@
         val current = routes.get()
         if (current === checkedRoutes) return
         checkedRoutes = current
-        queuedExchanges.values.toList().forEach { it.onDocumentChanged() }
+        // One that is placed may serve the queue, so all that must move have to be out of it.
+        val moved = queuedExchanges.values.filter { it.mustMove() }
+        moved.forEach(::cancelQueued)
+        moved.forEach { it.placeAgain() }
     }
 
     private fun refuseHeldBack() {
