Leave a region out only when none of its hosts takes the request

Three of eight requests got 503 because one of two hosts of their only home had an older document; the other would have run them. Cause: one refusal closed the whole region to the request. Change: the region is closed once no host is left that was not tried.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RequestRegions.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RequestRegions.kt
@@ -30,10 +30,11 @@
 
     /** Closes the region of [failed] to the request if no host there takes it; [tried] are the addresses before. */
     fun recordFailed(failed: Attempt, failure: AttemptFailure, tried: Set<String>) {
+        val isUnreachable = failure == AttemptFailure.NOT_SENT && failed.placed.backendServer.isEmpty()
+        if (isUnreachable) context.forwardTargets.recordUnreachable(failed.address, context.clock.nowMs())
+        if (!isUnreachable && !failed.isRegionRefused) return
         val region = failed.placed.region
-        if (failed.isRegionRefused) homes.close(region)
-        if (failure != AttemptFailure.NOT_SENT || failed.placed.backendServer.isNotEmpty()) return
-        context.forwardTargets.recordUnreachable(failed.address, context.clock.nowMs())
+        // One host may still have an older document than the others of its region.
         if (!context.forwardTargets.hasOther(region, tried + failed.address)) homes.close(region)
     }
 
