Count no refusal by a document against its region

After some refusals of one route by hosts with another document, requests of all routes got 503 because the region's breaker was open, and each of them spent retry budget although no server saw it. Cause: the refusal was taken for one of an overloaded region. Change: it tells the scheduler nothing, and the next send is exempt from the budget.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -327,9 +327,9 @@
         attempt = null
         if (failure != AttemptFailure.NOT_SENT && failure != AttemptFailure.NOT_EXECUTED) possibleRuns++
         regions.recordFailed(source, failure, tried)
-        context.complete(source.placed, failure.toResult(source.isMisdirected))
+        context.complete(source.placed, failure.toResult(source))
         if (phase != Phase.SENT) return
-        val isExemptFromBudget = failure == AttemptFailure.NOT_SENT
+        val isExemptFromBudget = failure == AttemptFailure.NOT_SENT || source.isRegionRefused
         route?.let { profile = regions.applyTo(profile, it) }
         val isRetried = profile.allowedRegions.isNotEmpty() && decideRetry(failure) == RetryVerdict.RETRY &&
             (isExemptFromBudget || context.scheduler.tryRetry(profile, context.clock.nowMs()))
