Keep the homes of the last document that can be read

A state host whose version cannot read the newest document directed callers of a region without hosts nowhere, without a line in its log. Cause: an unreadable document gave an empty table of homes. Change: the homes before it stay in force, as the routes of entry hosts do, and the line document_refused is written.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
@@ -54,11 +54,20 @@
     /** Parses each document once; concurrent look-ups may both parse a new one, with the same result. */
     private fun homesTable(document: DocumentRecord?): NameHomesTable {
         parsed.takeIf { it.document === document }?.let { return it.table }
-        val table = NameHomesTable(document?.let { parser.parse(it.content).getOrNull() })
+        val table = if (document == null) NameHomesTable(null) else parse(document)
         parsed = ParsedHomes(document, table)
         return table
     }
 
+    /** Returns the homes of [document], or those before it if it cannot be read, as entry hosts then go on by them. */
+    private fun parse(document: DocumentRecord): NameHomesTable = parser.parse(document.content).fold(
+        { error ->
+            log.write(EventLine(Event.DOCUMENT_REFUSED, documentNumber = document.number, detail = error.detail))
+            parsed.table
+        },
+        ::NameHomesTable,
+    )
+
     private fun record(region: String, homes: NameHomes, answer: DirectoryAnswer, current: SiteView) {
         val viewAgeMs = (nowMs() - current.builtAtMs).coerceAtLeast(0)
         metrics.countLookup(region, answer, viewAgeMs)
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/node/UnreadDocumentLookupTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/node/UnreadDocumentLookupTest.kt
@@ -8,6 +8,7 @@
 import org.arbutusrelay.core.route.RouteKind
 import org.arbutusrelay.core.route.RoutePlan
 import org.arbutusrelay.core.site.DirectoryQuery
+import org.arbutusrelay.core.site.HomeTraffic
 import org.arbutusrelay.daemon.observe.RelayMetrics
 import org.arbutusrelay.daemon.site.SiteView
 import org.arbutusrelay.schema.message.DocumentRecord
@@ -39,6 +40,7 @@
             },
             RelayMetrics().directory(setOf("hue")),
             { },
+            HomeTraffic(),
             { 0 },
         )
         fun named() = lookup.lookUp(DirectoryQuery("x", "hue", "hue-a")).hosts.map { it.hostName }
