Cancel the deadline timer of a request that has ended

With a 96 MB heap, 76 of 130 long requests of ten callers got no answer although the budget for bodies was kept (bin/measure-bodies). Cause: the timer keeps the body until the timeout of the route, long after the budget has released it. Change: the timer ends with the request.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -23,6 +23,7 @@
 import org.arbutusrelay.relay.ingress.IngressRequest
 import org.arbutusrelay.relay.ingress.ResponseWriter
 import org.arbutusrelay.relay.ingress.StopState
+import java.util.concurrent.Future
 
 /**
  * Handles one request from its arrival to its response.
@@ -47,6 +48,7 @@
     private var tried = emptySet<String>()
     private val regions = RequestRegions(context, request, profiles)
     private val startup = StartupWait(context, request) { phase == Phase.NEW || phase == Phase.WAITING }
+    private var deadlineTimer: Future<*>? = null
     private var fallbackResponse: FullResponse? = null
     private val silenceWatch = SilenceWatch(context, { attempt === it && phase == Phase.SENT }, ::onSilent)
 
@@ -101,7 +103,7 @@
             ?: matchedRoute.serviceFor(context.randomBelow(matchedRoute.totalWeight))
         resolved = ResolvedRequest(matchedRoute, metadata, service, request.receivedMs + waitMs, table.plan.number)
         crashEvidence = CrashEvidenceRecorder(context.crashEvidence, request, service, metadata.promptParts)
-        context.schedule(waitMs) { onDeadline() }
+        deadlineTimer = context.schedule(waitMs) { onDeadline() }
         profile = profiles.build(
             context.nextId(),
             matchedRoute,
@@ -415,6 +417,8 @@
 
     private fun finish() {
         phase = Phase.DONE
+        // The timer would keep the body in memory until the timeout of the route.
+        deadlineTimer?.cancel(false)
         context.openExchanges--
         request.releaseBody()
     }
