Accept waiting connections before the listener of a stop closes

Cause, by reading: the listener closes while connections wait in its accept queue, as the event loop is late. Change: it closes after a pass of the loop that was not late.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
@@ -21,6 +21,9 @@
     /** Refuses the requests that wait for a backend server and may not end before the process does. */
     suspend fun refuseUnsent(): Unit = withContext(loop.asCoroutineDispatcher()) { connections.refuseUnsent() }
 
+    /** Waits until the connections that callers have opened are accepted; closing the listener resets those that are not. */
+    suspend fun awaitAccepted(): Unit = withContext(loop.asCoroutineDispatcher()) { awaitRead() }
+
     /**
      * Closes quiet connections and waits for the others until [endMs]; returns true if no request was left.
      *
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/PlannedStop.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/PlannedStop.kt
@@ -25,6 +25,7 @@
         delay(hostListLifetimeMs)
         drain.refuseUnsent()
         delay(LISTENER_CLOSE_DELAY_MS)
+        drain.awaitAccepted()
         callerServer.stop()
         return drain.await(endMs, openExchanges)
     }
