--- a/core/src/main/kotlin/org/arbutusrelay/core/site/HomeTraffic.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/HomeTraffic.kt
@@ -5,8 +5,8 @@
 /**
  * The recent requests on routes with homes, by name and homes, as the entry hosts report them to a state host.
  *
- * Each state host receives the reports of a part of the entry hosts, which is enough for shares. Times are monotonic, in
- * milliseconds. Thread-safe.
+ * Each state host receives the reports of a part of the entry hosts, which is enough for shares. Times are monotonic,
+ * in milliseconds. Thread-safe.
  */
 public class HomeTraffic {
     private var windowStartMs = Long.MIN_VALUE / 2
--- a/core/src/main/kotlin/org/arbutusrelay/core/site/NameHomes.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/NameHomes.kt
@@ -19,7 +19,7 @@
         val routeHomes: Set<Set<String>>,
     ) : NameHomes {
         /**
-         * Adds to [regions] those outside the homes of a few requests only, by the recent [requests] for the routes with
+         * Adds to [regions] those that are homes of nearly all requests, by the recent [requests] for the routes with
          * each set of homes.
          *
          * Without it, a route that is hardly used keeps the callers of all others from every region but its home.
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/AttemptResults.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/AttemptResults.kt
@@ -18,6 +18,8 @@
     }
 
     AttemptFailure.UNKNOWN -> AttemptResult.CONNECTION_LOST
+
     AttemptFailure.RAN_AND_FAILED -> AttemptResult.SERVER_ERROR
+
     AttemptFailure.SILENT -> AttemptResult.TIMED_OUT
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
@@ -21,7 +21,7 @@
     /** Refuses the requests that wait for a backend server and may not end before the process does. */
     suspend fun refuseUnsent(): Unit = withContext(loop.asCoroutineDispatcher()) { connections.refuseUnsent() }
 
-    /** Waits until the connections that callers have opened are accepted; closing the listener resets those that are not. */
+    /** Waits until the connections of callers are accepted, because closing the listener resets those that are not. */
     suspend fun awaitAccepted(): Unit = withContext(loop.asCoroutineDispatcher()) { awaitRead() }
 
     /**
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RegionRefusalTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RegionRefusalTest.kt
@@ -17,14 +17,12 @@
     fun `another host of the region runs a request that the first refuses`() {
         val server = ScriptedServer { socket, request, _ -> socket.write(signedResponse(request, "served")) }
         val statuses = ArrayList<String>()
-        RelayFixture(server, region = "north", isForwarded = true, homes = listOf("south")).use { old ->
+        RelayFixture(server, place = HostPlace("north"), isForwarded = true, homes = listOf("south")).use { old ->
             val current = RelayFixture(
                 ScriptedServer { socket, request, _ -> socket.write(signedResponse(request, "served")) },
-                region = "north",
+                place = HostPlace("north", bindAddress = "127.0.0.2", port = old.port),
                 isForwarded = true,
                 homes = listOf("north"),
-                bindAddress = "127.0.0.2",
-                port = old.port,
             )
             val sender = RelayFixture(
                 ScriptedServer { _, _, _ -> },
