Name other hosts to the callers of each zone of a large region

In a region of more than 64 entry hosts, the callers of all zones got nearly the same 64, so that the others were idle, and a host that came or went could change the whole list. Cause: the order of the cut depended on the zone only through the hash of a string that ends with it. Change: rendezvous hashing of zone and host. EntryHostDirectoryTest (zones get different hosts of a large region): a trial table of 200 hosts showed the same 64 for two zones before; the test itself was run with the change only.

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/EntryHostDirectory.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/EntryHostDirectory.kt
@@ -1,5 +1,6 @@
 package org.arbutusrelay.core.site
 
+import org.arbutusrelay.core.membership.Rendezvous
 import org.arbutusrelay.schema.message.HostState
 
 /** What a caller tells when it asks for entry hosts; empty where it did not. */
@@ -30,7 +31,7 @@
             inRegion.isNotEmpty() -> DirectoryScope.REGION to inRegion
             else -> elsewhere(accepting, homes) ?: stopping(leaving, query.region)
         }
-        return DirectoryAnswer(scope, selected.shuffledBy(query.availabilityZone).take(MAX_ADDRESSES))
+        return DirectoryAnswer(scope, selected.take(query.availabilityZone))
     }
 
     private fun elsewhere(accepting: List<HostState>, homes: NameHomes): Pair<DirectoryScope, List<HostState>>? =
@@ -45,7 +46,10 @@
         return if (inRegion.isEmpty()) DirectoryScope.NONE to inRegion else DirectoryScope.LEAVING to inRegion
     }
 
-    /** Shuffles by [key], so that the cut at [MAX_ADDRESSES] does not always drop the same hosts. */
-    private fun List<HostState>.shuffledBy(key: String): List<HostState> =
-        sortedBy { (it.callerAddress + key).hashCode() }
+    /** Returns at most [MAX_ADDRESSES] hosts, which differ with [key] and stay while others come and go. */
+    private fun List<HostState>.take(key: String): List<HostState> {
+        if (size <= MAX_ADDRESSES) return this
+        val byAddress = associateBy { it.callerAddress }
+        return Rendezvous.rank(key, byAddress.keys).take(MAX_ADDRESSES).mapNotNull(byAddress::get)
+    }
 }
--- a/core/src/test/kotlin/org/arbutusrelay/core/site/EntryHostDirectoryTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/site/EntryHostDirectoryTest.kt
@@ -6,6 +6,7 @@
 import org.arbutusrelay.schema.message.HostState
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 class EntryHostDirectoryTest {
     private fun host(name: String, region: String, zone: String, isLeaving: Boolean = false, address: String? = null) =
@@ -105,7 +106,7 @@
         )
     }
 
-    /** Guards against callers sent abroad by a state host that does not know the homes yet. */
+    /** Guards against callers directed to other regions by a state host that does not know the homes yet. */
     @Test
     fun `without a document callers are directed to their own region only`() = check(
         listOf(host("a1", "hue", "hue-a"), host("d1", "danang", "danang-a", isLeaving = true)),
@@ -136,6 +137,22 @@
         check(hosts, listOf(Case("x", "hue", "hue-a", DirectoryScope.NONE)), planOf("hue"))
     }
 
+    /** Guards against hosts of a large region that callers of no zone use, and against lists that change as a whole. */
+    @Test
+    fun `zones get different hosts of a large region, and the same ones when a host leaves`() {
+        val hosts = List(200) { host("h$it", "hue", "hue-x") }
+        fun named(zone: String, known: List<HostState> = hosts): Set<String> {
+            val query = DirectoryQuery("home.example", "hue", zone)
+            return EntryHostDirectory.select(known, query, table.find("home.example")).addresses.toSet()
+        }
+        val zones = List(12) { named("hue-$it") }
+        assertTrue(zones.reduce(Set<String>::union).size > 150, "${zones.reduce(Set<String>::union).size} hosts named")
+        for (index in 1 until zones.size) assertTrue(zones[index].intersect(zones[0]).size < 48, "zone $index")
+        val removed = named("hue-0").first()
+        val rest = named("hue-0", hosts.filter { "${it.hostName}:80" != removed })
+        assertEquals(63, rest.intersect(named("hue-0")).size)
+    }
+
     /** Guards against a response longer than callers accept. */
     @Test
     fun `at most 64 hosts are returned`() {
