--- a/core/src/test/kotlin/org/arbutusrelay/core/consensus/ElectionAfterRestartTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/consensus/ElectionAfterRestartTest.kt
@@ -36,7 +36,7 @@
         checkAll(listOf(Case("disks at 0.7 s", RECOVERY_MS, delays)))
     }
 
-    /** Guards against a mend for slow disks that delays the election after the loss of a leader. */
+    /** Guards against an allowance for slow disks that delays the election after the loss of a leader. */
     @Test
     fun `replicas whose leader is killed elect another in time`() {
         val syncs = listOf(1L..5L to ACK_MS, 100L..200L to ACK_MS, 300L..700L to RECOVERY_MS, 500L..900L to RECOVERY_MS)
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/DirectoryViewTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/DirectoryViewTest.kt
@@ -104,16 +104,16 @@
         site.test()
     }
 
-    /** Checks that no caller is sent abroad, that [affected] alone is incomplete, and for at most [maxPartialMs]. */
+    /** Checks that no caller is directed elsewhere, that [affected] alone is incomplete, for at most [maxPartialMs]. */
     private fun check(wrong: Map<String, Wrong>, affected: List<String>, maxPartialMs: Long) {
         for ((name, it) in wrong) {
-            assertEquals(null, it.msByScope[DirectoryScope.OTHER_REGION], "$name sends callers abroad")
+            assertEquals(null, it.msByScope[DirectoryScope.OTHER_REGION], "$name directs callers elsewhere")
             if (name !in affected) assertEquals(emptyMap(), it.msByScope, name)
             assertTrue(it.partialMs <= if (name in affected) maxPartialMs else 0, "$name: ${it.partialMs} ms")
         }
     }
 
-    /** Guards against a starting state host that sends callers abroad until it has heard of their region. */
+    /** Guards against a starting state host that directs callers elsewhere until it has heard of their region. */
     @Test
     fun `one state host restarts`() = site {
         kill(stateHosts[0])
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -315,7 +315,7 @@
          */
         const val HOST_LIST_LIFETIME_MS = 2_800L
 
-        /** Lifetime of the lists that name a stopping host, which end before it refuses requests. */
+        /** A stopping host leaves the lists this long before it refuses requests; as long as such a list lives. */
         const val ADDRESS_WITHDRAWAL_MS = 500L
 
         /** Margin to exit before the process is killed at the end of the grace period. */
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/EntryHostOutsideHomesTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/EntryHostOutsideHomesTest.kt
@@ -9,7 +9,7 @@
 import kotlin.test.assertEquals
 
 /** An entry host of `hue`, which is no home; it knows the homes `north` and `south`, and `east`, which is none. */
-class EntryHostAbroadTest {
+class EntryHostOutsideHomesTest {
     private class Case(val name: String, val reachable: String, val homes: List<String>, val status: String)
 
     private val cases = listOf(
@@ -20,7 +20,7 @@
 
     /** Guards against a body that is sent to another region which is no home, because no home can be reached. */
     @Test
-    fun `a caller that stays on a host abroad is served by a home or refused`() {
+    fun `a caller that stays on a host outside its homes is served by a home or refused`() {
         for (case in cases) for (path in listOf("/once/", "/safe/")) check(case, path)
     }
 
@@ -36,7 +36,7 @@
         )
         val north = if (case.reachable == "north") RelayFixture.LOOPBACK else SILENT_ADDRESSES[1]
         val hosts = mapOf("east" to EAST_ADDRESS, "south" to SILENT_ADDRESSES[0], "north" to north)
-        val abroad =
+        val outside =
             RelayFixture(
                 servers[2],
                 otherRegionPort = home.port,
@@ -45,7 +45,7 @@
             )
         home.use {
             east.use {
-                abroad.use { relay ->
+                outside.use { relay ->
                     relay.connect().use { sendAll(it, case, path) }
                     val label = "${case.name} $path"
                     assertEquals(0, east.acceptedConnections.get(), label)
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -63,8 +63,8 @@
  *
  * [log] receives the log lines about requests. If [otherRegionPort] is set, the host knows the other regions of [place]
  * with a single entry host each, by loopback address, that listens on that port. With [hasRoutes] false, it has none
- * until [applyRoutes]; [homes] are those of its first document. [oddServers] maps the names of further backend servers to
- * their addresses.
+ * until [applyRoutes]; [homes] are those of its first document. [oddServers] maps the names of further backend servers
+ * to their addresses.
  */
 internal class RelayFixture(
     private vararg val servers: ScriptedServer,
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/node/HostLookupTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/node/HostLookupTest.kt
@@ -83,7 +83,7 @@
         assertEquals(listOf("d"), named())
     }
 
-    /** Guards against a caller that is sent abroad without any trace of it, and against a line for each look-up. */
+    /** Guards against a caller that is directed elsewhere without a trace, and against a line for each look-up. */
     @Test
     fun `a line tells when callers of a region are directed elsewhere`() {
         hosts = listOf(host("a", "hue", "hue-a"), host("b", "hue", "hue-a"), host("d", "danang", "danang-a"))
