--- a/core/src/test/kotlin/org/arbutusrelay/core/site/ViewTrustTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/site/ViewTrustTest.kt
@@ -4,7 +4,7 @@
 import kotlin.test.assertEquals
 
 class ViewTrustTest {
-    /** Guards against callers directed elsewhere by a state host that has not heard of their region yet, or no longer does. */
+    /** Guards against callers directed elsewhere by a state host that has not heard of their region, or not lately. */
     @Test
     fun `a view is whole a second after the majority is connected and no pause came`() {
         val trust = ViewTrust()
