Look up a route again only under another document, and flatten two tests

Change: the number of the document decides; a placed-again request is submitted like any other; the assertions of the tests are the same.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -176,8 +176,9 @@
         if (!isHeld) failRequest(error)
     }
 
-    private fun submit() {
-        route?.let { profile = regions.applyTo(profile, it) }
+    /** Asks the scheduler to place the request, which must not be queued. */
+    fun submit() {
+        resolved?.let { profile = regions.applyTo(profile, it) }
         if (crashEvidence?.isHeldBack == true) return failRequest(RelayError(ErrorKind.PROMPT_SUSPECTED))
         onPlacement(context.scheduler.submit(profile, context.clock.nowMs()))
     }
@@ -190,12 +191,7 @@
     }
 
     /** Returns true if the request is queued and the document in force no longer allows it in all its regions. */
-    fun mustMove(): Boolean = phase == Phase.WAITING && route?.let { regions.mustMove(profile, it) } == true
-
-    /** Places the request, which was taken from the queue, anew. */
-    fun placeAgain() {
-        if (phase == Phase.WAITING) submit()
-    }
+    fun mustMove(): Boolean = phase == Phase.WAITING && resolved?.let { regions.mustMove(profile, it) } == true
 
     private fun enqueue() {
         phase = Phase.WAITING
@@ -265,7 +261,7 @@
     /** Returns false if no other attempt can follow, so that one that runs is better waited for. */
     private fun mayBePlaced(): Boolean {
         val call = resolved ?: return false
-        profile = regions.applyTo(profile, call.route)
+        profile = regions.applyTo(profile, call)
         return profile.allowedRegions.isNotEmpty() && crashEvidence?.isHeldBack != true && mayBeSent(call)
     }
 
@@ -332,7 +328,7 @@
         context.complete(source.placed, failure.toResult(source))
         if (phase != Phase.SENT) return
         val isExemptFromBudget = failure == AttemptFailure.NOT_SENT || source.isRegionRefused
-        route?.let { profile = regions.applyTo(profile, it) }
+        resolved?.let { profile = regions.applyTo(profile, it) }
         val isRetried = profile.allowedRegions.isNotEmpty() && decideRetry(failure) == RetryVerdict.RETRY &&
             (isExemptFromBudget || context.scheduler.tryRetry(profile, context.clock.nowMs()))
         source.reportFailed(failure, detail, isRetried)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
@@ -115,7 +115,7 @@
         // One that is placed may serve the queue, so all that must move have to be out of it.
         val moved = queuedExchanges.values.filter { it.mustMove() }
         moved.forEach(::cancelQueued)
-        moved.forEach { it.placeAgain() }
+        moved.forEach { it.submit() }
     }
 
     private fun refuseHeldBack() {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RequestRegions.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RequestRegions.kt
@@ -15,18 +15,18 @@
     val homes = profiles.homesOf(request.isForwarded)
 
     /**
-     * Returns [profile], that of a request of [ownRoute], with the regions that the next send may go to.
+     * Returns [profile], that of [resolved], with the regions that the next send may go to.
      *
      * All else stays as in the request's own document: its caller sent it before the change.
      */
-    fun applyTo(profile: RequestProfile, ownRoute: Route): RequestProfile {
-        val regions = homes.regionsFor(routeInForce(ownRoute))
+    fun applyTo(profile: RequestProfile, resolved: ResolvedRequest): RequestProfile {
+        val regions = homes.regionsFor(routeInForce(resolved))
         return if (regions == profile.allowedRegions) profile else profile.copy(allowedRegions = regions)
     }
 
     /** Returns true if the request must not wait on with the regions of [profile]. */
-    fun mustMove(profile: RequestProfile, ownRoute: Route): Boolean =
-        homes.mustMove(profile.allowedRegions, routeInForce(ownRoute))
+    fun mustMove(profile: RequestProfile, resolved: ResolvedRequest): Boolean =
+        homes.mustMove(profile.allowedRegions, routeInForce(resolved))
 
     /** Closes the region of [failed] to the request if no host there takes it; [tried] are the addresses before. */
     fun recordFailed(failed: Attempt, failure: AttemptFailure, tried: Set<String>) {
@@ -39,6 +39,9 @@
     }
 
     /** Returns the route of the request in the document in force, or its own if that has none for it. */
-    private fun routeInForce(ownRoute: Route): Route =
-        context.routes.get()?.find(request.authority, request.path) ?: ownRoute
+    private fun routeInForce(resolved: ResolvedRequest): Route {
+        val table = context.routes.get()
+        if (table == null || table.plan.number == resolved.documentNumber) return resolved.route
+        return table.find(request.authority, request.path) ?: resolved.route
+    }
 }
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ChangedHomesTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ChangedHomesTest.kt
@@ -113,28 +113,37 @@
             ).use { relay ->
                 val busy = relay.connect()
                 if (isStarting) relay.useServers(emptyMap()) else relay.startBusy(busy, sends)
-                relay.connect().use { caller ->
-                    caller.send("/once/x", "POST", "Connection: close\r\n", "b")
-                    if (isStarting) Thread.sleep(STARTUP_MS) else awaitTrue { relay.queuedRequests == 1 }
-                    relay.applyRoutes(change.new, number = 2)
+                val response = relay.exchangeAcross(change, isStarting) {
                     // A request that stays here needs a slot or a server; one that does not must need neither.
                     val staysHere = "hue" in change.regions
                     if (staysHere && isStarting) relay.useServers(mapOf("s0" to servers[0].address))
                     if (staysHere && !isStarting) mayEnd.countDown()
-                    val response = String(caller.getInputStream().readAllBytes())
-                    val label = "${change.name}, starting $isStarting: $sends $response"
-                    val status = if (change.regions.isEmpty()) "503" else "200"
-                    assertEquals(status, response.substringAfter(' ').take(3), label)
-                    val own = if (isStarting) sends.toList() else sends.drop(1)
-                    assertEquals(if (change.regions.isEmpty()) 0 else 1, own.size, label)
-                    own.forEach { region -> assertContains(change.regions, region, label) }
                 }
+                val own = if (isStarting) sends.toList() else sends.drop(1)
+                assertOutcome(change, own, response, "${change.name}, starting $isStarting: $sends $response")
                 mayEnd.countDown()
                 busy.close()
             }
         }
     }
 
+    /** Sends a request that waits, changes the document, calls [afterChange], and returns the response. */
+    private fun RelayFixture.exchangeAcross(change: Change, isStarting: Boolean, afterChange: () -> Unit): String =
+        connect().use { caller ->
+            caller.send("/once/x", "POST", "Connection: close\r\n", "b")
+            if (isStarting) Thread.sleep(STARTUP_MS) else awaitTrue { queuedRequests == 1 }
+            applyRoutes(change.new, number = 2)
+            afterChange()
+            String(caller.getInputStream().readAllBytes())
+        }
+
+    private fun assertOutcome(change: Change, own: List<String>, response: String, label: String) {
+        val status = if (change.regions.isEmpty()) "503" else "200"
+        assertEquals(status, response.substringAfter(' ').take(3), label)
+        assertEquals(if (change.regions.isEmpty()) 0 else 1, own.size, label)
+        own.forEach { region -> assertContains(change.regions, region, label) }
+    }
+
     private fun RelayFixture.startBusy(caller: Socket, sends: List<String>) {
         caller.send("/once/busy", "POST", body = "b")
         awaitTrue { sends.size == 1 }
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/EntryHostOutsideHomesTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/EntryHostOutsideHomesTest.kt
@@ -43,17 +43,12 @@
                 place = HostPlace(otherRegions = hosts),
                 homes = case.homes,
             )
-        home.use {
-            east.use {
-                outside.use { relay ->
-                    relay.connect().use { sendAll(it, case, path) }
-                    val label = "${case.name} $path"
-                    assertEquals(0, east.acceptedConnections.get(), label)
-                    assertEquals(0, servers[2].requests.size, label)
-                    assertEquals(if (case.status == "200") REQUESTS else 0, servers[0].requests.size, label)
-                }
-            }
-        }
+        outside.connect().use { sendAll(it, case, path) }
+        listOf(home, east, outside).forEach { it.close() }
+        val label = "${case.name} $path"
+        assertEquals(0, east.acceptedConnections.get(), label)
+        assertEquals(0, servers[2].requests.size, label)
+        assertEquals(if (case.status == "200") REQUESTS else 0, servers[0].requests.size, label)
     }
 
     private fun sendAll(caller: Socket, case: Case, path: String) = repeat(REQUESTS) {
