--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
@@ -5,6 +5,7 @@
 import org.arbutusrelay.core.site.DirectoryQuery
 import org.arbutusrelay.core.site.DirectoryScope
 import org.arbutusrelay.core.site.EntryHostDirectory
+import org.arbutusrelay.core.site.HomeTraffic
 import org.arbutusrelay.core.site.NameHomes
 import org.arbutusrelay.core.site.NameHomesTable
 import org.arbutusrelay.daemon.observe.DirectoryMetrics
@@ -19,16 +20,18 @@
 /**
  * Answers look-ups of callers from the latest view of the site, and records where they are directed.
  *
- * While [isStateConfirmed] is false, the document may be an old one from the disk, with other homes than the one in
- * force; callers are then directed as if there were none. A line is written when callers of a region that ask for names
+ * While [isInTouch] is false, the document may be an old one from the disk, with other homes than the one in force, and
+ * a region may seem to have no hosts only because they were not heard of; callers are then directed as if there were no
+ * document. A line is written when callers of a region that ask for names
  * with the same homes are directed elsewhere than at their previous look-up. Thread-safe.
  */
 public class HostLookup(
     private val view: () -> SiteView,
-    private val isStateConfirmed: () -> Boolean,
+    private val isInTouch: () -> Boolean,
     private val parser: RoutePlanParser,
     private val metrics: DirectoryMetrics,
     private val log: EventSink,
+    private val traffic: HomeTraffic,
     private val nowMs: () -> Long,
 ) {
     private val scopes = ConcurrentHashMap<Pair<String, NameHomes>, DirectoryScope>()
@@ -39,12 +42,15 @@
     /** Returns the entry hosts for the caller of [query]. */
     public fun lookUp(query: DirectoryQuery): DirectoryAnswer {
         val current = view()
-        val homes = homesTable(current.state.document?.takeIf { isStateConfirmed() }).find(query.name)
-        val answer = EntryHostDirectory.select(current.hosts, query, homes)
+        val homes = homesTable(current.state.document?.takeIf { isInTouch() }).find(query.name)
+        val answer = EntryHostDirectory.select(current.hosts, query, withTraffic(homes, query.name))
         record(query.region, homes, answer, current)
         return answer
     }
 
+    private fun withTraffic(homes: NameHomes, name: String): NameHomes =
+        if (homes is NameHomes.Only) homes.withTraffic(traffic.requests(name, nowMs())) else homes
+
     /** Parses each document once; concurrent look-ups may both parse a new one, with the same result. */
     private fun homesTable(document: DocumentRecord?): NameHomesTable {
         parsed.takeIf { it.document === document }?.let { return it.table }
@@ -78,8 +84,11 @@
 
     private fun describe(homes: NameHomes): String = when (homes) {
         NameHomes.Any -> "names without homes"
+
         NameHomes.Unknown -> "names that are not known"
-        is NameHomes.Only -> "names with homes ${homes.regions.sorted().joinToString(",")}"
+
+        is NameHomes.Only ->
+            "names with homes " + homes.routeHomes.map { it.sorted().joinToString(",") }.sorted().joinToString(" | ")
     }
 
     /** Returns the number of accepting and of leaving entry hosts of each region, such as `hue 2+1`. */
