--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -23,6 +23,7 @@
 import org.arbutusrelay.relay.ingress.IngressRequest
 import org.arbutusrelay.relay.ingress.ResponseWriter
 import org.arbutusrelay.relay.ingress.StopState
+import java.util.concurrent.Future
 
 /**
  * Handles one request from its arrival to its response.
@@ -47,6 +48,7 @@
     private var tried = emptySet<String>()
     private val regions = RequestRegions(context, request, profiles)
     private val startup = StartupWait(context, request) { phase == Phase.NEW || phase == Phase.WAITING }
+    private var deadlineTimer: Future<*>? = null
     private var fallbackResponse: FullResponse? = null
     private val silenceWatch = SilenceWatch(context, { attempt === it && phase == Phase.SENT }, ::onSilent)
 
@@ -101,7 +103,7 @@
             ?: matchedRoute.serviceFor(context.randomBelow(matchedRoute.totalWeight))
         resolved = ResolvedRequest(matchedRoute, metadata, service, request.receivedMs + waitMs, table.plan.number)
         crashEvidence = CrashEvidenceRecorder(context.crashEvidence, request, service, metadata.promptParts)
-        context.schedule(waitMs) { onDeadline() }
+        deadlineTimer = context.schedule(waitMs) { onDeadline() }
         profile = profiles.build(
             context.nextId(),
             matchedRoute,
@@ -187,12 +189,12 @@
         failRequest(RelayError(ErrorKind.PROMPT_SUSPECTED))
     }
 
-    /** Places the request anew if it is queued and the document in force no longer allows it in all its regions. */
-    fun onDocumentChanged() {
-        val ownRoute = route ?: return
-        if (phase != Phase.WAITING || !regions.mustMove(profile, ownRoute)) return
-        context.cancelQueued(this)
-        submit()
+    /** Returns true if the request is queued and the document in force no longer allows it in all its regions. */
+    fun mustMove(): Boolean = phase == Phase.WAITING && route?.let { regions.mustMove(profile, it) } == true
+
+    /** Places the request, which was taken from the queue, anew. */
+    fun placeAgain() {
+        if (phase == Phase.WAITING) submit()
     }
 
     private fun enqueue() {
@@ -327,9 +329,9 @@
         attempt = null
         if (failure != AttemptFailure.NOT_SENT && failure != AttemptFailure.NOT_EXECUTED) possibleRuns++
         regions.recordFailed(source, failure, tried)
-        context.complete(source.placed, failure.toResult(source.isMisdirected))
+        context.complete(source.placed, failure.toResult(source))
         if (phase != Phase.SENT) return
-        val isExemptFromBudget = failure == AttemptFailure.NOT_SENT
+        val isExemptFromBudget = failure == AttemptFailure.NOT_SENT || source.isRegionRefused
         route?.let { profile = regions.applyTo(profile, it) }
         val isRetried = profile.allowedRegions.isNotEmpty() && decideRetry(failure) == RetryVerdict.RETRY &&
             (isExemptFromBudget || context.scheduler.tryRetry(profile, context.clock.nowMs()))
@@ -415,6 +417,8 @@
 
     private fun finish() {
         phase = Phase.DONE
+        // The timer would keep the body in memory until the timeout of the route.
+        deadlineTimer?.cancel(false)
         context.openExchanges--
         request.releaseBody()
     }
