--- a/core/src/main/kotlin/org/arbutusrelay/core/site/NameHomes.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/NameHomes.kt
@@ -9,7 +9,7 @@
     public data object Any : NameHomes
 
     /**
-     * The regions that are homes of all routes with homes on the name, possibly none.
+     * The regions that are homes of all routes with homes on the name, possibly none; see also [withTraffic].
      *
      * A caller asks for the name before it sends a request, so that the path, and with it the route, is not known.
      */
--- a/core/src/main/kotlin/org/arbutusrelay/core/site/ViewTrust.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/ViewTrust.kt
@@ -4,7 +4,7 @@
  * Tells whether a state host's view of the hosts is complete enough to conclude that a region has none.
  *
  * It is not while the host reaches no majority of the state hosts, because its reports end one after the other then.
- * For [SETTLE_MS] after that, after the start and after a pause of the process, reports come one after the other.
+ * Nor is it for [SETTLE_MS] after that, after the start or after a pause, because reports come one after the other.
  * Times are monotonic, in milliseconds. Thread-safe.
  */
 public class ViewTrust {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
@@ -22,8 +22,8 @@
  *
  * While [isInTouch] is false, the document may be an old one from the disk, with other homes than the one in force, and
  * a region may seem to have no hosts only because they were not heard of; callers are then directed as if there were no
- * document. A line is written when callers of a region that ask for names
- * with the same homes are directed elsewhere than at their previous look-up. Thread-safe.
+ * document. A line is written when callers of a region that ask for names with the same homes are directed elsewhere
+ * than at their previous look-up. Thread-safe.
  */
 public class HostLookup(
     private val view: () -> SiteView,
