Send no request whose caller left before it was read

Cause: the request was sent in the pass of the event loop that read it, while the close behind it was read in the next pass. Reading on had been tried without success because an allocator of one's own reads a connection once in a pass unless it is told otherwise. A connection is now read until nothing more or the close has been read, and the exchange starts after the read if the connection is still open. The cost is one read that finds nothing for each request.

UnreadCallerTest fails without the change at its first case (a kept connection that is reset), and passes with it; the tests of the relay pass.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -79,11 +79,12 @@
 
     override val isSent: Boolean get() = phase == Phase.SENT
 
-    override fun start() {
+    init {
         context.openExchanges++
-        resolve()
     }
 
+    override fun start(): Unit = resolve()
+
     private fun resolve() {
         val table = context.routes.get() ?: return awaitRoutes()
         val matchedRoute = table.find(request.authority, request.path)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/EventLoopListen.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/EventLoopListen.kt
@@ -1,6 +1,7 @@
 package org.arbutusrelay.relay.ingress
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -23,6 +24,7 @@
     .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
     .option(ChannelOption.SO_REUSEADDR, true)
     .childOption(ChannelOption.TCP_NODELAY, true)
+    .childOption(ChannelOption.RCVBUF_ALLOCATOR, readToEnd())
     .childHandler(object : ChannelInitializer<Channel>() {
         override fun initChannel(child: Channel) = initPipeline(child.pipeline())
     })
@@ -32,3 +34,13 @@
 
 /** SYN packets that exceed the accept queue are dropped, and clients resend them only after seconds. */
 private const val ACCEPT_BACKLOG = 2_048
+
+/**
+ * Reads on after a short read, until nothing more or the close of the peer has been read.
+ *
+ * Otherwise the close is read in the next pass of the event loop, after the request before it has been handled.
+ */
+private fun readToEnd() = AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS)
+
+/** Reads of one connection before the others have their turn, as many as by default; an own allocator reads once. */
+private const val MAX_READS = 16
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/IngressHandler.kt
@@ -256,7 +256,12 @@
         writer = responseWriter
         val newExchange = service.createExchange(ingressRequest, responseWriter)
         exchange = newExchange
-        newExchange.start()
+        // A late event loop finds the request and the close of its connection at once; the close is read after it.
+        context.executor().execute { startIfCallerWaits(context, newExchange) }
+    }
+
+    private fun startIfCallerWaits(context: ChannelHandlerContext, newExchange: IngressExchange) {
+        if (exchange === newExchange && context.channel().isActive) newExchange.start()
     }
 
     private fun onResponseEnd(context: ChannelHandlerContext, isPersistent: Boolean) {
