Close the connections that carry no request at the end of a stop

Cause: connections that were in use in the last 250 ms of the drain stayed open until the process ended, and nobody read them any more. The drain now reads once more after the errors, and closes what carries no request.

PlannedStopTest (the connections that carry no request ...) fails without the change with a read that times out; with it, PlannedStopTest, SilentServerStopTest and LingeringCloseTest pass.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
@@ -27,7 +27,8 @@
     /**
      * Closes quiet connections and waits for the others until [endMs]; returns true if no request was left.
      *
-     * Requests that are left get an error.
+     * Requests that are left get an error. The connections that carry none are closed then: the process may still take a
+     * while to end, and would leave what comes on them unread.
      */
     suspend fun await(endMs: Long, openExchanges: () -> Int): Boolean = withContext(loop.asCoroutineDispatcher()) {
         delay(quietMs)
@@ -39,7 +40,10 @@
         state.refuseAll()
         connections.failRequests()
         val flushEndMs = nowMs() + MAX_FLUSH_MS
-        while (connections.hasUnsentBytes() && nowMs() < flushEndMs) delay(POLL_MS)
+        do {
+            awaitRead()
+            connections.closeQuiet(0)
+        } while (connections.hasUnsentBytes() && nowMs() < flushEndMs)
         isDrained
     }
 
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
@@ -218,6 +218,28 @@
         }
     }
 
+    /** Guards against requests on open connections while the process ends, which nobody reads any more. */
+    @Test
+    fun `the connections that carry no request are closed at the end of a stop`() {
+        val cases = listOf<Pair<String, (Socket) -> Unit>>(
+            "no byte yet" to {},
+            "answered" to {
+                it.send("/once/1", "POST", body = "b")
+                assertContains(it.readResponse(), "served")
+            },
+        )
+        for ((name, use) in cases) {
+            RelayFixture(server(0)).use { relay ->
+                relay.connect().use { caller ->
+                    while (relay.acceptedConnections.get() == 0) Thread.sleep(POLL_MS)
+                    use(caller)
+                    assertTrue(relay.drain(quietMs = 50, endMs = 0) { 0 }, name)
+                    assertEquals(-1, caller.getInputStream().read(), name)
+                }
+            }
+        }
+    }
+
     /** Guards against giving up, or running again elsewhere, what a server runs that was only silent for a while. */
     @Test
     fun `a server that falls out of the table keeps its running requests`() {
