Check the bytes behind a body that ends like a head

Cause: a body with a length counted as whole once the length was there, also if a backend server had cut it and the beginning of a second response filled it.

Such a response is now held until the bytes behind the body decide (BodyEndCheck): they go on like a head, and the response is broken off and counted as second_response; or they don't, or the connection closes in order, or nothing comes within 300 ms (1 s after HTTP/ or more), and the response is whole. The connection is not kept. The decoder is a subclass of Netty's, as its codec hides bytes behind a response until they are a line.

--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/EmbeddedHead.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/EmbeddedHead.kt
@@ -39,6 +39,9 @@
     /** Longest head, in bytes; longer ones are taken for a body. */
     const val MAX_HEAD_BYTES = 32 * 1024
 
+    /** Length of `HTTP/1.x NNN` and the byte after it, which show that bytes are a status line. */
+    const val MIN_STATUS_LINE_BYTES = 13
+
     /** Longest status line, in bytes. A text that repeats its beginning would otherwise be scanned far at each one. */
     private const val MAX_STATUS_LINE_BYTES = 256
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
@@ -36,6 +36,9 @@
 
     /** Another response began inside the body, so that the body can't be told to be whole. */
     SECOND_RESPONSE,
+
+    /** The body was cut, and the beginning of another response filled it up to its length. */
+    FILLED_BODY,
 }
 
 /** Receives the response to a call. Called on the event loop; at most one of [onComplete] and [onFailure] is called. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
@@ -13,6 +13,8 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import org.arbutusrelay.core.relay.BodyEnd
+import org.arbutusrelay.core.relay.BodyEndCheck
 import org.arbutusrelay.core.relay.SecondResponseScanner
 import java.util.concurrent.TimeUnit
 
@@ -21,10 +23,12 @@
  *
  * The connection is reused only after a complete response to its own request. A preceding response that belongs to
  * another request is skipped, and the connection is not reused after that. Data that arrives without a pending request
- * closes the connection, and a second response inside the body ends the response.
+ * closes the connection, and a second response inside the body ends the response. A body with a length that ends like the
+ * beginning of a head is complete once the bytes behind it, or their absence, show that no second response fills it.
  */
 internal class BackendConnection(
     private val channel: Channel,
+    private val decoder: BackendResponseDecoder,
     private val nowMs: () -> Long,
     private val onIdle: (BackendConnection) -> Unit,
     private val onClosed: (BackendConnection) -> Unit,
@@ -42,6 +46,10 @@
     private var discardNumber = 0
     private var scanner = SecondResponseScanner { false }
     private var isSelfDelimited = false
+    private var hasLength = false
+
+    /** Checks the bytes behind the body; null unless its end is doubtful. */
+    private var endCheck: BodyEndCheck? = null
 
     /** Time of the latest bytes of a second response, on the monotonic clock, in milliseconds. */
     private var secondBodyMs = 0L
@@ -60,6 +68,7 @@
     fun send(request: BackendRequest, responseListener: BackendListener) {
         listener = responseListener
         phase = Phase.HEAD
+        decoder.isHeadRequest = request.method == HttpMethod.HEAD.name()
         val message = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             HttpMethod.valueOf(request.method),
@@ -109,6 +118,7 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
+        endCheck?.let { finishBody(it.finalState) }
         fail(CallFailure.BROKEN)
         onClosed(this)
     }
@@ -130,6 +140,7 @@
         }
         isReusable = HttpUtil.isKeepAlive(response) && head.isSelfDelimited && !isDesynchronized
         isSelfDelimited = head.isSelfDelimited
+        hasLength = HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)
         scanner = SecondResponseScanner { listener?.isResponse(it) ?: false }
         keepAliveMs = parseKeepAliveMs(response) ?: keepAliveMs
         val isWanted = activeListener.onHead(head)
@@ -205,12 +216,36 @@
     private fun onBodyEnd() {
         if (phase == Phase.BODY) {
             if (scanner.endsInsideHead && !isSelfDelimited) return fail(CallFailure.SECOND_RESPONSE)
+            val waitMs = if (scanner.endsInsideHead) MAX_SECOND_PAUSE_MS else MAX_SHORT_END_WAIT_MS
             val rest = scanner.takeHeld()
             if (rest.isNotEmpty()) listener?.onBody(rest)
+            if (rest.isNotEmpty() && hasLength && phase == Phase.BODY) return checkEnd(rest, waitMs)
         }
         if (phase == Phase.BODY || phase == Phase.SECOND_BODY) complete()
     }
 
+    /** Waits for the bytes behind a body whose [end] may begin a head, for at most [waitMs]. */
+    private fun checkEnd(end: ByteArray, waitMs: Long) {
+        val check = BodyEndCheck(end)
+        phase = Phase.END_CHECK
+        isReusable = false
+        endCheck = check
+        decoder.rawReceiver = {
+            check.push(it)
+            finishBody(check.state)
+        }
+        channel.eventLoop().schedule({ finishBody(check.finalState) }, waitMs, TimeUnit.MILLISECONDS)
+    }
+
+    private fun finishBody(end: BodyEnd) {
+        if (phase != Phase.END_CHECK) return
+        when (end) {
+            BodyEnd.OPEN -> Unit
+            BodyEnd.WHOLE -> complete()
+            BodyEnd.FILLED -> fail(CallFailure.FILLED_BODY)
+        }
+    }
+
     private fun complete() {
         val activeListener = listener
         listener = null
@@ -246,7 +281,7 @@
                 MS_PER_SECOND
         }
 
-    private enum class Phase { IDLE, HEAD, INTERIM, SKIPPED, BODY, SECOND_BODY, DISCARD, CLOSED }
+    private enum class Phase { IDLE, HEAD, INTERIM, SKIPPED, BODY, SECOND_BODY, END_CHECK, DISCARD, CLOSED }
 
     private companion object {
         const val MIN_FINAL_STATUS = 200
@@ -259,6 +294,14 @@
         /** A server that pauses for longer in a second response, or does not close after it, fails the first one. */
         const val MAX_SECOND_PAUSE_MS = 1_000L
 
+        /**
+         * Time for the bytes behind a body that ends with less than `HTTP/`, which text may well do.
+         *
+         * It covers the repeat of one lost packet, which takes 200 ms or more. After a longer beginning of a head, which
+         * hardly ends a body, the wait is [MAX_SECOND_PAUSE_MS].
+         */
+        const val MAX_SHORT_END_WAIT_MS = 300L
+
         /** What the peer sent before it closed the connection is in the receive buffer when a write fails. */
         const val MAX_EARLY_RESPONSE_MS = 200L
         const val MS_PER_SECOND = 1_000L
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
@@ -8,7 +8,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.util.NetUtil
 import jdk.net.ExtendedSocketOptions
 import org.arbutusrelay.core.relay.RecentSends
@@ -106,11 +106,9 @@
         }
 
         private fun open(channel: Channel) {
-            val newConnection = BackendConnection(channel, nowMs, ::onIdle, ::onClosed)
-            channel.pipeline().addLast(
-                HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-                newConnection,
-            )
+            val decoder = BackendResponseDecoder()
+            val newConnection = BackendConnection(channel, decoder, nowMs, ::onIdle, ::onClosed)
+            channel.pipeline().addLast(decoder, HttpRequestEncoder(), newConnection)
             connection = newConnection
             newConnection.send(request, listener)
         }
@@ -127,9 +125,6 @@
     private companion object {
         const val CONNECT_TIMEOUT_MS = 1_000
         const val MAX_PORT = 65_535
-        const val MAX_LINE_BYTES = 4_096
-        const val MAX_HEADER_BYTES = 32_768
-        const val MAX_CHUNK_BYTES = 16_384
 
         // Dead peers that send no reset are detected after about four seconds.
         const val KEEP_ALIVE_IDLE_S = 2
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -261,6 +261,9 @@
 
     override fun onFailure(failure: CallFailure) {
         releaseBody()
+        if (failure == CallFailure.FILLED_BODY) {
+            context.eventListener.responseDefect(exchange, ResponseDefect.SECOND_RESPONSE)
+        }
         // A server that has begun a second response did not crash on the request.
         val cause = if (copyCheck == null) failure else CallFailure.SECOND_RESPONSE
         exchange.crashEvidence?.recordFailure(this, cause, context.clock.nowMs() - startedMs)
