Refuse responses whose head arbutusd read from two

Like the relay, arbutusd read the beginning of a copy that a server had left on a kept connection, and the head of the next response, as one head: an idempotent request that failed with 500 was delivered as 200. A head that has a status line inside its reason phrase or a field now fails the attempt. Non-idempotent requests are not affected, as each has a connection of its own.

ReusedConnectionTest fails without the change at a copy that ends in its reason phrase, and passes with it.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
@@ -6,6 +6,7 @@
 import okio.buffer
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.core.relay.JoinedHeads
 import org.arbutusrelay.core.routing.AttemptResult
 import java.io.IOException
 import java.net.ConnectException
@@ -56,6 +57,10 @@
     }
 
     private fun receive(response: Response, listener: ResponseListener): AttemptEnd {
+        if (response.isJoined()) {
+            onDrop(DropReason.FOREIGN)
+            return failed(ErrorKind.BACKEND_FAILED, AttemptResult.CONNECTION_LOST, "the head contains another one")
+        }
         val responseRequestId = response.header(REQUEST_ID_HEADER)
         if (responseRequestId != null && responseRequestId != request.requestId) {
             onDrop(DropReason.FOREIGN)
@@ -103,6 +108,10 @@
         return streamBroken("it could not be resumed after position ${sequence.lastPosition}")
     }
 
+    /** Returns true if the head was read from two, of which only the later is one to this request. */
+    private fun Response.isJoined(): Boolean =
+        JoinedHeads.isJoined(sequenceOf(message) + headers.asSequence().map { (_, value) -> value })
+
     private fun resume(call: Call, sequence: StreamSequence, listener: ResponseListener): Boolean = try {
         call.execute().use { it.isResumedStream() && copyEvents(it, sequence, listener) }
     } catch (e: IOException) {
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/ReusedConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/ReusedConnectionTest.kt
@@ -48,6 +48,29 @@
         }
     }
 
+    /** Guards against a failure whose head continues a part of a copy that was left on the connection. */
+    @Test
+    fun `a failure behind the beginning of a copy is never a success`() {
+        val copy = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nArbutus-Request-Id: 1\r\nContent-Length: 5\r\n\r\n"
+        for (length in listOf(1, 2) + (3..copy.length step 3)) {
+            val server = StubBackendServer {
+                val own = "Arbutus-Request-Id: ${headers["arbutus-request-id"]}"
+                if (target == "/1") {
+                    respond(200, "first", own)
+                } else {
+                    write(copy.take(length) + "HTTP/1.1 500 X\r\n$own\r\nContent-Length: 6\r\n\r\nfailed")
+                }
+            }
+            BackendClient().use { client ->
+                assertEquals(AttemptEnd.Complete(200) to "first", client.run(server.address, "1"))
+                val (end, body) = client.run(server.address, "2")
+                assertIs<AttemptEnd.Failed>(end, "${copy.take(length)}: $body")
+                assertEquals("", body, copy.take(length))
+            }
+            server.close()
+        }
+    }
+
     /** Guards against a server without identifiers whose requests share connections. */
     @Test
     fun `connections are kept only for servers that name the request of their responses`() {
