Keep the homes of the last readable document while the view is incomplete

Callers of a region without hosts were directed nowhere after the view of a state host had been incomplete for a moment, if the newest document could not be read: HostLookup replaced the parsed homes by none, and had no earlier homes to fall back to afterwards. It also parsed the document again and wrote the line of a refused document again each time.

The parsed homes are now left alone while the document may not be used, and no homes are known meanwhile, as before.

UnreadDocumentLookupTest failed before (nobody named after the second change to an incomplete view, expected danang) and passes; HostLookupTest passes.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/HostLookup.kt
@@ -42,7 +42,8 @@
     /** Returns the entry hosts for the caller of [query]. */
     public fun lookUp(query: DirectoryQuery): DirectoryAnswer {
         val current = view()
-        val homes = homesTable(current.state.document?.takeIf { isInTouch() }).find(query.name)
+        val document = current.state.document?.takeIf { isInTouch() }
+        val homes = if (document == null) NameHomes.Unknown else homesTable(document).find(query.name)
         val answer = EntryHostDirectory.select(current.hosts, query, withTraffic(homes, query.name))
         record(query.region, homes, answer, current)
         return answer
@@ -52,9 +53,9 @@
         if (homes is NameHomes.Only) homes.withTraffic(traffic.requests(name, nowMs())) else homes
 
     /** Parses each document once; concurrent look-ups may both parse a new one, with the same result. */
-    private fun homesTable(document: DocumentRecord?): NameHomesTable {
+    private fun homesTable(document: DocumentRecord): NameHomesTable {
         parsed.takeIf { it.document === document }?.let { return it.table }
-        val table = if (document == null) NameHomesTable(null) else parse(document)
+        val table = parse(document)
         parsed = ParsedHomes(document, table)
         return table
     }
