Count a request once for the budgets however often it is submitted

A request that arrives while its host does not know the backend servers yet is submitted again every 50 ms, and one that a newer document moves out of the queue once more. The scheduler counted each submission as a new request, so that the budgets of retries and of forwarded requests, which are shares of the requests, grew with the time for which requests waited: a host that had just started sent more retries than its share.

The profile says whether the request was submitted before, and the scheduler counts only the first submission. Resends and forwarded requests are recognised as before.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -16,7 +16,8 @@
  *
  * [callerOf] looks up a caller in the manifest in force; a caller that is not found has no limits. Decisions read an
  * immutable snapshot and atomic counters; only queueing takes a lock, one for each service. Resubmitted requests (those
- * with tried backend servers) and forwarded ones do not count against the rate limit again.
+ * with tried backend servers among them) and forwarded ones do not count again, neither against the rate limit nor for
+ * the budgets that are shares of the requests.
  */
 public class DefaultRequestScheduler(
     callerOf: (String) -> Caller?,
@@ -50,10 +51,10 @@
     override fun submit(profile: RequestProfile, nowMs: Long): Placement {
         recordTime(nowMs)
         if (profile.deadlineMs <= nowMs) return refused(ErrorKind.DEADLINE_UNREACHABLE)
-        val isResubmitted = profile.isForwarded || profile.triedBackendServers.isNotEmpty()
-        val waitMs = callers.tryAcquire(profile.callerName, nowMs, isRateExempt = isResubmitted)
+        val isCounted = profile.isResubmitted || profile.isForwarded || profile.triedBackendServers.isNotEmpty()
+        val waitMs = callers.tryAcquire(profile.callerName, nowMs, isRateExempt = isCounted)
         if (waitMs > 0) return refused(ErrorKind.CALLER_LIMIT, waitMs)
-        if (!isResubmitted) recordRequest(profile)
+        if (!isCounted) recordRequest(profile)
         val placement = placeNew(profile, nowMs)
         if (placement is Placement.Refused) callers.release(profile.callerName)
         return placement
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestProfile.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestProfile.kt
@@ -41,4 +41,6 @@
     val isForwarded: Boolean = false,
     /** Backend servers that already failed this request; they are selected last. */
     val triedBackendServers: Set<String> = emptySet(),
+    /** True when the request was submitted before, so that it is counted already. */
+    val isResubmitted: Boolean = false,
 )
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/DefaultRequestSchedulerTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/DefaultRequestSchedulerTest.kt
@@ -118,6 +118,18 @@
         assertEquals(1, scheduler.openAttempts())
     }
 
+    /** Guards against budgets that grow with each submission of a request that cannot be placed yet. */
+    @Test
+    fun `a request that is submitted again is counted once`() {
+        val scheduler = DefaultRequestScheduler({ null }, settings = SchedulerSettings(retryPermille = 500))
+        scheduler.updateTable(table())
+        assertEquals("NO_BACKEND_SERVER", nameOf(scheduler.submit(request(1), 0)))
+        repeat(20) { scheduler.submit(request(1).copy(isResubmitted = true), 0) }
+        scheduler.submit(request(2), 0)
+        // The budget begins with two retries.
+        assertEquals(3, (1..20).count { scheduler.tryRetry(request(1), 0) })
+    }
+
     @Test
     fun `poll refuses expired queued requests and releases their caller slots`() {
         scheduler.updateTable(table(server("a", capacity = 1)))
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -180,7 +180,9 @@
     fun submit() {
         resolved?.let { profile = regions.applyTo(profile, it) }
         if (crashEvidence?.isHeldBack == true) return failRequest(RelayError(ErrorKind.PROMPT_SUSPECTED))
-        onPlacement(context.scheduler.submit(profile, context.clock.nowMs()))
+        val placement = context.scheduler.submit(profile, context.clock.nowMs())
+        profile = profile.copy(isResubmitted = true)
+        onPlacement(placement)
     }
 
     /** Refuses the request if it is queued and has become one that crashes backend servers. */
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -80,6 +80,7 @@
     bodies: BodyAdmission = BodyAdmission(),
     place: HostPlace = HostPlace(),
     homes: List<String> = emptyList(),
+    retryPermille: Long = 1_000,
 ) : AutoCloseable {
     private val region = place.region
     private val otherRegions = place.otherRegions
@@ -95,7 +96,7 @@
     val crashEvidence = CrashEvidenceReplica(RelayClock(evidenceTime))
     private val scheduler = DefaultRequestScheduler(
         callerOf = { null },
-        settings = SchedulerSettings(retryPermille = 1_000),
+        settings = SchedulerSettings(retryPermille = retryPermille),
         serverSelector = FirstByteServerSelector(),
     )
     private val context = RelayContext(
