Test that a stop accepts waiting connections before it closes the listener

The wait of a planned stop before the listener closes had no test. The case keeps the event loop busy for 600 ms over the time of the close and opens four connections meanwhile.

--- a/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
@@ -192,6 +192,24 @@
         }
     }
 
+    /** Guards against connections that are reset because the listener closes before a late event loop accepts them. */
+    @Test
+    fun `connections that wait to be accepted when the listener is due to close are answered`() {
+        RelayFixture(server(0)).use { relay ->
+            var callers = emptyList<Socket>()
+            val stop = thread { relay.stopGracefully() }
+            while (!relay.isDraining) Thread.sleep(POLL_MS)
+            // The loop is free at first, so that only the close of the listener is due while it is busy.
+            Thread.sleep(FREE_LOOP_MS)
+            relay.applyRoutesLate(emptyList(), number = 1, busyMs = 600) {
+                callers = List(4) { relay.connect() }
+                callers.forEach { it.send("/once/x", "POST", "Wait-Ms: 1000\r\n", body = "b") }
+            }
+            callers.forEach { caller -> caller.use { assertContains(it.readResponse(), "served") } }
+            stop.join()
+        }
+    }
+
     /** Guards against a request that waited for a suspended host and whose connection looked quiet at its return. */
     @Test
     fun `a request that arrives while the event loop pauses is answered`() {
@@ -255,6 +273,7 @@
 
     private companion object {
         const val POLL_MS = 5L
+        const val FREE_LOOP_MS = 50L
         const val SLOW_READER_MS = 600L
 
         /** Long enough for the request to arrive in the socket of the host. */
