Forward to the stopping hosts of a region that has no others

While all entry hosts of a home were stopping by plan, requests at hosts of other regions were refused with region_unreachable, although the stopping hosts accept requests for 2.8 s. The hosts elsewhere took a region without accepting hosts for one out of reach, while the directory already names stopping hosts to callers of their region.

A host that stops stays a target for forwarded requests where its region has no accepting host, until it withdraws its address 0.5 s before it refuses requests. A host that ends a request of another region early answers not_run or 502 as before.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteView.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteView.kt
@@ -21,4 +21,10 @@
 ) {
     /** Hosts that accept requests from callers and are not leaving. */
     val entryHosts: List<HostState> = hosts.filter { it.callerAddress.isNotEmpty() && !it.isLeaving }
+
+    /** Hosts that take requests of other regions: [entryHosts], and stopping ones where a region has no others. */
+    val forwardHosts: List<HostState> by lazy {
+        val regions = entryHosts.mapTo(HashSet()) { it.region }
+        entryHosts + hosts.filter { it.isLeaving && it.callerAddress.isNotEmpty() && it.region !in regions }
+    }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -207,7 +207,7 @@
     private fun onSiteView(view: SiteView) {
         val plan = parsePlan(view) ?: return
         val table = routing.build(view, plan)
-        forwardTargets.update(view.entryHosts)
+        forwardTargets.update(view.forwardHosts)
         loop.execute {
             if (context.routes.get()?.plan !== plan && (context.routes.get()?.plan?.number ?: -1) <= plan.number) {
                 val isFirst = context.routes.getAndSet(RouteTable(plan)) == null
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
@@ -18,7 +18,7 @@
             it.service in plan.services && !it.isLeaving && it.availabilityZone !in view.state.evacuatedZones
         }
         val (localServers, remoteServers) = usable.partition { it.region == self.region }
-        val reachable = view.entryHosts.map { it.region }.toSet()
+        val reachable = view.forwardHosts.map { it.region }.toSet()
         val regions = remoteServers.groupBy { it.region }.filterKeys { it in reachable }
         return RoutingTable(
             region = self.region,
