Derive the withdrawal of a stopping host's address from the lifetime of its lists

The time by which a stopping host withdraws its address before it refuses requests, and the lifetime of a list of stopping hosts, were two constants that had to be equal and were so only by their comments. Both now come from EntryHostDirectory.LEAVING_LIFETIME_MS, with the same value. No change of behaviour; DirectoryRoutesTest, EntryHostDirectoryTest and StoppingHomeTest pass.

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/EntryHostDirectory.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/EntryHostDirectory.kt
@@ -11,6 +11,13 @@
     /** Maximum addresses per response; more are of no use, because a caller picks one at random. */
     public const val MAX_ADDRESSES: Int = 64
 
+    /**
+     * Lifetime of a list of stopping hosts, in milliseconds.
+     *
+     * A stopping host withdraws its address this long before it refuses requests, so that no such list outlasts it.
+     */
+    public const val LEAVING_LIFETIME_MS: Long = 500
+
     /** With fewer hosts than this in the caller's availability zone, all hosts of the region are returned. */
     private const val MIN_ZONE_HOSTS = 2
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -21,6 +21,7 @@
 import org.arbutusrelay.core.routing.FirstByteServerSelector
 import org.arbutusrelay.core.routing.PlacedAttempt
 import org.arbutusrelay.core.routing.SchedulerSettings
+import org.arbutusrelay.core.site.EntryHostDirectory
 import org.arbutusrelay.daemon.ProcessFailure
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.observe.EventLog
@@ -160,7 +161,7 @@
         val graceMs = (settings.bounds.graceSeconds * MS_PER_SECOND).toLong()
         val endMs = startMs + graceMs - EXIT_MARGIN_MS
         val acceptMs = minOf(graceMs / 2, HOST_LIST_LIFETIME_MS)
-        scope.launch { withdrawCallerAddress(acceptMs - ADDRESS_WITHDRAWAL_MS) }
+        scope.launch { withdrawCallerAddress(acceptMs - EntryHostDirectory.LEAVING_LIFETIME_MS) }
         val drain = ConnectionDrain(loop, connections, context.stopState, clock::nowMs)
         PlannedStop(context.stopState, callerServer, drain, clock::nowMs)
             .await(acceptMs, endMs) { context.openExchanges }
@@ -315,9 +316,6 @@
          */
         const val HOST_LIST_LIFETIME_MS = 2_800L
 
-        /** A stopping host leaves the lists this long before it refuses requests; as long as such a list lives. */
-        const val ADDRESS_WITHDRAWAL_MS = 500L
-
         /** Margin to exit before the process is killed at the end of the grace period. */
         const val EXIT_MARGIN_MS = 700L
     }
