Separate what a host knows of its site from the exchange of it

The name and kind of a host never change, so they are read without the lock.

No change of behaviour: the times between digest requests have a lock of their own, and crash evidence and home requests, which are thread-safe, are taken before the lock rather than in it. SiteServiceTest, SiteGrowthTest, DirectoryViewTest, SiteDocumentRandomTest, CrashEvidenceReplicaTest and SiteViewTest pass.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -3,11 +3,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.arbutusrelay.core.site.BackendServerRegistry
 import org.arbutusrelay.core.site.HomeTraffic
-import org.arbutusrelay.core.site.HostRegistry
-import org.arbutusrelay.core.site.PendingChanges
-import org.arbutusrelay.core.site.SitePulses
 import org.arbutusrelay.core.site.SiteStateMachine
 import org.arbutusrelay.core.site.ViewTrust
 import org.arbutusrelay.daemon.RelayClock
@@ -22,7 +18,6 @@
 import org.arbutusrelay.schema.message.HostState
 import org.arbutusrelay.schema.message.LinkFrame
 import org.arbutusrelay.schema.message.SiteDigest
-import org.arbutusrelay.schema.message.SiteHost
 import org.arbutusrelay.schema.message.SitePulse
 import org.arbutusrelay.schema.message.SiteReport
 import org.arbutusrelay.schema.message.SiteState
@@ -49,30 +44,27 @@
     private val otherStateHosts: () -> Set<String> = { emptySet() },
     private val takeHomeRequests: () -> List<HomeRequests> = { emptyList() },
 ) : FrameReceiver {
+    private val hostName = self.hostName
+    private val isStateHost = self.isStateHost
     private val publishLock = Any()
-    private val hosts = HostRegistry()
-    private val servers = BackendServerRegistry(times.backendLeaseMs)
+    private val records = SiteRecords(self, times)
     private val links =
-        StateHostLinks(network, linkPort, StateHostSelector(self.hostName, self.region), self.isStateHost)
+        StateHostLinks(network, linkPort, StateHostSelector(hostName, self.region), isStateHost)
     private val subscriptions = Subscriptions(times)
-    private val unreportedLoads = LinkedHashMap<String, BackendLoad>()
     private val listeners = CopyOnWriteArrayList<(SiteView) -> Unit>()
-    private var self = self
-    private var state = SiteStateMachine.EMPTY
-    private var stateSource = ""
+
+    @Volatile
     private var nextReportAtMs = 0L
     private var nextMeshDigestAtMs = 0L
     private var pulseSequence = 0L
     private val digestRequestedAtMs = HashMap<String, Long>()
-    private val changesForAll = PendingChanges()
-    private val changesForSubscribers = PendingChanges()
     private val isBatchScheduled = AtomicBoolean()
     private val isStatePushDue = AtomicBoolean()
     private val failures = FailureGuard("a step of the site service")
 
     /** True once this host may forward its state; see [confirmState]. */
     @Volatile
-    public var isStateConfirmed: Boolean = !self.isStateHost
+    public var isStateConfirmed: Boolean = !isStateHost
         private set
 
     @Volatile
@@ -123,10 +115,8 @@
 
     /** Updates the published state of this host and sends it immediately. */
     public fun updateSelf(change: (HostState) -> HostState) {
-        synchronized(this) {
-            self = change(self).copy(version = self.version + 1)
-            nextReportAtMs = 0
-        }
+        records.updateSelf(change)
+        nextReportAtMs = 0
         tick()
     }
 
@@ -138,17 +128,8 @@
      * A restarted state host installs every state since its snapshot in a moment; only the last of them is forwarded.
      */
     public fun install(newer: SiteState, source: String = "") {
-        val isNewer = synchronized(this) {
-            if (newer.index <= state.index) return@synchronized false
-            val reopenedZones = state.evacuatedZones - newer.evacuatedZones.toSet()
-            // Backend servers may have become cold while their zone received no requests.
-            reopenedZones.forEach { servers.markCold(it, COLD_AFTER_EVACUATION_MS, clock.nowMs()) }
-            state = newer
-            stateSource = source
-            true
-        }
-        if (!isNewer) return
-        if (self.isStateHost) {
+        if (!records.install(newer, source, clock.nowMs())) return
+        if (isStateHost) {
             isStatePushDue.set(true)
             scheduleBatch()
         }
@@ -171,52 +152,38 @@
 
     /** Processes an announcement of a backend server. */
     public fun announce(server: BackendServerState) {
-        val nowMs = clock.nowMs()
-        synchronized(this) {
-            if (!servers.announce(server, nowMs)) return
-            servers.state(server.name, nowMs)?.let { changesForAll.add(it) }
-        }
+        if (!records.announce(server, clock.nowMs())) return
         scheduleBatch()
         publish()
     }
 
     /** Processes the notice that a backend server is shutting down. */
     public fun deregister(name: String, incarnation: Long?) {
-        synchronized(this) { changesForAll.add(servers.recordDeparture(name, incarnation, clock.nowMs())) }
+        records.deregister(name, incarnation, clock.nowMs())
         scheduleBatch()
         publish()
     }
 
     /** Records the load of a backend server that was reported in a response. */
-    public fun observe(load: BackendLoad): Unit = synchronized(this) {
-        servers.recordLoad(load, clock.nowMs())
-        unreportedLoads[load.name] = load.copy(ageMs = clock.nowMs())
-    }
+    public fun observe(load: BackendLoad): Unit = records.observe(load, clock.nowMs())
 
     override fun onFrame(from: HostIdentity, frame: LinkFrame) {
         frame.siteReport?.let { onReport(from, it) }
         frame.siteDigest?.let(::onDigest)
         frame.sitePulse?.let { onPulse(from, it) }
-        frame.siteState?.let { if (!self.isStateHost) install(it, from.hostName) }
+        frame.siteState?.let { if (!isStateHost) install(it, from.hostName) }
     }
 
     private fun onReport(from: HostIdentity, report: SiteReport) {
         val nowMs = clock.nowMs()
-        val needsEveryPulse = report.primaryName.isEmpty() || report.primaryName == self.hostName
+        val needsEveryPulse = report.primaryName.isEmpty() || report.primaryName == hostName
         val isNewSubscriber = subscriptions.record(from.hostName, from.epoch, needsEveryPulse, nowMs)
-        val isChanged = synchronized(this) {
-            report.loads.forEach { servers.recordLoad(it, nowMs) }
-            homeTraffic.record(report.homeRequests, nowMs)
-            val newDepartures = report.departures.filter { servers.merge(it, nowMs) }
-            newDepartures.forEach(changesForAll::add)
-            val isNew = hosts.recordReport(report.host, nowMs)
-            if (isNew) changesForAll.add(SiteHost(report.host, 0))
-            isNew || newDepartures.isNotEmpty()
-        }
-        val hasNewEvidence = crashEvidence.merge(report.crashEvidence) { synchronized(this) { changesForAll.add(it) } }
+        homeTraffic.record(report.homeRequests, nowMs)
+        val isChanged = records.apply(report, nowMs)
+        val hasNewEvidence = crashEvidence.merge(report.crashEvidence, records::addForAll)
         if (isChanged || hasNewEvidence) scheduleBatch()
         if (isNewSubscriber || report.needsDigest) sendDigest(fullDigest(nowMs), setOf(from.hostName))
-        val latest = synchronized(this) { state }
+        val latest = records.state
         val isBehind = report.stateIndex < latest.index && subscriptions.isPushDue(from.hostName, latest.index, nowMs)
         if (isBehind && isStateConfirmed) pushState(latest, setOf(from.hostName))
     }
@@ -225,7 +192,7 @@
         // A newly started host needs the state of the site before the next periodic message is due.
         val nowMs = clock.nowMs()
         when {
-            !self.isStateHost -> {
+            !isStateHost -> {
                 crashEvidence.repeatAll()
                 sendReports(nowMs)
             }
@@ -241,25 +208,8 @@
     }
 
     private fun onDigest(digest: SiteDigest) {
-        val nowMs = clock.nowMs()
-        val isChanged = synchronized(this) {
-            val newDepartures = digest.departures.filter { servers.merge(it, nowMs) }
-            val changedServers = digest.backendServers.filter { servers.merge(it, nowMs) }
-            digest.loads.forEach { servers.recordLoad(it, nowMs) }
-            val changedHosts = digest.hosts.filter {
-                it.host.hostName != self.hostName && hosts.merge(it.host, it.ageMs, nowMs)
-            }
-            if (self.isStateHost) {
-                newDepartures.forEach(changesForSubscribers::add)
-                changedServers.forEach(changesForSubscribers::add)
-                changedHosts.forEach(changesForSubscribers::add)
-            }
-            // An entry host uses other hosts only to forward requests, so their changes can wait for the next view.
-            val isHostChangeUrgent = self.isStateHost && changedHosts.isNotEmpty()
-            newDepartures.isNotEmpty() || changedServers.isNotEmpty() || isHostChangeUrgent
-        }
-        val passOn: ((CrashEvidence) -> Unit)? =
-            if (self.isStateHost) { news -> synchronized(this) { changesForSubscribers.add(news) } } else null
+        val isChanged = records.apply(digest, clock.nowMs())
+        val passOn: ((CrashEvidence) -> Unit)? = if (isStateHost) records::addForSubscribers else null
         val hasNewEvidence = crashEvidence.merge(digest.crashEvidence, passOn)
         if (isChanged || hasNewEvidence) scheduleBatch()
     }
@@ -270,14 +220,16 @@
      */
     private fun onPulse(from: HostIdentity, pulse: SitePulse) {
         val nowMs = clock.nowMs()
-        val request = synchronized(this) {
-            val isComplete = SitePulses.apply(pulse, hosts, servers, nowMs)
-            val requestedAtMs = digestRequestedAtMs[from.hostName] ?: (Long.MIN_VALUE / 2)
-            if (isComplete || nowMs - requestedAtMs < times.reportIntervalMs) return
-            digestRequestedAtMs[from.hostName] = nowMs
-            SiteReport(self, state.index, emptyList(), needsDigest = true)
-        }
-        network.send(from.hostName, LinkFrame(siteReport = request))
+        if (records.apply(pulse, nowMs) || !mayRequestDigest(from.hostName, nowMs)) return
+        network.send(from.hostName, LinkFrame(siteReport = records.digestRequest()))
+    }
+
+    /** Returns true, and records the request, if [name] was not asked for a digest recently. */
+    private fun mayRequestDigest(name: String, nowMs: Long): Boolean = synchronized(digestRequestedAtMs) {
+        val requestedAtMs = digestRequestedAtMs[name] ?: (Long.MIN_VALUE / 2)
+        val isDue = nowMs - requestedAtMs >= times.reportIntervalMs
+        if (isDue) digestRequestedAtMs[name] = nowMs
+        isDue
     }
 
     /** Sends and publishes the collected changes after a short delay, together with those that follow. */
@@ -294,88 +246,57 @@
 
     private fun sendBatch() {
         if (isStateConfirmed && isStatePushDue.getAndSet(false)) {
-            val latest = synchronized(this) { state }
+            val latest = records.state
             pushState(latest, subscriptions.behind(latest.index, clock.nowMs()))
         }
-        val (forAll, forSubscribers) =
-            synchronized(this) { changesForAll.take(state.index) to changesForSubscribers.take(state.index) }
-        if (!self.isStateHost && crashEvidence.hasUnsent()) sendReports(clock.nowMs())
+        val (forAll, forSubscribers) = records.takeChanges()
+        if (!isStateHost && crashEvidence.hasUnsent()) sendReports(clock.nowMs())
         forAll?.let { sendDigest(it, digestTargets()) }
         forSubscribers?.let { sendDigest(it, subscriptions.active(clock.nowMs())) }
     }
 
     private fun tick() {
         val nowMs = clock.nowMs()
-        val majority = (stateHosts() + self.hostName).size / 2 + 1
-        viewTrust.update((connectedStateHosts() - self.hostName).size + 1 >= majority, nowMs)
-        synchronized(this) {
-            hosts.recordReport(self, nowMs)
-            hosts.tick(nowMs)
-            servers.tick(nowMs)
-        }
-        crashEvidence.tick { synchronized(this) { servers.lastSeenMs(it) } }
-        links.maintain(otherStateHostRegions(), isAnnouncementMissing())
+        val majority = (stateHosts() + hostName).size / 2 + 1
+        viewTrust.update((connectedStateHosts() - hostName).size + 1 >= majority, nowMs)
+        records.tick(nowMs)
+        crashEvidence.tick(records::lastSeenMs)
+        links.maintain(otherStateHostRegions(), records.isAnnouncementMissing(clock.nowMs()))
         if (nowMs >= nextReportAtMs) {
             nextReportAtMs = nowMs + times.reportIntervalMs
-            if (self.isStateHost) sendPulses(nowMs) else sendReports(nowMs)
+            if (isStateHost) sendPulses(nowMs) else sendReports(nowMs)
         }
         if (nowMs - publishedAtMs >= times.publishIntervalMs) publish()
     }
 
-    private fun isAnnouncementMissing(): Boolean =
-        synchronized(this) { servers.hasOverdue(times.renewalOverdueMs, clock.nowMs()) }
-
     private fun stateHostRegions(): Map<String, String> {
         val known = view.hosts.filter { it.isStateHost }.associate { it.hostName to it.region }
         return (seeds + otherStateHosts()).associateWith { known[it].orEmpty() } + known
     }
 
-    private fun otherStateHostRegions(): Map<String, String> = stateHostRegions() - self.hostName
+    private fun otherStateHostRegions(): Map<String, String> = stateHostRegions() - hostName
 
     private fun sendReports(nowMs: Long) {
-        val isAnnouncementMissing = isAnnouncementMissing()
+        val isAnnouncementMissing = records.isAnnouncementMissing(clock.nowMs())
         val targets = links.reportTargets(otherStateHostRegions(), isAnnouncementMissing)
         // The state host that heard of a missing announcement may be any of them.
         val primaryName = if (isAnnouncementMissing) "" else targets.firstOrNull().orEmpty()
-        val report = synchronized(this) {
-            // Another thread may have observed a load after nowMs was read; a negative age is not a valid message.
-            val loads = unreportedLoads.values.map { it.copy(ageMs = (nowMs - it.ageMs).coerceAtLeast(0)) }
-            unreportedLoads.clear()
-            val recent = servers.departures(nowMs).filter { it.ageMs <= times.departureReportMs }
-            SiteReport(
-                self,
-                state.index,
-                loads,
-                departures = recent,
-                primaryName = primaryName,
-                crashEvidence = crashEvidence.recent(),
-                homeRequests = takeHomeRequests(),
-            )
-        }
+        val report = records.takeReport(primaryName, crashEvidence.recent(), takeHomeRequests(), nowMs)
         network.sendAll(targets, LinkFrame(siteReport = report))
     }
 
     /** Sends a pulse to other hosts; state hosts also exchange full digests, which repair a missed change. */
     private fun sendPulses(nowMs: Long) {
-        val pulse = synchronized(this) { SitePulses.of(state.index, hosts, servers, nowMs, times.loadMaxAgeMs) }
-        val subscribers = subscriptions.pulseReceivers(pulseSequence++, self.hostName, nowMs)
-        network.sendAll(subscribers + connectedStateHosts() - self.hostName, LinkFrame(sitePulse = pulse))
+        val pulse = records.pulse(nowMs)
+        val subscribers = subscriptions.pulseReceivers(pulseSequence++, hostName, nowMs)
+        network.sendAll(subscribers + connectedStateHosts() - hostName, LinkFrame(sitePulse = pulse))
         if (nowMs < nextMeshDigestAtMs) return
         nextMeshDigestAtMs = nowMs + times.meshDigestIntervalMs
         sendDigest(fullDigest(nowMs, CrashEvidenceReplica.MIN_REPEATED_CRASHES), connectedStateHosts())
     }
 
-    private fun fullDigest(nowMs: Long, minCrashes: Int = 1): SiteDigest = synchronized(this) {
-        SiteDigest(
-            stateIndex = state.index,
-            isFull = true,
-            hosts = hosts.hosts(nowMs),
-            backendServers = servers.states(nowMs),
-            departures = servers.departures(nowMs),
-            loads = servers.loads(nowMs, times.loadMaxAgeMs),
-            crashEvidence = crashEvidence.all(minCrashes),
-        )
-    }
+    private fun fullDigest(nowMs: Long, minCrashes: Int = 1): SiteDigest =
+        records.fullDigest(crashEvidence.all(minCrashes), nowMs)
 
     /** Returns the subscribed entry hosts and all connected state hosts. */
     private fun digestTargets(): Set<String> = subscriptions.active(clock.nowMs()) + connectedStateHosts()
@@ -383,23 +304,15 @@
     private fun connectedStateHosts(): Set<String> = stateHosts() intersect network.connected().keys
 
     private fun sendDigest(digest: SiteDigest, targets: Set<String>) {
-        network.sendAll(targets - self.hostName, LinkFrame(siteDigest = digest))
+        network.sendAll(targets - hostName, LinkFrame(siteDigest = digest))
     }
 
     /** Builds a view and passes it to the listeners; the lock ensures that no listener receives an older view last. */
     private fun publish() = synchronized(publishLock) {
         val nowMs = clock.nowMs()
-        val next =
-            synchronized(this) {
-                SiteView(state, hosts.live(nowMs), servers.states(nowMs), nowMs, crashEvidence.heldBack, stateSource)
-            }
+        val next = records.view(crashEvidence.heldBack, nowMs)
         currentView.set(next)
         publishedAtMs = nowMs
         listeners.forEach { listener -> failures.run { listener(next) } }
     }
-
-    private companion object {
-        /** Covers the time until the next announcement reports the actual state; one comes about every 1,200 ms. */
-        const val COLD_AFTER_EVACUATION_MS = 3_000L
-    }
 }
