--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
@@ -57,22 +57,9 @@
     }
 
     private fun receive(response: Response, listener: ResponseListener): AttemptEnd {
-        if (response.isJoined()) {
+        foreignFailure(response)?.let {
             onDrop(DropReason.FOREIGN)
-            return failed(ErrorKind.BACKEND_FAILED, AttemptResult.CONNECTION_LOST, "the head contains another one")
-        }
-        val responseRequestId = response.header(REQUEST_ID_HEADER)
-        if (responseRequestId != null && responseRequestId != request.requestId) {
-            onDrop(DropReason.FOREIGN)
-            return failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "the response names another request")
-        }
-        if (responseRequestId == null) {
-            client.recordAnonymousResponse(request.address)
-            if (trace.isConnectionReused) {
-                onDrop(DropReason.FOREIGN)
-                val detail = "the response on a connection that was used before names no request"
-                return failed(ErrorKind.BACKEND_FAILED, AttemptResult.CONNECTION_LOST, detail)
-            }
+            return it
         }
         if (response.header(OUTCOME_HEADER) == NOT_RUN) return refused("status ${response.code}")
         if (response.code >= SERVER_ERROR) {
@@ -86,6 +73,31 @@
         }
     }
 
+    /** Returns the failure of a response that is not one to this request, or not known to be; otherwise null. */
+    private fun foreignFailure(response: Response): AttemptEnd? {
+        val responseRequestId = response.header(REQUEST_ID_HEADER)
+        if (responseRequestId == null) client.recordAnonymousResponse(request.address)
+        return when {
+            response.isJoined() ->
+                failed(ErrorKind.BACKEND_FAILED, AttemptResult.CONNECTION_LOST, "the head contains another one")
+
+            responseRequestId == null -> {
+                val detail = "the response on a connection that was used before names no request"
+                failed(ErrorKind.BACKEND_FAILED, AttemptResult.CONNECTION_LOST, detail)
+                    .takeIf { trace.isConnectionReused }
+            }
+
+            responseRequestId != request.requestId ->
+                failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "the response names another request")
+
+            else -> null
+        }
+    }
+
+    /** Returns true if the head was read from two, of which only the later is one to this request. */
+    private fun Response.isJoined(): Boolean =
+        JoinedHeads.isJoined(sequenceOf(message) + headers.asSequence().map { (_, value) -> value })
+
     private fun receiveBody(response: Response, head: ResponseHead, listener: ResponseListener): AttemptEnd {
         if (!deliverHead(head, listener)) return superseded()
         val source = response.body.source()
@@ -108,10 +120,6 @@
         return streamBroken("it could not be resumed after position ${sequence.lastPosition}")
     }
 
-    /** Returns true if the head was read from two, of which only the later is one to this request. */
-    private fun Response.isJoined(): Boolean =
-        JoinedHeads.isJoined(sequenceOf(message) + headers.asSequence().map { (_, value) -> value })
-
     private fun resume(call: Call, sequence: StreamSequence, listener: ResponseListener): Boolean = try {
         call.execute().use { it.isResumedStream() && copyEvents(it, sequence, listener) }
     } catch (e: IOException) {
