Look for a second response in a body of arbutusd that is no stream

A head that names a request ends the body as broken off, and so does the beginning of a head of 5 bytes or more at the end of a body with a length, as the HTTP client shows nothing behind it. Less than 5 bytes remain a part of the body.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
@@ -6,6 +6,8 @@
 import okio.buffer
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.core.relay.EmbeddedHead
+import org.arbutusrelay.core.relay.SecondResponseScanner
 import org.arbutusrelay.core.routing.AttemptResult
 import java.io.IOException
 import java.net.ConnectException
@@ -84,12 +86,31 @@
     private fun receiveBody(response: Response, head: ResponseHead, listener: ResponseListener): AttemptEnd {
         if (!deliverHead(head, listener)) return superseded()
         val source = response.body.source()
+        val scanner = SecondResponseScanner(::isResponse)
         while (!source.exhausted()) {
-            listener.onData(source.readByteArray(minOf(source.buffer.size, CHUNK_BYTES)))
+            deliver(scanner.push(source.readByteArray(minOf(source.buffer.size, CHUNK_BYTES))), listener)
+            if (scanner.secondHead != null) return brokenBySecondResponse()
         }
+        // The bytes behind the body can't be seen here, and hardly any body ends like this.
+        if (scanner.endsInsideHead && response.header("Content-Length") != null) return brokenBySecondResponse()
+        deliver(scanner.takeHeld(), listener)
         return AttemptEnd.Complete(head.statusCode)
     }
 
+    private fun deliver(data: ByteArray, listener: ResponseListener) {
+        if (data.isNotEmpty()) listener.onData(data)
+    }
+
+    /** Returns true if [head] names a request; one that does not may be quoted. */
+    private fun isResponse(head: EmbeddedHead) =
+        head.fields.any { (name, _) -> name.equals(REQUEST_ID_HEADER, ignoreCase = true) }
+
+    private fun brokenBySecondResponse(): AttemptEnd {
+        onDrop(DropReason.FOREIGN)
+        activeCall.get()?.cancel()
+        return streamBroken("a second response follows")
+    }
+
     private fun receiveEvents(first: Response, head: ResponseHead, listener: ResponseListener): AttemptEnd {
         if (!deliverHead(head, listener)) return superseded()
         val sequence = StreamSequence()
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/SecondResponseBodyTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/SecondResponseBodyTest.kt
@@ -5,7 +5,6 @@
 import org.arbutusrelay.daemon.backend.BackendRequest
 import org.arbutusrelay.daemon.backend.ResponseHead
 import org.arbutusrelay.daemon.backend.ResponseListener
-import org.junit.jupiter.api.Tag
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -32,7 +31,6 @@
 
     /** Guards against a cut body that counts as complete because a second response fills it. */
     @Test
-    @Tag("known-red")
     fun `a body that is filled by a second response of its server is not complete`() {
         val headLength = response("1").indexOf(body)
         for (missing in listOf(5, 12, 20, headLength - 1, headLength, headLength + 1, 200)) {
