Share the request limit that a server names between the hosts of its region

What callers and servers saw: a server in need that had named a limit of 1 request a second got 39 and 54 requests in 4 s, 11 allowed.

Cause: nothing read the limit. The class is what a server states of itself and that holds for all hosts together.

Change: responses are read for a limit (StatedLimit). The registry of backend servers keeps it by incarnation beside cold time and departure, passes it on at once in reports and digests, and ends it by a response without a limit to a request that was sent after the limit was last named. The entry hosts of the region share turns (RequestTurns), which are counted from the time at which the limit was first named, so that they need no clock in common; turns can't be saved up. A host that can't tell whether others are gone keeps their turns free. Requests that get no turn in time are forwarded or refused at once. When the limit ends, a host begins with what it has in flight. Every change has a log line; arbutus_backend_servers_limited counts the servers.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
@@ -47,6 +47,9 @@
 
     /** Limits the request rate of this host while the backend server is cold. */
     public val coldLimiter: ColdServerRateLimiter = ColdServerRateLimiter()
+
+    /** Keeps the requests of this host to its turns while the backend server is limited. */
+    public val turns: RequestTurns = RequestTurns()
     internal val cacheSequence = CacheSequence(this)
 
     private val ownRequests = AtomicInteger()
@@ -80,6 +83,20 @@
         pause.updateAndGet { if (it.endMs >= endMs) it else requested }
     }
 
+    /**
+     * Applies the limit of the latest state, of which this host has [share]; the state was built at [builtAtMs].
+     *
+     * When a limit ends, this host sends no more at a time than now, at first, as after a pause.
+     */
+    internal fun updateLimit(share: TurnShare, builtAtMs: Long) {
+        val stated = state.limit?.takeIf { it.incarnation == state.incarnation }
+        val hasEnded = turns.update(stated?.limitPermille, builtAtMs - (stated?.heldMs ?: 0), share)
+        if (hasEnded) pauseUntil(builtAtMs)
+    }
+
+    /** Returns the time from [nowMs] on at which a request may be sent, as far as pauses and limits tell. */
+    public fun nextSendMs(nowMs: Long): Long = maxOf(pausedUntilMs, turns.nextMs(nowMs))
+
     /**
      * Applies a newer report.
      *
@@ -159,7 +176,7 @@
     public fun hasRoom(nowMs: Long, countsOtherHosts: Boolean = true): Boolean =
         ownRequests.get() != ISOLATED && claim.get() == null && !state.isLeaving &&
             (if (countsOtherHosts) load() else ownInFlight()) < limitAt(nowMs) && breaker.isReady(nowMs) &&
-            coldLimiter.isOpen(nowMs) && nowMs >= pausedUntilMs
+            coldLimiter.isOpen(nowMs) && nowMs >= pausedUntilMs && turns.isOpen(nowMs)
 
     /** Acquires a slot if there is room as in [hasRoom]; the caller must call [release] afterwards. */
     public fun tryAcquire(nowMs: Long, countsOtherHosts: Boolean = true): Boolean {
@@ -169,7 +186,7 @@
             val count = ownRequests.get()
             if (count == ISOLATED || count >= bound) return false
             if (!ownRequests.compareAndSet(count, count + 1)) continue
-            if (claim.get() == null && coldLimiter.tryAcquire(nowMs) && breaker.tryAdmit(nowMs)) break
+            if (claim.get() == null && tryAdmit(nowMs)) break
             ownRequests.decrementAndGet()
             return false
         }
@@ -177,6 +194,9 @@
         return true
     }
 
+    private fun tryAdmit(nowMs: Long): Boolean =
+        coldLimiter.tryAcquire(nowMs) && turns.tryAcquire(nowMs) && breaker.tryAdmit(nowMs)
+
     /** Acquires the whole backend server for [id] when it is idle; the caller must call [release] afterwards. */
     public fun tryAcquireIsolated(id: RequestId, nowMs: Long): Boolean {
         val claimant = claim.get()
@@ -184,8 +204,9 @@
         val latest = state
         if (latest.isLeaving || latest.running + latest.queued > 0) return false
         if (!breaker.isReady(nowMs) || !coldLimiter.isOpen(nowMs) || nowMs < pausedUntilMs) return false
-        if (!ownRequests.compareAndSet(0, ISOLATED)) return false
+        if (!turns.isOpen(nowMs) || !ownRequests.compareAndSet(0, ISOLATED)) return false
         releaseClaim(id)
+        turns.tryAcquire(nowMs)
         coldLimiter.tryAcquire(nowMs)
         breaker.tryAdmit(nowMs)
         sentSinceReport.incrementAndGet()
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -138,6 +138,9 @@
     /** Returns the number of backend servers that have asked this host for a pause which has not ended. */
     public fun pausedServers(nowMs: Long): Int = snapshot.get().slotsByName.values.count { it.pausedUntilMs > nowMs }
 
+    /** Returns the number of backend servers of this region that have named a limit which is in force. */
+    public fun limitedServers(): Int = snapshot.get().slotsByName.values.count { it.turns.isLimited }
+
     override fun viewOf(name: String, nowMs: Long): ScheduledServer? =
         snapshot.get().slotsByName[name]?.view(nowMs)
 
@@ -183,7 +186,7 @@
         }
         val servers = current.services[profile.serviceName]
         if (servers != null) {
-            return refuseIfPausedTooLong(profile, current, servers, nowMs)
+            return refuseIfClosedTooLong(profile, current, servers, nowMs)
                 ?: placeLocally(profile, current, servers, nowMs)
         }
         return remote.tryForward(profile, current, serviceTimes, Double.POSITIVE_INFINITY, true, nowMs)
@@ -205,17 +208,26 @@
         return enqueue(profile, current, servers, queue, nowMs)
     }
 
-    /** Forwards or refuses a request whose deadline passes before any backend server takes requests again. */
-    private fun refuseIfPausedTooLong(
+    /**
+     * Forwards or refuses a request that can't be sent in time, because all backend servers are paused or limited.
+     *
+     * Turns at limited servers are scarce, so that a request which would wait longer for one than requests may wait is
+     * refused before it does.
+     */
+    private fun refuseIfClosedTooLong(
         profile: RequestProfile,
         current: SchedulerSnapshot,
         servers: ServerPool,
         nowMs: Long,
     ): Placement? {
-        val endMs = servers.pauseEndMs(nowMs) ?: return null
-        if (endMs + deadlinePolicy.minTimeMs(profile, servers.times) <= profile.deadlineMs) return null
+        if (servers.nextSendMs(0, nowMs) == null) return null
+        val ahead = services.queueOf(profile.serviceName).countAhead(profile)
+        val sendMs = servers.nextSendMs(ahead, nowMs) ?: return null
+        val minTimeMs = deadlinePolicy.minTimeMs(profile, servers.times)
+        val isInTime = sendMs <= profile.deadlineMs - minTimeMs
+        if (isInTime && !(servers.isLimited && deadlinePolicy.isMaxWaitExceeded(profile, sendMs))) return null
         return remote.tryForward(profile, current, servers.times, Double.POSITIVE_INFINITY, true, nowMs)
-            ?: refused(ErrorKind.OVERLOADED, endMs - nowMs)
+            ?: refused(ErrorKind.OVERLOADED, sendMs - nowMs)
     }
 
     private fun enqueue(
@@ -230,7 +242,9 @@
         // throughput of this host. Without targets, a request with a late deadline may wait long while others overtake
         // it, so its waiting time does not apply to them.
         val observedWaitMs = if (profile.targetMs > 0) queue.longestWaitMs(profile, nowMs).toDouble() else 0.0
-        val waitMs = maxOf(deadlinePolicy.predictWaitMs(queue.countAhead(profile), servers), observedWaitMs)
+        val ahead = queue.countAhead(profile)
+        val turnMs = if (servers.isLimited) servers.nextSendMs(ahead, nowMs)?.let { it - nowMs } else null
+        val waitMs = turnMs?.toDouble() ?: maxOf(deadlinePolicy.predictWaitMs(ahead, servers), observedWaitMs)
         val localMs = waitMs + deadlinePolicy.typicalTimeMs(profile, servers.times)
         val isLate = localMs > remainingMs * settings.refuseFactor
         remote.tryForward(profile, current, servers.times, localMs, isLate, nowMs)?.let { return it }
@@ -277,7 +291,7 @@
         refuseIfDeadlineMissed(profile, nowMs)?.let { return it }
         val current = snapshot.get()
         val servers = current.services[profile.serviceName]
-        servers?.let { pool -> refuseIfPausedTooLong(profile, current, pool, nowMs)?.let { return it } }
+        servers?.let { pool -> refuseIfClosedTooLong(profile, current, pool, nowMs)?.let { return it } }
         val isServed = servers != null
         val isMaxWaitExceeded = deadlinePolicy.isMaxWaitExceeded(profile, nowMs)
         if (isServed && !isMaxWaitExceeded) return null
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerSelector.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerSelector.kt
@@ -51,9 +51,26 @@
         return sum.toDouble() / ownShare
     }
 
-    /** Returns the earliest end of a pause if all backend servers have asked this host for one, otherwise null. */
-    public fun pauseEndMs(nowMs: Long): Long? =
-        slots.minOfOrNull { it.pausedUntilMs }?.takeIf { it > nowMs }
+    /**
+     * Returns the time at which this host may send a request that waits behind [ahead] others, if all backend servers
+     * are limited or have asked this host for a pause; otherwise null.
+     */
+    public fun nextSendMs(ahead: Int, nowMs: Long): Long? {
+        var firstMs = Long.MAX_VALUE
+        var ratePerMs = 0.0
+        for (index in slots.indices) {
+            val server = slots[index]
+            val serverRatePerMs = server.turns.ratePerMs
+            if (serverRatePerMs == null && server.pausedUntilMs <= nowMs) return null
+            ratePerMs += serverRatePerMs ?: Double.POSITIVE_INFINITY
+            firstMs = minOf(firstMs, server.nextSendMs(nowMs))
+        }
+        if (firstMs == Long.MAX_VALUE) return firstMs.takeIf { slots.isNotEmpty() }
+        return firstMs + (ahead / ratePerMs).toLong()
+    }
+
+    /** True while all backend servers are limited. */
+    public val isLimited: Boolean get() = slots.isNotEmpty() && slots.all { it.turns.isLimited }
 
     /** Estimated requests in flight on all backend servers. */
     public fun load(): Int {
--- a/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
@@ -5,6 +5,7 @@
 import org.arbutusrelay.schema.message.BackendDeparture
 import org.arbutusrelay.schema.message.BackendLoad
 import org.arbutusrelay.schema.message.BackendServerState
+import org.arbutusrelay.schema.message.ServerLimit
 import kotlin.math.roundToLong
 
 /** The last announcement of an incarnation, as a pulse passes it on; [key] is a hash of its name and incarnation. */
@@ -15,7 +16,8 @@
  *
  * A higher incarnation of a name replaces a lower one, and of several servers at one address only the highest
  * incarnation is kept: an announcement that a partition delayed must not restore a server whose address was reused.
- * Leaving is final for an incarnation. Times are monotonic, in milliseconds. Not thread-safe.
+ * Leaving is final for an incarnation. What servers state of themselves, as that they are cold, leaving or limited, is
+ * kept by incarnation; a new one starts without. Times are monotonic, in milliseconds. Not thread-safe.
  */
 public class BackendServerRegistry(private val leaseMs: Long) {
     private val entries = LinkedHashMap<String, Entry>()
@@ -27,8 +29,11 @@
     public fun announce(state: BackendServerState, nowMs: Long): Boolean = store(state, nowMs, nowMs)
 
     /** Merges a state from a digest, aged by its remaining lease; returns true if routing is affected. */
-    public fun merge(state: BackendServerState, nowMs: Long): Boolean =
-        store(state, nowMs - (leaseMs - state.leaseMs).coerceAtLeast(0), nowMs)
+    public fun merge(state: BackendServerState, nowMs: Long): Boolean {
+        val isStored = store(state.copy(limit = null), nowMs - (leaseMs - state.leaseMs).coerceAtLeast(0), nowMs)
+        val limit = state.limit ?: return isStored
+        return merge(limit, nowMs) || isStored
+    }
 
     /**
      * Records the leaving notice of [name] and returns the departure to send to other hosts.
@@ -52,6 +57,45 @@
         entry.recordLoad(load.running, load.queued, nowMs - load.ageMs)
     }
 
+    /**
+     * Records the limit that a response to this host named; null if it named none.
+     *
+     * [limitPermille] is in thousandths of a request per second, and [sentMs] the time at which the request was sent.
+     * Returns true if other hosts must be told at once; the others are told by [recentLimits].
+     */
+    public fun recordLimit(
+        name: String,
+        incarnation: Long,
+        limitPermille: Long?,
+        sentMs: Long,
+        nowMs: Long,
+    ): Boolean {
+        val entry = entries[name]?.takeIf { it.state.incarnation == incarnation } ?: return false
+        val old = entry.limit
+        val new = LimitRecord.afterResponse(old, limitPermille, sentMs, nowMs)
+        if (new === old) return false
+        entry.limit = new
+        entry.limitObservedAtMs = nowMs
+        return LimitRecord.isChange(old, new)
+    }
+
+    /** Merges a limit of which another host has told; returns true if it must be passed on. */
+    public fun merge(limit: ServerLimit, nowMs: Long): Boolean {
+        val entry = entries[limit.name]?.takeIf { it.state.incarnation == limit.incarnation } ?: return false
+        val old = entry.limit
+        val new = LimitRecord.merge(old, limit.toRecord(nowMs))
+        if (new == old) return false
+        entry.limit = new
+        val isDue = LimitRecord.isChange(old, new) || nowMs - entry.limitPassedOnAtMs >= LIMIT_RENEWAL_MS
+        if (isDue) entry.limitPassedOnAtMs = nowMs
+        return isDue
+    }
+
+    /** Returns the limits that responses to this host named, or ceased to name, in the last [maxAgeMs]. */
+    public fun recentLimits(maxAgeMs: Long, nowMs: Long): List<ServerLimit> = entries.values
+        .filter { nowMs - it.limitObservedAtMs <= maxAgeMs }
+        .mapNotNull { it.limit?.toMessage(it.state.name, it.state.incarnation, nowMs) }
+
     /**
      * Renews the incarnation that [renewal] of a pulse stands for; returns false if this host does not know it.
      *
@@ -134,6 +178,7 @@
             queued = (entry.state.queued * weight).roundToLong(),
             leaseMs = (leaseMs - (nowMs - entry.lastSeenMs)).coerceIn(0, leaseMs),
             coldMs = (entry.coldUntilMs - nowMs).coerceAtLeast(0),
+            limit = entry.limit?.toMessage(entry.state.name, entry.state.incarnation, nowMs),
         )
     }
 
@@ -198,6 +243,13 @@
         val key = PulseKeys.of(state)
         var loadAtMs = Long.MIN_VALUE / 2
         var coldUntilMs = 0L
+        var limit: LimitRecord? = null
+
+        /** Time of the last response to this host that told something of the limit. */
+        var limitObservedAtMs = Long.MIN_VALUE / 2
+
+        /** Time at which another host's statement on the limit was last passed on. */
+        var limitPassedOnAtMs = Long.MIN_VALUE / 2
 
         fun recordLoad(running: Long, queued: Long, observedMs: Long) {
             if (observedMs < loadAtMs) return
@@ -217,6 +269,9 @@
         /** Reports of the same cold period differ by no more than network delays. */
         const val COLD_TOLERANCE_MS = 500L
 
+        /** Hosts hear of an unchanged limit at this interval, often enough that it doesn't expire. */
+        const val LIMIT_RENEWAL_MS = 2_000L
+
         /** Announcements may arrive seconds late, and a partition may delay one for longer than any lease. */
         const val DEPARTURE_RETENTION_MS = 60_000L
     }
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -68,6 +68,7 @@
     private val changesForSubscribers = PendingChanges()
     private val isBatchScheduled = AtomicBoolean()
     private val isStatePushDue = AtomicBoolean()
+    private val isLimitUnsent = AtomicBoolean()
     private val failures = FailureGuard("a step of the site service")
 
     /** True once this host may forward its state; see [confirmState]. */
@@ -193,6 +194,19 @@
         unreportedLoads[load.name] = load.copy(ageMs = clock.nowMs())
     }
 
+    /**
+     * Records the limit that a response of a backend server named, in thousandths of a request per second, or null if it
+     * named none; the request was sent at [sentMs]. Other hosts are told at once of one that is new, changed or ended.
+     */
+    public fun recordLimit(name: String, incarnation: Long, limitPermille: Long?, sentMs: Long) {
+        val isChanged = synchronized(this) {
+            servers.recordLimit(name, incarnation, limitPermille, sentMs, clock.nowMs())
+        }
+        if (!isChanged) return
+        isLimitUnsent.set(true)
+        scheduleBatch()
+    }
+
     override fun onFrame(from: HostIdentity, frame: LinkFrame) {
         frame.siteReport?.let { onReport(from, it) }
         frame.siteDigest?.let(::onDigest)
@@ -209,9 +223,11 @@
             homeTraffic.record(report.homeRequests, nowMs)
             val newDepartures = report.departures.filter { servers.merge(it, nowMs) }
             newDepartures.forEach(changesForAll::add)
+            val limited = report.limits.filter { servers.merge(it, nowMs) }.mapNotNull { servers.state(it.name, nowMs) }
+            limited.forEach(changesForAll::add)
             val isNew = hosts.recordReport(report.host, nowMs)
             if (isNew) changesForAll.add(SiteHost(report.host, 0))
-            isNew || newDepartures.isNotEmpty()
+            isNew || newDepartures.isNotEmpty() || limited.isNotEmpty()
         }
         val hasNewEvidence = crashEvidence.merge(report.crashEvidence) { synchronized(this) { changesForAll.add(it) } }
         if (isChanged || hasNewEvidence) scheduleBatch()
@@ -299,7 +315,8 @@
         }
         val (forAll, forSubscribers) =
             synchronized(this) { changesForAll.take(state.index) to changesForSubscribers.take(state.index) }
-        if (!self.isStateHost && crashEvidence.hasUnsent()) sendReports(clock.nowMs())
+        val isReportDue = isLimitUnsent.getAndSet(false) || crashEvidence.hasUnsent()
+        if (!self.isStateHost && isReportDue) sendReports(clock.nowMs())
         forAll?.let { sendDigest(it, digestTargets()) }
         forSubscribers?.let { sendDigest(it, subscriptions.active(clock.nowMs())) }
     }
@@ -350,6 +367,7 @@
                 primaryName = primaryName,
                 crashEvidence = crashEvidence.recent(),
                 homeRequests = takeHomeRequests(),
+                limits = servers.recentLimits(times.limitReportMs, nowMs),
             )
         }
         network.sendAll(targets, LinkFrame(siteReport = report))
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteTimes.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteTimes.kt
@@ -16,6 +16,8 @@
     val batchDelayMs: Long = 20,
     /** Reports repeat departures for this long, in case all state hosts restart and lose them. */
     val departureReportMs: Long = 15_000,
+    /** Reports repeat what servers said of their limits for this long, in case a link or a state host fails. */
+    val limitReportMs: Long = 3_000,
     /** Interval between views without an urgent change, which carry new loads and expire hosts. */
     val publishIntervalMs: Long = 450,
     /** Backend servers announce themselves about every 1,200 ms; the lease expires after five lost announcements. */
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/site/SiteServiceTest.kt
@@ -54,6 +54,8 @@
         "b", "s", "1", "1-a", "10.1.0.50:80", 1, version, 8, emptyList(), emptyList(), "", 0, 0, isLeaving, leaseMs,
     )
 
+    private fun Site.scopeNowMs() = scope.testScheduler.currentTime
+
     private fun Site.view(name: String) = services.getValue(name).view
 
     /** Guards against hosts that discover no hosts beyond their configured seeds. */
@@ -80,6 +82,39 @@
         for (name in stateHosts + entryHosts) assertTrue(view(name).backendServers.single().isLeaving, name)
     }
 
+    /** Guards against hosts that send a server what they like because another host was told of its limit. */
+    @Test
+    fun `a limit that one entry host hears of reaches all hosts within 500 ms, and so does its end`() = site {
+        services.getValue(stateHosts[0]).announce(server(1))
+        delay(500)
+        val limits = { (stateHosts + entryHosts).map { view(it).backendServers.single().limit?.limitPermille } }
+        services.getValue(entryHosts[0]).recordLimit("b", 1, 1_500, sentMs = 0)
+        delay(500)
+        assertEquals(setOf<Long?>(1_500), limits().toSet())
+        val heldMs = (stateHosts + entryHosts).mapNotNull { view(it).backendServers.single().limit?.heldMs }
+        assertTrue(heldMs.max() - heldMs.min() <= 500, "$heldMs")
+        delay(600)
+        val sentMs = scopeNowMs()
+        services.getValue(entryHosts[1]).recordLimit("b", 1, null, sentMs)
+        delay(500)
+        assertEquals(setOf<Long?>(null), limits().toSet())
+    }
+
+    /** Guards against a limit that ends on some hosts because only one of them still sends to the server. */
+    @Test
+    fun `a limit that one host keeps hearing of holds on all hosts`() = site {
+        for (round in 0L..3L) {
+            repeat(30) {
+                services.getValue(stateHosts[0]).announce(server(1 + round * 30 + it))
+                services.getValue(entryHosts[0]).recordLimit("b", 1, 1_500, sentMs = 0)
+                delay(1_000)
+            }
+            for (host in stateHosts + entryHosts) {
+                assertEquals(1_500, view(host).backendServers.single().limit?.limitPermille, host)
+            }
+        }
+    }
+
     /** Guards against an entry host that receives no updates after the state hosts it reports to become unreachable. */
     @Test
     fun `an entry host fails over to other state hosts`() = site {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/dialect/HeaderDialect.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/dialect/HeaderDialect.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import io.netty.handler.codec.http.HttpHeaders
 import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.core.relay.StatedLimit
 
 /** A part of a prompt that several requests may share, with its length in tokens. */
 public data class PromptPart(val id: String, val tokens: Int)
@@ -32,6 +33,8 @@
     val load: ReportedLoad? = null,
     /** True when the backend server states that it is leaving, after which it gets no more requests. */
     val isLeaving: Boolean = false,
+    /** Rate of requests that the backend server takes from all hosts together. */
+    val limit: StatedLimit = StatedLimit.None,
 )
 
 /** Load of a backend server as reported in its response, in requests. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -9,6 +9,7 @@
 import org.arbutusrelay.core.relay.EventStreamCursor
 import org.arbutusrelay.core.relay.ResponseDefect
 import org.arbutusrelay.core.relay.RetryAfter
+import org.arbutusrelay.core.relay.StatedLimit
 import org.arbutusrelay.core.route.RouteKind
 import org.arbutusrelay.core.routing.AttemptResult
 import org.arbutusrelay.core.routing.PlacedAttempt
@@ -180,15 +181,28 @@
     }
 
     /**
-     * Applies what the backend server states of itself: that it is leaving, or that it wants no requests for a time.
+     * Applies what the backend server states of itself: that it is leaving, that it wants no requests for a time, or how
+     * many it takes.
      *
      * Only a response that is known to be one of the server counts. A server that has another name, which answers at an
-     * address that is in use again, states nothing about the one that the request was sent to.
+     * address that is in use again, states nothing about the one that the request was sent to. That a limit is missing
+     * counts only in a response that names its request, which the server has run.
      */
     private fun applyStatements(head: BackendHead, metadata: ResponseMetadata) {
         if (!isOwnResponse || head.statusCode == MISDIRECTED_STATUS) return
         if (metadata.isLeaving) context.onLeaving(placed)
         if (head.statusCode == UNAVAILABLE_STATUS) retryAfterMs(head)?.let { context.pause(placed, it) }
+        when (val limit = metadata.limit) {
+            is StatedLimit.Named -> context.onLimit(placed, limit.permille)
+
+            is StatedLimit.None -> if (metadata.attemptId != null &&
+                !metadata.isNotExecuted
+            ) {
+                context.onLimit(placed, null)
+            }
+
+            is StatedLimit.Unreadable -> Unit
+        }
     }
 
     override fun onBody(bytes: ByteArray) {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
@@ -36,6 +36,11 @@
     private val onLoadReported: (PlacedAttempt, ReportedLoad) -> Unit,
     /** Called for each response of a backend server that states that it is leaving. */
     val onLeaving: (PlacedAttempt) -> Unit = {},
+    /**
+     * Called for each response of a backend server that names a limit, in thousandths of a request per second, and with
+     * null for each that the server gave to a request it ran and that names none.
+     */
+    val onLimit: (PlacedAttempt, limitPermille: Long?) -> Unit = { _, _ -> },
 ) {
     /** Active routes; null until this host has received a route document. */
     val routes = AtomicReference<RouteTable?>(null)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -80,7 +80,7 @@
     private val callerAddress = requireNotNull(settings.callerAddress) { "an entry host requires callerAddress" }
     private val site: SiteService =
         siteLinks.siteService(clock, { context.routes.get()?.homeRequests?.take().orEmpty() })
-    private val routing = RoutingTableBuilder(siteLinks.identity, settings.bounds)
+    private val routing = RoutingTableBuilder(siteLinks.identity, settings.bounds, site::isViewWhole)
     private val pool = BackendPool(loop, clock::nowMs)
     private val scheduler = DefaultRequestScheduler(
         callerOf = { null },
@@ -100,7 +100,7 @@
         siteLinks.identity, clock, loop, pool, scheduler, dialect, forwardTargets,
         RequestMetricsListener(metrics, RequestLogListener(log, clock::nowMs)), StopState(clock::nowMs),
         site.crashEvidence, Random(siteLinks.identity.epoch), ::reportLoad,
-        LeavingServers(site::deregister)::record,
+        LeavingServers(site::deregister)::record, ::recordLimit,
     )
     private val profiles = ProfileBuilder(settings.region) { otherRegions }
     private val loopLag = LoopLag()
@@ -145,6 +145,7 @@
         metrics.gauge("arbutus.request.bodies.bytes") { bodies.reservedBytes }
         metrics.gauge("arbutus.request.bodies.waiting") { bodies.waitingCount }
         metrics.gauge("arbutus.backend.servers.paused") { scheduler.pausedServers(clock.nowMs()) }
+        metrics.gauge("arbutus.backend.servers.limited") { scheduler.limitedServers() }
         metrics.gauge("arbutus.suspects.held") { site.crashEvidence.heldBack.size }
         metrics.gauge("arbutus.document.number") { context.routes.get()?.plan?.number ?: -1 }
         metrics.gauge("arbutus.document.age.ms") { if (isReady()) clock.nowMs() - inForceSinceMs else -1 }
@@ -197,6 +198,9 @@
     private fun reportLoad(placed: PlacedAttempt, load: ReportedLoad) =
         site.observe(BackendLoad(placed.backendServer, placed.incarnation, load.running, load.queued, 0))
 
+    private fun recordLimit(placed: PlacedAttempt, limitPermille: Long?) =
+        site.recordLimit(placed.backendServer, placed.incarnation, limitPermille, placed.placedAtMs)
+
     /** Returns how long a body may wait for memory: a part of the time that its caller has. */
     private fun bodyWaitMs(headers: HttpHeaders): Long {
         val callerMs = dialect.decodeRequest(headers).getOrNull()?.deadlineMs ?: Long.MAX_VALUE
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
@@ -4,6 +4,7 @@
 import org.arbutusrelay.core.route.RoutePlan
 import org.arbutusrelay.core.routing.RemoteRegion
 import org.arbutusrelay.core.routing.RoutingTable
+import org.arbutusrelay.core.routing.TurnShare
 import org.arbutusrelay.daemon.link.HostIdentity
 import org.arbutusrelay.daemon.site.SiteView
 import org.arbutusrelay.schema.manifest.RegionLink
@@ -11,8 +12,18 @@
 import org.arbutusrelay.schema.message.ServiceSummary
 import org.arbutusrelay.schema.settings.SiteBounds
 
-/** Builds the scheduler's routing table from a host's view of its site. */
-internal class RoutingTableBuilder(private val self: HostIdentity, private val bounds: SiteBounds) {
+/**
+ * Builds the scheduler's routing table from a host's view of its site.
+ *
+ * [isViewWhole] tells whether a host that is missing in the view is gone. Not thread-safe.
+ */
+internal class RoutingTableBuilder(
+    private val self: HostIdentity,
+    private val bounds: SiteBounds,
+    private val isViewWhole: () -> Boolean = { true },
+) {
+    private var sharingHosts = emptySet<String>()
+
     fun build(view: SiteView, plan: RoutePlan): RoutingTable {
         val usable = view.backendServers.filter {
             it.service in plan.services && !it.isLeaving && it.availabilityZone !in view.state.evacuatedZones
@@ -27,6 +38,7 @@
             otherRegions = regions.mapValues { (name, servers) -> remoteRegion(name, servers) },
             sentAwayPermille = FULL_PERMILLE,
             coldRatesPerSecond = coldRates(localServers, view, plan),
+            turnShares = turnShares(localServers, view),
             maxRetryBurst = retryBurst(view.entryHosts.size),
             regionHosts = view.entryHosts.count { it.region == self.region },
             builtAtMs = view.builtAtMs,
@@ -36,7 +48,9 @@
     private fun remoteRegion(name: String, servers: List<BackendServerState>) = RemoteRegion(
         name = name,
         link = RegionLink(self.region, name, REGION_ONE_WAY_DELAY_MS, LINK_BITS_PER_SECOND),
-        services = servers.groupBy { it.service }.mapValues { (service, states) -> summary(service, states) },
+        // What a limited server takes is needed in its own region.
+        services = servers.filter { it.limit?.limitPermille == null }.groupBy { it.service }
+            .mapValues { (service, states) -> summary(service, states) },
         ageMs = 0,
     )
 
@@ -68,6 +82,26 @@
             .associate { it.name to (plan.services[it.service]?.coldRatePerSecond ?: 0.0) * COLD_RATE_SHARE }
     }
 
+    /**
+     * Returns the share of this host in the turns at limited backend servers.
+     *
+     * All entry hosts of the region share them, those that are leaving too, since they still send. A host that can't
+     * tell whether others are gone keeps their turns free, and has none itself until it has once known them all.
+     */
+    private fun turnShares(localServers: List<BackendServerState>, view: SiteView): Map<String, TurnShare> {
+        val live = view.hosts.filter { it.region == self.region && (!it.isStateHost || it.callerAddress.isNotEmpty()) }
+            .map { it.hostName }.toSet() + self.hostName
+        sharingHosts = when {
+            isViewWhole() -> live
+            sharingHosts.isEmpty() -> emptySet()
+            else -> sharingHosts + live
+        }
+        return localServers.filter { it.limit?.limitPermille != null }.associate {
+            val ranked = Rendezvous.rank(it.name, sharingHosts)
+            it.name to TurnShare(ranked.indexOf(self.hostName).coerceAtLeast(0), ranked.size)
+        }
+    }
+
     /**
      * Returns the maximum burst of retries of this host for one service.
      *
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
@@ -102,10 +102,10 @@
         heldBack = latest
     }
 
-    /** The start of a cold phase counts as a change; its end does not, because it was announced with the start. */
+    /** A limit that is named, changed or ended counts as a change. The start of a cold phase counts as a change; its end does not, because it was announced with the start. */
     private fun hasChanged(old: BackendServerState?, new: BackendServerState): Boolean = old == null ||
         old.incarnation != new.incarnation || old.address != new.address || old.isLeaving != new.isLeaving ||
-        new.coldMs > old.coldMs
+        new.coldMs > old.coldMs || new.limit?.limitPermille != old.limit?.limitPermille
 
     private fun eventLine(event: Event, server: BackendServerState) = EventLine(
         event,
@@ -118,6 +118,7 @@
         availabilityZone = server.availabilityZone,
         isLeaving = server.isLeaving,
         coldMs = server.coldMs,
+        limitPermille = server.limit?.limitPermille,
     )
 
     private companion object {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -11,9 +11,11 @@
 import org.arbutusrelay.core.route.RoutedService
 import org.arbutusrelay.core.routing.DefaultRequestScheduler
 import org.arbutusrelay.core.routing.FirstByteServerSelector
+import org.arbutusrelay.core.routing.PlacedAttempt
 import org.arbutusrelay.core.routing.RemoteRegion
 import org.arbutusrelay.core.routing.RoutingTable
 import org.arbutusrelay.core.routing.SchedulerSettings
+import org.arbutusrelay.core.routing.TurnShare
 import org.arbutusrelay.daemon.RelayClock
 import org.arbutusrelay.daemon.link.HostIdentity
 import org.arbutusrelay.daemon.observe.EventSink
@@ -107,8 +109,9 @@
         ),
         clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
         ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), StopState(clock::nowMs),
-        crashEvidence, Random(1), { _, _ -> },
-    ) { leaving += it.backendServer }
+        crashEvidence, Random(1), { _, _ -> }, { leaving += it.backendServer },
+        { attempt, limitPermille -> onLimit(attempt, limitPermille) },
+    )
     private val profiles = ProfileBuilder(region) { otherRegions.keys.toList() }
     val port: Int = place.port ?: ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     private val options = IngressOptions(clock::nowMs, { lagMs }, bodies) { maxBodyBytes }
@@ -127,6 +130,12 @@
     /** Number of backend servers that have asked for a pause. */
     val pausedServers: Int get() = scheduler.pausedServers(clock.nowMs())
 
+    /** Called with what the responses of backend servers say of their limits. */
+    @Volatile
+    var onLimit: (PlacedAttempt, limitPermille: Long?) -> Unit = { _, _ -> }
+
+    val limitedServers: Int get() = scheduler.limitedServers()
+
     /** Number of connections accepted so far. */
     val acceptedConnections = AtomicInteger()
 
@@ -177,13 +186,33 @@
         RoutingTable(
             region,
             "$region-a",
-            servers.mapIndexed { index, server -> state("s$index", server.address, incarnation) } +
-                oddServers.map { (name, address) -> state(name, address, incarnation) },
+            serverStates(incarnation),
+            otherRegions = remoteRegions(),
+            sentAwayPermille = 1_000,
+        ),
+    )
+
+    /** Returns the state of all backend servers as processes with [incarnation]. */
+    fun serverStates(incarnation: Long = 1): List<BackendServerState> =
+        servers.mapIndexed { index, server -> state("s$index", server.address, incarnation) } +
+            oddServers.map { (name, address) -> state(name, address, incarnation) }
+
+    /** Puts [states], built at [builtAtMs], in the routing table, with [share] of the turns at those with a limit. */
+    fun applyStates(states: List<BackendServerState>, share: TurnShare, builtAtMs: Long) = scheduler.updateTable(
+        RoutingTable(
+            region,
+            "$region-a",
+            states,
             otherRegions = remoteRegions(),
             sentAwayPermille = 1_000,
+            turnShares = states.associate { it.name to share },
+            builtAtMs = builtAtMs,
         ),
     )
 
+    /** Time on the clock of the host. */
+    fun nowMs(): Long = clock.nowMs()
+
     /** Removes all backend servers from the routing table, as when their leases expire. */
     fun forgetServers() = useServers(emptyMap())
 
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ServerLimitTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ServerLimitTest.kt
@@ -1,7 +1,6 @@
 package org.arbutusrelay.relay
 
 import org.arbutusrelay.relay.ScriptedServer.Companion.write
-import org.junit.jupiter.api.Tag
 import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.concurrent.thread
 import kotlin.test.Test
@@ -11,7 +10,6 @@
 class ServerLimitTest {
     /** Guards against hosts that each send a server what they like although it has named a limit for all of them. */
     @Test
-    @Tag("known-red")
     fun `all hosts together keep to the limit that a server names`() {
         val arrivalsMs = ConcurrentLinkedQueue<Long>()
         val startMs = System.nanoTime() / NS_PER_MS
@@ -19,6 +17,7 @@
         val limited = respond("Limit: 1\r\n") { arrivalsMs += nowMs() }
         val other = respond("") { }
         val hosts = List(HOSTS) { RelayFixture(limited, other) }
+        LimitedRegion(hosts)
         hosts.mapIndexed { index, host ->
             thread {
                 var number = 0
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/ServerStatementsTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/ServerStatementsTest.kt
@@ -1,6 +1,7 @@
 package org.arbutusrelay.relay
 
 import org.arbutusrelay.relay.ScriptedServer.Companion.write
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -52,6 +53,39 @@
         }
     }
 
+    /** Guards against a limit that is read from a response of another server or request, or ended by one. */
+    @Test
+    fun `a limit is read from a server's own responses, and ended by those to requests that it ran`() {
+        val refused = "Not-Executed: 1\r\n"
+        data class Limit(val name: String, val status: String, val headers: String, val expected: List<Long?>)
+        val cases = listOf(
+            Limit("named", "200 OK", "Limit: 1.5\r\n", listOf(1_500)),
+            Limit("not named", "200 OK", "", listOf(null)),
+            Limit("unreadable", "200 OK", "Limit: -1\r\n", emptyList()),
+            Limit("named in an error", "500 Error", "Limit: 0\r\n", listOf(0)),
+            Limit("named in a refusal", "503 Busy", "${refused}Limit: 2\r\n", listOf(2_000)),
+            Limit("not named in a refusal", "503 Busy", refused, emptyList()),
+            Limit("another server", "421 No", "${refused}Limit: 1\r\n", emptyList()),
+            Limit("several", "200 OK", "Limit: 4\r\nLimit: 3\r\n", listOf(3_000)),
+        )
+        for (case in cases) {
+            for (names in listOf<(RawRequest) -> String?>({ it.header("Attempt") }, { "x" })) {
+                val isOwn = names(RawRequest("", listOf("Attempt: y"), "")) == "y"
+                val server = respond(Case(case.name, case.status, case.headers, false, isPaused = false, names))
+                RelayFixture(server, timeoutMs = 500).use { relay ->
+                    val stated = CopyOnWriteArrayList<Long?>()
+                    relay.onLimit = { _, limitPermille -> stated += limitPermille }
+                    relay.exchange("/once/x")
+                    assertEquals(
+                        if (isOwn) case.expected else emptyList(),
+                        stated.distinct(),
+                        "${case.name}, own $isOwn",
+                    )
+                }
+            }
+        }
+    }
+
     /** Guards against a caller that waits for a server which takes no request before the deadline. */
     @Test
     fun `a caller is told the end of the pause when all servers ask for one`() {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/TestDialect.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/TestDialect.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
+import org.arbutusrelay.core.relay.StatedLimit
 import org.arbutusrelay.relay.dialect.BackendRequestMetadata
 import org.arbutusrelay.relay.dialect.HeaderDialect
 import org.arbutusrelay.relay.dialect.PromptPart
@@ -39,5 +40,6 @@
         isNotExecuted = headers.contains("Not-Executed"),
         isSigned = headers.contains("Signature"),
         isLeaving = headers.contains("Leaving"),
+        limit = StatedLimit.parse(headers.getAll("Limit")),
     )
 }
--- /dev/null
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/node/TurnSharesTest.kt
@@ -0,0 +1,87 @@
+package org.arbutusrelay.relay.node
+
+import org.arbutusrelay.core.route.RoutePlan
+import org.arbutusrelay.core.route.RoutedService
+import org.arbutusrelay.core.routing.TurnShare
+import org.arbutusrelay.daemon.link.HostIdentity
+import org.arbutusrelay.daemon.site.SiteView
+import org.arbutusrelay.schema.message.BackendServerState
+import org.arbutusrelay.schema.message.HostState
+import org.arbutusrelay.schema.message.ServerLimit
+import org.arbutusrelay.schema.message.SiteState
+import org.arbutusrelay.schema.settings.SiteBounds
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class TurnSharesTest {
+    private val plan = RoutePlan(1, emptyList(), mapOf("svc" to RoutedService("svc")))
+
+    private fun host(name: String, region: String = "hue", isLeaving: Boolean = false, isStateHost: Boolean = false) =
+        HostState(
+            name, region, "$region-a", 1, 1, "$name:1",
+            if (isStateHost) "" else "$name:2", 0, 0, isLeaving, isStateHost,
+        )
+
+    private fun server(name: String, limitPermille: Long?, region: String = "hue") = BackendServerState(
+        name, "svc", region, "$region-a", "$name:1", 1, 1, 8, emptyList(), emptyList(), "", 0, 0, false, 3_000,
+        limit = ServerLimit(name, 1, limitPermille, 0),
+    )
+
+    private fun view(hosts: List<HostState>, vararg servers: BackendServerState) =
+        SiteView(SiteState(1, null, emptyList()), hosts, servers.toList(), 0)
+
+    private fun builder(name: String, isViewWhole: () -> Boolean = { true }) =
+        RoutingTableBuilder(
+            HostIdentity(name, "hue", "hue-a", 1),
+            SiteBounds(0.2, 10.0, 50.0, 1.5, 3.0, 8.0, 5.0),
+            isViewWhole,
+        )
+
+    /** Guards against turns that two hosts take, or that belong to hosts which send nothing to the server. */
+    @Test
+    fun `the entry hosts of the region share the turns, each with its own`() {
+        val hosts = (1..7).map { host("h$it") }
+        val others = listOf(host("far", region = "danang"), host("state", isStateHost = true))
+        for (limited in listOf("a", "b", "c")) {
+            val shares = hosts.map {
+                builder(it.hostName).build(view(hosts + others, server(limited, 1_000), server("free", null)), plan)
+                    .turnShares
+            }
+            assertEquals(setOf(setOf(limited)), shares.map { it.keys }.toSet())
+            assertEquals((0..6).toSet(), shares.map { it.getValue(limited).rank }.toSet())
+            assertEquals(setOf(7), shares.map { it.getValue(limited).hosts }.toSet())
+        }
+    }
+
+    /** Guards against a host that takes the turns of those which it can't reach, or of those that still send. */
+    @Test
+    fun `a host counts the others until it can tell that they are gone`() {
+        data class Step(val hosts: List<HostState>, val isWhole: Boolean, val expectedHosts: Int)
+        val all = listOf(host("h1"), host("h2"), host("h3"))
+        val steps = listOf(
+            Step(all.take(1), isWhole = false, expectedHosts = 0),
+            Step(all, isWhole = true, expectedHosts = 3),
+            Step(all.take(1), isWhole = false, expectedHosts = 3),
+            Step(all.take(1) + host("h4"), isWhole = false, expectedHosts = 4),
+            Step(all.take(2), isWhole = true, expectedHosts = 2),
+            Step(listOf(host("h1"), host("h2", isLeaving = true)), isWhole = true, expectedHosts = 2),
+        )
+        var isWhole = false
+        val builder = builder("h1") { isWhole }
+        for (step in steps) {
+            isWhole = step.isWhole
+            val share = builder.build(view(step.hosts, server("a", 1_000)), plan).turnShares["a"] ?: TurnShare(0, -1)
+            assertEquals(step.expectedHosts, share.hosts, "$step")
+            assertTrue(share.rank in 0..maxOf(0, share.hosts - 1), "$step")
+        }
+    }
+
+    /** Guards against requests that other regions send to servers which take no more than those of their own region. */
+    @Test
+    fun `limited servers of another region are no room for its requests`() {
+        val servers = arrayOf(server("a", 1_000, "danang"), server("b", null, "danang"))
+        val table = builder("h1").build(view(listOf(host("h1"), host("far", "danang")), *servers), plan)
+        assertEquals(1, table.otherRegions.getValue("danang").services.getValue("svc").backendServers)
+    }
+}
