--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteRecords.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteRecords.kt
@@ -77,6 +77,11 @@
         unreportedLoads[load.name] = load.copy(ageMs = nowMs)
     }
 
+    /** Records the limit that a response named; returns true if other hosts have to hear of it at once. */
+    @Synchronized
+    fun recordLimit(name: String, incarnation: Long, limitPermille: Long?, sentMs: Long, nowMs: Long): Boolean =
+        servers.recordLimit(name, incarnation, limitPermille, sentMs, nowMs)
+
     /** Adds crash evidence to the changes for all other hosts. */
     @Synchronized
     fun addForAll(evidence: CrashEvidence): Unit = changesForAll.add(evidence)
@@ -91,9 +96,11 @@
         report.loads.forEach { servers.recordLoad(it, nowMs) }
         val newDepartures = report.departures.filter { servers.merge(it, nowMs) }
         newDepartures.forEach(changesForAll::add)
+        val limited = report.limits.filter { servers.merge(it, nowMs) }.mapNotNull { servers.state(it.name, nowMs) }
+        limited.forEach(changesForAll::add)
         val isNew = hosts.recordReport(report.host, nowMs)
         if (isNew) changesForAll.add(SiteHost(report.host, 0))
-        return isNew || newDepartures.isNotEmpty()
+        return isNew || newDepartures.isNotEmpty() || limited.isNotEmpty()
     }
 
     /** Applies a digest; returns true if it has changes that must not wait for the next view. */
@@ -163,6 +170,7 @@
             primaryName = primaryName,
             crashEvidence = evidence,
             homeRequests = homeRequests,
+            limits = servers.recentLimits(times.limitReportMs, nowMs),
         )
     }
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -60,6 +60,7 @@
     private val digestRequestedAtMs = HashMap<String, Long>()
     private val isBatchScheduled = AtomicBoolean()
     private val isStatePushDue = AtomicBoolean()
+    private val isLimitUnsent = AtomicBoolean()
     private val failures = FailureGuard("a step of the site service")
 
     /** True once this host may forward its state; see [confirmState]. */
@@ -167,6 +168,16 @@
     /** Records the load of a backend server that was reported in a response. */
     public fun observe(load: BackendLoad): Unit = records.observe(load, clock.nowMs())
 
+    /**
+     * Records the limit that a response of a backend server named, in thousandths of a request per second, or null if it
+     * named none; the request was sent at [sentMs]. Other hosts are told at once of one that is new, changed or ended.
+     */
+    public fun recordLimit(name: String, incarnation: Long, limitPermille: Long?, sentMs: Long) {
+        if (!records.recordLimit(name, incarnation, limitPermille, sentMs, clock.nowMs())) return
+        isLimitUnsent.set(true)
+        scheduleBatch()
+    }
+
     override fun onFrame(from: HostIdentity, frame: LinkFrame) {
         frame.siteReport?.let { onReport(from, it) }
         frame.siteDigest?.let(::onDigest)
@@ -250,7 +261,8 @@
             pushState(latest, subscriptions.behind(latest.index, clock.nowMs()))
         }
         val (forAll, forSubscribers) = records.takeChanges()
-        if (!isStateHost && crashEvidence.hasUnsent()) sendReports(clock.nowMs())
+        val isReportDue = isLimitUnsent.getAndSet(false) || crashEvidence.hasUnsent()
+        if (!isStateHost && isReportDue) sendReports(clock.nowMs())
         forAll?.let { sendDigest(it, digestTargets()) }
         forSubscribers?.let { sendDigest(it, subscriptions.active(clock.nowMs())) }
     }
