--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/ReusedConnectionTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/ReusedConnectionTest.kt
@@ -5,6 +5,7 @@
 import org.arbutusrelay.daemon.backend.BackendRequest
 import org.arbutusrelay.daemon.backend.ResponseHead
 import org.arbutusrelay.daemon.backend.ResponseListener
+import org.junit.jupiter.api.Tag
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
@@ -48,6 +49,27 @@
         }
     }
 
+    /** Guards against a failure that counts as a success because two heads on a connection are read as one. */
+    @Test
+    @Tag("known-red")
+    fun `a failure behind the beginning of another response is not complete`() {
+        for (part in listOf("HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\nX: y", "x")) {
+            val server = StubBackendServer {
+                val own = "Arbutus-Request-Id: ${headers["arbutus-request-id"]}"
+                if (target == "/1") {
+                    write("HTTP/1.1 200 OK\r\n$own\r\nContent-Length: 5\r\n\r\nfirst$part")
+                } else {
+                    respond(500, "failed", own)
+                }
+            }
+            BackendClient().use { client ->
+                assertEquals(AttemptEnd.Complete(200) to "first", client.run(server.address, "1"), part)
+                assertIs<AttemptEnd.Failed>(client.run(server.address, "2").first, part)
+            }
+            server.close()
+        }
+    }
+
     /** Guards against a server without identifiers whose requests share connections. */
     @Test
     fun `connections are kept only for servers that name the request of their responses`() {
