--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/EmbeddedHead.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/EmbeddedHead.kt
@@ -112,8 +112,6 @@
     private fun isExpected(actual: Char, expected: Char) =
         if (expected == ANY_DIGIT) actual in '0'..'9' else actual == expected
 
-    private fun charAt(bytes: ByteArray, index: Int) = bytes[index].toInt().toChar()
-
     private fun mayBeginField(line: String) = ':' in line || line.all(::isTokenChar)
 
     private fun parseField(line: String): Pair<String, String>? {
@@ -127,7 +125,8 @@
 
     private fun indexOfLineFeed(bytes: ByteArray, from: Int): Int? =
         (from until bytes.size).firstOrNull { bytes[it] == LINE_FEED }
-
-    private fun textOf(bytes: ByteArray, start: Int, end: Int) =
-        String(bytes, start, end - start, Charsets.ISO_8859_1)
 }
+
+private fun charAt(bytes: ByteArray, index: Int) = bytes[index].toInt().toChar()
+
+private fun textOf(bytes: ByteArray, start: Int, end: Int) = String(bytes, start, end - start, Charsets.ISO_8859_1)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
@@ -59,23 +59,9 @@
     }
 
     private fun receive(response: Response, listener: ResponseListener): AttemptEnd {
-        if (JoinedHeads.isJoined(sequenceOf(response.message) + response.headers.asSequence().map { it.second })) {
+        foreignResponse(response)?.let {
             onDrop(DropReason.FOREIGN)
-            activeCall.get()?.cancel()
-            return failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "two heads are joined")
-        }
-        val responseRequestId = response.header(REQUEST_ID_HEADER)
-        if (responseRequestId != null && responseRequestId != request.requestId) {
-            onDrop(DropReason.FOREIGN)
-            return failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "the response names another request")
-        }
-        if (responseRequestId == null) {
-            client.recordAnonymousResponse(request.address)
-            if (trace.isConnectionReused) {
-                onDrop(DropReason.FOREIGN)
-                val detail = "the response on a connection that was used before names no request"
-                return failed(ErrorKind.BACKEND_FAILED, AttemptResult.CONNECTION_LOST, detail)
-            }
+            return it
         }
         if (response.header(OUTCOME_HEADER) == NOT_RUN) return refused("status ${response.code}")
         if (response.code >= SERVER_ERROR) {
@@ -89,6 +75,29 @@
         }
     }
 
+    /** Returns the failure of a [response] that is, or may be, one to another request; null for one of this request. */
+    private fun foreignResponse(response: Response): AttemptEnd? {
+        val id = response.header(REQUEST_ID_HEADER)
+        if (id == null) client.recordAnonymousResponse(request.address)
+        val headTexts = sequenceOf(response.message) + response.headers.asSequence().map { it.second }
+        return when {
+            JoinedHeads.isJoined(headTexts) -> {
+                activeCall.get()?.cancel()
+                failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "the head contains another one")
+            }
+
+            id != null && id != request.requestId ->
+                failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "the response names another request")
+
+            id == null && trace.isConnectionReused -> {
+                val detail = "the response on a connection that was used before names no request"
+                failed(ErrorKind.BACKEND_FAILED, AttemptResult.CONNECTION_LOST, detail)
+            }
+
+            else -> null
+        }
+    }
+
     private fun receiveBody(response: Response, head: ResponseHead, listener: ResponseListener): AttemptEnd {
         if (!deliverHead(head, listener)) return superseded()
         val source = response.body.source()
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
@@ -24,8 +24,10 @@
  *
  * The connection is reused only after a complete response to its own request. A preceding response that belongs to
  * another request is skipped, and the connection is not reused after that. Data that arrives without a pending request
- * closes the connection, and a second response inside the body ends the response. A body with a length that ends like the
- * beginning of a head is complete once the bytes behind it, or their absence, show that no second response fills it.
+ * closes the connection, and a second response inside the body ends the response.
+ *
+ * A body with a length that ends like the beginning of a head is complete once the bytes behind it, or their absence,
+ * show that no second response fills it.
  */
 internal class BackendConnection(
     private val channel: Channel,
@@ -258,7 +260,8 @@
 
     private fun markIdle() {
         listener = null
-        if (!isReusable || !isSent || !channel.isActive || decoder.hasUnreadBytes) return close()
+        val mayBeKept = isReusable && isSent && !decoder.hasUnreadBytes
+        if (!mayBeKept || !channel.isActive) return close()
         phase = Phase.IDLE
         // Less than a line would stay in the decoder, and be read as the beginning of the next response.
         decoder.rawReceiver = { close() }
@@ -307,8 +310,8 @@
         /**
          * Time for the bytes behind a body that ends with less than `HTTP/`, which text may well do.
          *
-         * It covers the repeat of one lost packet, which takes 200 ms or more. After a longer beginning of a head, which
-         * hardly ends a body, the wait is [MAX_SECOND_PAUSE_MS].
+         * It covers the repeat of one lost packet, which takes 200 ms or more. After a longer beginning of a head,
+         * which hardly ends a body, the wait is [MAX_SECOND_PAUSE_MS].
          */
         const val MAX_SHORT_END_WAIT_MS = 300L
 
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/FilledBodyTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/FilledBodyTest.kt
@@ -138,20 +138,22 @@
         // What comes behind the body and can't continue the head.
         val additions = listOf("", "x", "HHTTP/1.1 200 OK\r\n\r\n")
         for (end in ends) {
-            for (addition in additions.filter { it.isEmpty() || end.length < MIN_STATUS_LINE }) {
-                val name = "$end + $addition"
-                val server = ScriptedServer { socket, request, _ ->
-                    socket.write(signedResponse(request, "${request.line} $end") + addition)
-                }
-                RelayFixture(server).use { relay ->
-                    val paths = if (addition.isEmpty()) listOf("/once/1", "/safe/2", "/once/3") else listOf("/once/1")
-                    for (path in paths) {
-                        check(relay.exchange(path, "POST", body = "b"), "POST $path HTTP/1.1 $end", name)
-                    }
-                    assertEquals(paths.size, server.requests.size, name)
-                }
+            val fitting = additions.filter { it.isEmpty() || end.length < MIN_STATUS_LINE }
+            for (addition in fitting) checkEnd(end, addition)
+        }
+    }
+
+    private fun checkEnd(end: String, addition: String) {
+        val server = ScriptedServer { socket, request, _ ->
+            socket.write(signedResponse(request, "${request.line} $end") + addition)
+        }
+        val paths = if (addition.isEmpty()) listOf("/once/1", "/safe/2", "/once/3") else listOf("/once/1")
+        RelayFixture(server).use { relay ->
+            for (path in paths) {
+                check(relay.exchange(path, "POST", body = "b"), "POST $path HTTP/1.1 $end", "$end + $addition")
             }
         }
+        assertEquals(paths.size, server.requests.size, "$end + $addition")
     }
 
     /** Guards against a whole body that fails because its server closes the connection behind it. */
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/JoinedHeadsTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/JoinedHeadsTest.kt
@@ -49,13 +49,18 @@
         }
     }
 
+    /** Waits until the part has arrived, which closes the connection. */
+    private fun awaitClose(server: ScriptedServer) {
+        repeat(MAX_POLLS) { if (server.closed.isEmpty()) Thread.sleep(PAUSE_MS) }
+    }
+
     /** Returns what is wrong with the response to [case], or null; each run of its request fails. */
     private fun fault(case: Case): String? {
         val server = ScriptedServer { socket, request, _ -> answer(socket, request, case) }
         RelayFixture(server, timeoutMs = TIMEOUT_MS).use { relay ->
             val first = relay.exchange("/once/1", "POST", body = "b")
             if (!first.endsWith("\r\n\r\nfirst")) return "$case: $first"
-            if (case.timing == Timing.BETWEEN) Thread.sleep(2 * PAUSE_MS)
+            if (case.timing == Timing.BETWEEN) awaitClose(server)
             val second = relay.exchange(case.path, "POST", body = "b")
             val status = second.split(' ').getOrNull(1)
             val isOwn = status == "500" && second.endsWith("\r\n\r\nfailed")
@@ -81,6 +86,7 @@
 
     private companion object {
         const val PAUSE_MS = 20L
+        const val MAX_POLLS = 100
         const val PART_STEP = 9
         const val TIMEOUT_MS = 500L
     }
