--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
@@ -59,7 +59,7 @@
     }
 
     private fun receive(response: Response, listener: ResponseListener): AttemptEnd {
-        foreignFailure(response)?.let {
+        foreignResponse(response)?.let {
             onDrop(DropReason.FOREIGN)
             return it
         }
@@ -75,31 +75,29 @@
         }
     }
 
-    /** Returns the failure of a response that is not one to this request, or not known to be; otherwise null. */
-    private fun foreignFailure(response: Response): AttemptEnd? {
-        val responseRequestId = response.header(REQUEST_ID_HEADER)
-        if (responseRequestId == null) client.recordAnonymousResponse(request.address)
+    /** Returns the failure of a [response] that is, or may be, one to another request; null for one of this request. */
+    private fun foreignResponse(response: Response): AttemptEnd? {
+        val id = response.header(REQUEST_ID_HEADER)
+        if (id == null) client.recordAnonymousResponse(request.address)
+        val headTexts = sequenceOf(response.message) + response.headers.asSequence().map { it.second }
         return when {
-            response.isJoined() ->
-                failed(ErrorKind.BACKEND_FAILED, AttemptResult.CONNECTION_LOST, "the head contains another one")
+            JoinedHeads.isJoined(headTexts) -> {
+                activeCall.get()?.cancel()
+                failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "the head contains another one")
+            }
+
+            id != null && id != request.requestId ->
+                failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "the response names another request")
 
-            responseRequestId == null -> {
+            id == null && trace.isConnectionReused -> {
                 val detail = "the response on a connection that was used before names no request"
                 failed(ErrorKind.BACKEND_FAILED, AttemptResult.CONNECTION_LOST, detail)
-                    .takeIf { trace.isConnectionReused }
             }
 
-            responseRequestId != request.requestId ->
-                failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "the response names another request")
-
             else -> null
         }
     }
 
-    /** Returns true if the head was read from two, of which only the later is one to this request. */
-    private fun Response.isJoined(): Boolean =
-        JoinedHeads.isJoined(sequenceOf(message) + headers.asSequence().map { (_, value) -> value })
-
     private fun receiveBody(response: Response, head: ResponseHead, listener: ResponseListener): AttemptEnd {
         if (!deliverHead(head, listener)) return superseded()
         val source = response.body.source()
