Log why a state host has stopped leading

The replica now tells once when it stops leading, with the term that it led and the cause: no majority, a newer term, a handover, or its removal from the voters. The state host writes it at once as leader_changed with a detail; the event itself is not new. Decisions of the replica are as before.

--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusEffect.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/ConsensusEffect.kt
@@ -31,8 +31,13 @@
     /** Replaces the state of the state machine. */
     public data class Restore(val snapshot: ConsensusSnapshot) : ConsensusEffect
 
-    /** The role or the known leader has changed. */
-    public data class RoleChange(val role: ConsensusRole, val term: Long, val leader: String?) : ConsensusEffect
+    /** The role or the known leader has changed; [ended] is set when this replica has stopped leading. */
+    public data class RoleChange(
+        val role: ConsensusRole,
+        val term: Long,
+        val leader: String?,
+        val ended: LeadershipEnd? = null,
+    ) : ConsensusEffect
 
     /** Result of [ConsensusEvent.RemoveLostVoter]; [refusal] is null when the voter was removed. */
     public data class Recovered(val lost: LostVoter, val refusal: RecoveryRefusal?) : ConsensusEffect
@@ -44,6 +49,28 @@
 /** Persisted term and the candidate that this replica voted for in it. */
 public data class TermAndVote(val term: Long, val votedFor: String?)
 
+/** End of the leadership of a replica in [term]. */
+public data class LeadershipEnd(val term: Long, val cause: LeadershipEndCause)
+
+/** Reason why a replica stops leading. */
+public enum class LeadershipEndCause {
+    /** No majority of the voters has replied for the longest election timeout. */
+    NO_MAJORITY,
+
+    /** Another replica has begun a newer term. */
+    NEWER_TERM,
+
+    /** The leader has released its lease to hand over to another voter. */
+    HANDED_OVER,
+
+    /** The replica was removed from the voters. */
+    REMOVED,
+    ;
+
+    /** Name in log lines, such as `no_majority`. */
+    public val id: String = name.lowercase()
+}
+
 /** Role of a replica in the current term. */
 public enum class ConsensusRole { FOLLOWER, PRE_CANDIDATE, CANDIDATE, LEADER }
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/NodeState.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/NodeState.kt
@@ -89,18 +89,25 @@
         outbox.writeVote(TermAndVote(term, votedFor))
     }
 
-    fun changeRole(newRole: ConsensusRole, newLeader: String?) {
+    fun changeRole(newRole: ConsensusRole, newLeader: String?, ended: LeadershipEnd? = null) {
         if (newLeader != null) leaderTerm = term
         if (role == newRole && leader == newLeader) return
         role = newRole
         leader = newLeader
-        outbox.emit(ConsensusEffect.RoleChange(role, term, leader))
+        outbox.emit(ConsensusEffect.RoleChange(role, term, leader, ended))
     }
 
-    fun becomeFollower(newTerm: Long, newLeader: String?) {
+    /** Follows in [newTerm]; [cause] tells why a leader does, unless it is handing over. */
+    fun becomeFollower(
+        newTerm: Long,
+        newLeader: String?,
+        cause: LeadershipEndCause = LeadershipEndCause.NEWER_TERM,
+    ) {
+        val endCause = if (lease.isReleased) LeadershipEndCause.HANDED_OVER else cause
+        val ended = if (role == ConsensusRole.LEADER) LeadershipEnd(term, endCause) else null
         if (newTerm > term) recordVote(newTerm, null)
         if (role == ConsensusRole.LEADER) resetElectionDeadline()
-        changeRole(ConsensusRole.FOLLOWER, newLeader)
+        changeRole(ConsensusRole.FOLLOWER, newLeader, ended)
     }
 
     fun append(entry: LogEntry) {
--- a/core/src/main/kotlin/org/arbutusrelay/core/consensus/Replication.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/consensus/Replication.kt
@@ -44,7 +44,9 @@
     fun onTick() {
         val quorumMs = maxOf(state.lease.quorumSentMs(state.log.voters, state.nowMs), termStartMs)
         // A leader without a quorum steps down, so that clients look for another leader.
-        if (state.nowMs - quorumMs > state.config.electionTimeoutMaxMs) return state.becomeFollower(state.term, null)
+        if (state.nowMs - quorumMs > state.config.electionTimeoutMaxMs) {
+            return state.becomeFollower(state.term, null, LeadershipEndCause.NO_MAJORITY)
+        }
         if (state.nowMs >= nextHeartbeatMs) heartbeat()
     }
 
@@ -75,7 +77,7 @@
         val isRemoved = !state.isVoter && state.log.votersIndex <= state.commitIndex
         if (isRemoved) {
             heartbeat()
-            state.becomeFollower(state.term, null)
+            state.becomeFollower(state.term, null, LeadershipEndCause.REMOVED)
         }
     }
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaDriver.kt
@@ -9,6 +9,7 @@
 import org.arbutusrelay.core.consensus.ConsensusEvent
 import org.arbutusrelay.core.consensus.ConsensusNode
 import org.arbutusrelay.core.consensus.ConsensusRole
+import org.arbutusrelay.core.consensus.LeadershipEnd
 import org.arbutusrelay.core.consensus.StateMachine
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
@@ -33,6 +34,7 @@
     private val status: MutableStateFlow<ReplicaStatus>,
     private val nowMs: () -> Long,
     private val onApplied: (Long, R) -> Unit,
+    private val onLeadershipEnd: (LeadershipEnd) -> Unit,
     private val lostVoterRemoval: LostVoterRemoval,
 ) : FrameReceiver {
     private val queue = Channel<Input<R>>(options.queueLength)
@@ -193,7 +195,10 @@
                 appliedBytes = 0
             }
 
-            is ConsensusEffect.RoleChange -> if (effect.role != ConsensusRole.LEADER) pending.failAll(outcomeUnknown())
+            is ConsensusEffect.RoleChange -> {
+                if (effect.role != ConsensusRole.LEADER) pending.failAll(outcomeUnknown())
+                effect.ended?.let(onLeadershipEnd)
+            }
 
             is ConsensusEffect.Recovered -> lostVoterRemoval.onResult(effect)
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -21,6 +21,7 @@
 import org.arbutusrelay.core.consensus.ConsensusNode
 import org.arbutusrelay.core.consensus.ConsensusRole
 import org.arbutusrelay.core.consensus.DurableState
+import org.arbutusrelay.core.consensus.LeadershipEnd
 import org.arbutusrelay.core.consensus.StateMachine
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
@@ -62,6 +63,8 @@
     private val dispatchers: ReplicaDispatchers = ReplicaDispatchers(),
     /** Called with the cause when the replica ends although no stop was requested. */
     private val onFailure: (String) -> Unit = {},
+    /** Called when this replica has stopped leading; it must not block. */
+    private val onLeadershipEnd: (LeadershipEnd) -> Unit = {},
     /** Adjusts timeouts and limits of the replica; it must not change the group or the identity. */
     private val configure: (ConsensusConfig) -> ConsensusConfig = { it },
 ) : ConsensusGroup<R> {
@@ -121,6 +124,7 @@
                 status,
                 ::nowMs,
                 ::notifyListeners,
+                onLeadershipEnd,
                 removal,
             )
         driver = newDriver
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -57,6 +57,9 @@
         random = SecureRandom().asKotlinRandom(),
         foundingVoters = SiteLinks.seedNames(settings).takeIf { settings.isFounding },
         options = REPLICA_GROUP_OPTIONS,
+        onLeadershipEnd = {
+            eventLog.write(EventLine(Event.LEADER_CHANGED, term = it.term, detail = "stopped leading: ${it.cause.id}"))
+        },
         onFailure = { processFailure.onPartEnded("the replica of the site", it) },
         // Reads go through the log instead of the lease, so the lease can be as short as the links allow.
         configure = {
