--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -63,13 +63,12 @@
     private val dispatchers: ReplicaDispatchers = ReplicaDispatchers(),
     /** Called with the cause when the replica ends although no stop was requested. */
     private val onFailure: (String) -> Unit = {},
-    /** Called when this replica has stopped leading; it must not block. */
-    private val onLeadershipEnd: (LeadershipEnd) -> Unit = {},
     /** Adjusts timeouts and limits of the replica; it must not change the group or the identity. */
     private val configure: (ConsensusConfig) -> ConsensusConfig = { it },
 ) : ConsensusGroup<R> {
     private val startMark = timeSource.markNow()
     private val listeners = CopyOnWriteArrayList<(Long, R) -> Unit>()
+    private val leadershipListeners = CopyOnWriteArrayList<(LeadershipEnd) -> Unit>()
     private val status = MutableStateFlow(ReplicaStatus())
     private val failureCause = AtomicReference<String?>(null)
     private val errorHandler = CoroutineExceptionHandler { _, error -> fail("$error") }
@@ -124,7 +123,7 @@
                 status,
                 ::nowMs,
                 ::notifyListeners,
-                onLeadershipEnd,
+                { end -> leadershipListeners.forEach { it(end) } },
                 removal,
             )
         driver = newDriver
@@ -149,6 +148,11 @@
         listeners += listener
     }
 
+    /** Calls [listener] each time this replica has stopped leading; it must not block. */
+    public fun addLeadershipListener(listener: (LeadershipEnd) -> Unit) {
+        leadershipListeners += listener
+    }
+
     override suspend fun transferLeadership() {
         // A group of one voter has no other voter to transfer to; waiting would only delay the stop.
         if (status.value.role != ConsensusRole.LEADER || voters.size < 2) return
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/LeadershipEndTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/LeadershipEndTest.kt
@@ -38,13 +38,9 @@
         val fixture = ReplicaGroupFixture(names)
         val ends = mutableListOf<Pair<String, LeadershipEnd>>()
         val groups = names.associateWith { name ->
-            fixture.startReplica(
-                this,
-                name,
-                MemoryConsensusStorage(),
-                names,
-                onLeadershipEnd = { ends += name to it },
-            )
+            fixture.startReplica(this, name, MemoryConsensusStorage(), names).also { group ->
+                group.addLeadershipListener { ends += name to it }
+            }
         }
         val leader = fixture.awaitLeader(groups.values)
         val host = groups.entries.first { it.value === leader }.key
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupFixture.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroupFixture.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.test.StandardTestDispatcher
 import kotlinx.coroutines.test.TestScope
 import org.arbutusrelay.core.consensus.ConsensusConfig
-import org.arbutusrelay.core.consensus.LeadershipEnd
 import org.arbutusrelay.core.consensus.StateMachine
 import org.arbutusrelay.daemon.link.FrameReceiver
 import org.arbutusrelay.daemon.link.HostIdentity
@@ -38,7 +37,6 @@
         foundingVoters: List<String>?,
         options: ReplicaGroupOptions = ReplicaGroupOptions(),
         onFailure: (String) -> Unit = {},
-        onLeadershipEnd: (LeadershipEnd) -> Unit = {},
         storageDispatcher: CoroutineDispatcher? = null,
         configure: (ConsensusConfig) -> ConsensusConfig = { it.copy(trailingEntries = 5) },
     ): ReplicaGroup<Long> {
@@ -58,7 +56,6 @@
             options = options,
             dispatchers = ReplicaDispatchers(dispatcher, storageDispatcher ?: dispatcher),
             onFailure = onFailure,
-            onLeadershipEnd = onLeadershipEnd,
             configure = configure,
         )
         assertEquals(null, group.start().leftOrNull())
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import org.arbutusrelay.core.consensus.LeadershipEnd
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.route.RoutePlanParser
 import org.arbutusrelay.core.site.SiteStateMachine
@@ -57,9 +58,6 @@
         random = SecureRandom().asKotlinRandom(),
         foundingVoters = SiteLinks.seedNames(settings).takeIf { settings.isFounding },
         options = REPLICA_GROUP_OPTIONS,
-        onLeadershipEnd = {
-            eventLog.write(EventLine(Event.LEADER_CHANGED, term = it.term, detail = "stopped leading: ${it.cause.id}"))
-        },
         onFailure = { processFailure.onPartEnded("the replica of the site", it) },
         // Reads go through the log instead of the lease, so the lease can be as short as the links allow.
         configure = {
@@ -101,6 +99,7 @@
         changes.attach(site, siteLinks.network)
         site.addListener { logLeader() }
         group.addListener(::confirmState)
+        group.addLeadershipListener(::logLeadershipEnd)
         group.start().onLeft { throw IOException("${settings.dataFolder}: $it") }
         site.start(scope)
         httpServers.forEach { it.start() }
@@ -150,6 +149,9 @@
         eventLog.write(EventLine(Event.LEADER_CHANGED, host = currentLeader, term = group.term))
     }
 
+    private fun logLeadershipEnd(end: LeadershipEnd) =
+        eventLog.write(EventLine(Event.LEADER_CHANGED, term = end.term, detail = "stopped leading: ${end.cause.id}"))
+
     private fun httpServer(address: String, groups: List<RouteGroup>) =
         HttpServer(
             settings.bindAddress,
