--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -80,7 +80,6 @@
     bodies: BodyAdmission = BodyAdmission(),
     place: HostPlace = HostPlace(),
     homes: List<String> = emptyList(),
-    retryPermille: Long = 1_000,
 ) : AutoCloseable {
     private val region = place.region
     private val otherRegions = place.otherRegions
@@ -96,7 +95,7 @@
     val crashEvidence = CrashEvidenceReplica(RelayClock(evidenceTime))
     private val scheduler = DefaultRequestScheduler(
         callerOf = { null },
-        settings = SchedulerSettings(retryPermille = retryPermille),
+        settings = SchedulerSettings(retryPermille = 1_000),
         serverSelector = FirstByteServerSelector(),
     )
     private val context = RelayContext(
