--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/consensus/ReplicaGroup.kt
@@ -21,6 +21,7 @@
 import org.arbutusrelay.core.consensus.ConsensusNode
 import org.arbutusrelay.core.consensus.ConsensusRole
 import org.arbutusrelay.core.consensus.DurableState
+import org.arbutusrelay.core.consensus.LeadershipEnd
 import org.arbutusrelay.core.consensus.StateMachine
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
@@ -67,6 +68,7 @@
 ) : ConsensusGroup<R> {
     private val startMark = timeSource.markNow()
     private val listeners = CopyOnWriteArrayList<(Long, R) -> Unit>()
+    private val leadershipListeners = CopyOnWriteArrayList<(LeadershipEnd) -> Unit>()
     private val status = MutableStateFlow(ReplicaStatus())
     private val failureCause = AtomicReference<String?>(null)
     private val errorHandler = CoroutineExceptionHandler { _, error -> fail("$error") }
@@ -121,6 +123,7 @@
                 status,
                 ::nowMs,
                 ::notifyListeners,
+                { end -> leadershipListeners.forEach { it(end) } },
                 removal,
             )
         driver = newDriver
@@ -145,6 +148,11 @@
         listeners += listener
     }
 
+    /** Calls [listener] each time this replica has stopped leading; it must not block. */
+    public fun addLeadershipListener(listener: (LeadershipEnd) -> Unit) {
+        leadershipListeners += listener
+    }
+
     override suspend fun transferLeadership() {
         // A group of one voter has no other voter to transfer to; waiting would only delay the stop.
         if (status.value.role != ConsensusRole.LEADER || voters.size < 2) return
