Count limited servers of other regions by what they take

Cause: a limited server was left out of what other regions know, so that requests whose only region has limited servers would have been refused, whatever the limits are. And each small change of a limit was told at once. Change: a limited server has room for what it takes in a second; a limit that differs by less than a tenth is told with the next report.

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/LimitRecord.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/LimitRecord.kt
@@ -1,6 +1,7 @@
 package org.arbutusrelay.core.site
 
 import org.arbutusrelay.schema.message.ServerLimit
+import kotlin.math.abs
 
 /**
  * What a host knows of the request limit of one incarnation of a backend server.
@@ -78,9 +79,17 @@
         }
 
         /** Returns true if a host that knows [old] has to be told [new] at once. */
-        fun isChange(old: LimitRecord?, new: LimitRecord?): Boolean =
-            old?.permille != new?.permille ||
-                (new?.permille != null && old != null && old.sinceMs - new.sinceMs > RENEWAL_MS)
+        fun isChange(old: LimitRecord?, new: LimitRecord?): Boolean {
+            val oldPermille = old?.permille
+            val permille = new?.permille
+            if (old == null || oldPermille == null || permille == null) return oldPermille != permille
+            // A server may name a slightly different limit in each response; the next report tells of it.
+            val isOtherRate = abs(permille - oldPermille) * MAX_CHANGE_DIVISOR > oldPermille
+            return isOtherRate || old.sinceMs - new.sinceMs > RENEWAL_MS
+        }
+
+        /** A limit that differs by less than a tenth is told with the next report. */
+        private const val MAX_CHANGE_DIVISOR = 10
     }
 }
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
@@ -48,8 +48,7 @@
     private fun remoteRegion(name: String, servers: List<BackendServerState>) = RemoteRegion(
         name = name,
         link = RegionLink(self.region, name, REGION_ONE_WAY_DELAY_MS, LINK_BITS_PER_SECOND),
-        // What a limited server takes is needed in its own region.
-        services = servers.filter { it.limit?.limitPermille == null }.groupBy { it.service }
+        services = servers.filter { capacityOf(it) > 0 }.groupBy { it.service }
             .mapValues { (service, states) -> summary(service, states) },
         ageMs = 0,
     )
@@ -57,12 +56,16 @@
     private fun summary(service: String, states: List<BackendServerState>) = ServiceSummary(
         service = service,
         backendServers = states.size.toLong(),
-        capacity = states.sumOf { it.capacity },
+        capacity = states.sumOf { capacityOf(it) },
         running = states.sumOf { it.running },
         queued = states.sumOf { it.queued },
         predictedMs = 0,
     )
 
+    /** A limited server has room for what it takes in a second, about the time of a request, if that is one at least. */
+    private fun capacityOf(server: BackendServerState): Long =
+        minOf(server.capacity, server.limit?.limitPermille?.let { it / FULL_PERMILLE } ?: Long.MAX_VALUE)
+
     /**
      * Returns the request rates that this host may send to cold backend servers.
      *
