--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -138,8 +138,8 @@
     /** Returns the number of backend servers that have asked this host for a pause which has not ended. */
     public fun pausedServers(nowMs: Long): Int = snapshot.get().slotsByName.values.count { it.pausedUntilMs > nowMs }
 
-    /** Returns the number of backend servers of this region that have named a limit which is in force. */
-    public fun limitedServers(): Int = snapshot.get().slotsByName.values.count { it.turns.isLimited }
+    /** Number of backend servers of this region that have named a limit which is in force. */
+    public val limitedServers: Int get() = snapshot.get().slotsByName.values.count { it.turns.isLimited }
 
     override fun viewOf(name: String, nowMs: Long): ScheduledServer? =
         snapshot.get().slotsByName[name]?.view(nowMs)
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestTurns.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestTurns.kt
@@ -25,7 +25,7 @@
     private val periodMs = turnMs * maxOf(1, share.hosts)
     private val firstMs = startMs + share.rank * turnMs
 
-    /** A turn can still be used this long after its start; several that are as short belong to one poll of the queue. */
+    /** Time for which a turn can be used; short ones can still be used at the next polls of the queue. */
     private val usableMs = maxOf(turnMs, MIN_USABLE_MS)
 
     /** Requests that this host may send in a millisecond. */
@@ -46,8 +46,8 @@
         const val PERMILLE = 1_000L
 
         /**
-         * A server whose limit is 0, or next to it, still gets a request every ten seconds, as only a response tells that
-         * the limit has ended.
+         * A server whose limit is 0, or next to it, still gets a request every ten seconds, as only a response tells
+         * that the limit has ended.
          */
         const val MIN_PERMILLE = 100L
 
@@ -110,7 +110,7 @@
         return true
     }
 
-    /** Returns the time from [nowMs] on at which a request may be sent; [Long.MAX_VALUE] when this host has no turns. */
+    /** Returns when a request may be sent, [nowMs] at the earliest; [Long.MAX_VALUE] when this host has no turns. */
     public fun nextMs(nowMs: Long): Long {
         val current = state ?: return nowMs
         if (current.schedule.share.hosts == 0) return Long.MAX_VALUE
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/LimitedSite.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/LimitedSite.kt
@@ -14,7 +14,7 @@
  * Hosts of one region with production schedulers and registries, in virtual time, and the servers that they share.
  *
  * The servers in [limitedNames] name [limitPermille] in their responses from [LIMIT_AT_MS] until [limitEndMs]; the
- * others never do. Messages between hosts take up to [MAX_MESSAGE_MS]. With [isObserved] false, hosts don't read limits;
+ * others never do. Messages between hosts take up to [MAX_MESSAGE_MS]. With [isObserved] false, hosts read no limits;
  * with [isShared] false, each of them takes a limit for its own.
  */
 internal class LimitedSite(
@@ -67,7 +67,7 @@
     }
 
     /** Number of hosts that hold server `a` to be limited. */
-    fun limitedHosts(): Int = hosts.count { it.scheduler.limitedServers() > 0 }
+    fun limitedHosts(): Int = hosts.count { it.scheduler.limitedServers > 0 }
 
     /** Returns the highest number of requests at one limited server in [windowMs], counted from [fromMs] on. */
     fun mostIn(windowMs: Long, fromMs: Long, isCounted: (Arrival) -> Boolean = { true }): Int =
@@ -103,13 +103,13 @@
         fun step() {
             if (isTableDue || nowMs >= nextTableMs) updateTable()
             if (nowMs >= nextReportMs) report(REPORT_MS)
-            scheduler.poll(nowMs).forEach { apply(it.profile, it.placement) }
+            scheduler.poll(nowMs).forEach { apply(it.placement) }
             while (nextRequestMs <= nowMs) {
                 nextRequestMs = maxOf(nextRequestMs + requestIntervalMs, nowMs - requestIntervalMs)
                 submitted++
                 val profile = request(++requestNumber, deadlineMs = nowMs + waitMs, regions = listOf("hue"))
                     .copy(targetMs = TARGET_MS, submittedAtMs = nowMs)
-                apply(profile, scheduler.submit(profile, nowMs))
+                apply(scheduler.submit(profile, nowMs))
             }
         }
 
@@ -130,7 +130,7 @@
             )
         }
 
-        private fun apply(profile: RequestProfile, placement: Placement) {
+        private fun apply(placement: Placement) {
             when (placement) {
                 is Placement.Run -> run(placement.attempt)
                 is Placement.Refused -> refused++
@@ -157,7 +157,7 @@
                 report(REPORT_MS)
             }
             if (nowMs - attempt.profile.submittedAtMs <= TARGET_MS) inTime++ else late++
-            scheduler.complete(attempt, AttemptResult.COMPLETE, nowMs).forEach { apply(it.profile, it.placement) }
+            scheduler.complete(attempt, AttemptResult.COMPLETE, nowMs).forEach { apply(it.placement) }
         }
 
         private fun report(intervalMs: Long) {
--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/RequestTurnsTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/RequestTurnsTest.kt
@@ -21,18 +21,18 @@
     /** Guards against hosts that together send a limited server too much, and against turns that nobody uses. */
     @Test
     fun `all hosts together keep to the limit and use it`() {
-        for (hosts in listOf(1, 2, 7, 18)) {
-            for (permille in listOf(0L, 100, 500, 1_000, 2_500, 5_000, 20_000, 50_000)) {
-                for (servers in listOf(listOf("a"), listOf("a", "b"))) {
-                    val site = LimitedSite(hosts, permille, serverNames = servers).run(END_MS)
-                    val case = "$hosts hosts, $permille permille, $servers"
-                    val most = site.mostIn(WINDOW_MS, COUNTED_FROM_MS)
-                    assertTrue(most <= allowed(permille), "$most requests, $case")
-                    val sent = site.arrivals.count { it.atMs >= COUNTED_FROM_MS }
-                    val taken = minOf(permille / 1_000.0, 30.0 * hosts) * (END_MS - COUNTED_FROM_MS) / 1_000
-                    if (servers.size == 1) assertTrue(sent >= taken * 0.7 - 2, "$sent of $taken, $case")
-                }
-            }
+        data class Case(val hosts: Int, val permille: Long, val servers: List<String>)
+        val limits = listOf(0L, 100, 500, 1_000, 2_500, 5_000, 20_000, 50_000)
+        val cases = listOf(1, 2, 7, 18).flatMap { hosts ->
+            limits.flatMap { listOf(Case(hosts, it, listOf("a")), Case(hosts, it, listOf("a", "b"))) }
+        }
+        for (case in cases) {
+            val site = LimitedSite(case.hosts, case.permille, serverNames = case.servers).run(END_MS)
+            val most = site.mostIn(WINDOW_MS, COUNTED_FROM_MS)
+            assertTrue(most <= allowed(case.permille), "$most requests, $case")
+            val sent = site.arrivals.count { it.atMs >= COUNTED_FROM_MS }
+            val taken = minOf(case.permille / 1_000.0, 30.0 * case.hosts) * (END_MS - COUNTED_FROM_MS) / 1_000
+            if (case.servers.size == 1) assertTrue(sent >= taken * 0.7 - 2, "$sent of $taken, $case")
         }
     }
 
@@ -78,7 +78,7 @@
         }
     }
 
-    /** Guards against requests that wait for a turn which comes after their deadline, and against a wrong Retry-After. */
+    /** Guards against requests that wait for a turn after their deadline, and against a wrong Retry-After. */
     @Test
     fun `a request that gets no turn in time is refused at once with the time of the next`() {
         data class Case(val share: TurnShare, val deadlineMs: Long, val expected: String)
@@ -121,10 +121,10 @@
         val scheduler = DefaultRequestScheduler({ null }, serverSelector = FirstByteServerSelector())
         val share = mapOf("a" to TurnShare(1, 2))
         scheduler.updateTable(table(limited("a", 1_000)).copy(turnShares = share, builtAtMs = 0))
-        assertEquals(1, scheduler.limitedServers())
+        assertEquals(1, scheduler.limitedServers)
         val next = server("a", incarnation = 2).copy(limit = ServerLimit("a", 1, 1_000, 0, 0))
         scheduler.updateTable(table(next).copy(turnShares = share, builtAtMs = 1))
-        assertEquals(0, scheduler.limitedServers())
+        assertEquals(0, scheduler.limitedServers)
         assertIs<Placement.Run>(scheduler.submit(request(1), 2))
     }
 
--- a/core/src/test/kotlin/org/arbutusrelay/core/site/ServerLimitRecordTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/site/ServerLimitRecordTest.kt
@@ -74,7 +74,7 @@
         assertEquals(listOf(false, true, false, false, true, true, false, true, false, true), isTold)
     }
 
-    /** Guards against an old statement of another host that replaces a newer one, and against a limit that none renews. */
+    /** Guards against an old statement that replaces a newer one, and against a limit that nobody renews. */
     @Test
     fun `the newest statement of all hosts holds`() {
         data class Case(val name: String, val news: List<ServerLimit>, val expected: Long?)
@@ -96,7 +96,7 @@
         }
     }
 
-    /** Guards against hosts that count turns from different times, and against a limit that hosts keep alive by repeating it. */
+    /** Guards against hosts that count turns from different times, or keep a limit alive by passing it on. */
     @Test
     fun `hosts agree on the time from which turns are counted, and none renews a limit by passing it on`() {
         val first = registry()
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -195,8 +195,10 @@
     }
 
     /**
-     * Records the limit that a response of a backend server named, in thousandths of a request per second, or null if it
-     * named none; the request was sent at [sentMs]. Other hosts are told at once of one that is new, changed or ended.
+     * Records the limit that a response of a backend server named, in thousandths of a request per second.
+     *
+     * [limitPermille] is null if it named none, and [sentMs] the time at which the request was sent. Other hosts are
+     * told at once of a limit that is new, changed or ended.
      */
     public fun recordLimit(name: String, incarnation: Long, limitPermille: Long?, sentMs: Long) {
         val isChanged = synchronized(this) {
@@ -331,7 +333,7 @@
             servers.tick(nowMs)
         }
         crashEvidence.tick { synchronized(this) { servers.lastSeenMs(it) } }
-        links.maintain(otherStateHostRegions(), isAnnouncementMissing())
+        links.maintain(otherStateHostRegions, isAnnouncementMissing())
         if (nowMs >= nextReportAtMs) {
             nextReportAtMs = nowMs + times.reportIntervalMs
             if (self.isStateHost) sendPulses(nowMs) else sendReports(nowMs)
@@ -347,11 +349,11 @@
         return (seeds + otherStateHosts()).associateWith { known[it].orEmpty() } + known
     }
 
-    private fun otherStateHostRegions(): Map<String, String> = stateHostRegions() - self.hostName
+    private val otherStateHostRegions: Map<String, String> get() = stateHostRegions() - self.hostName
 
     private fun sendReports(nowMs: Long) {
         val isAnnouncementMissing = isAnnouncementMissing()
-        val targets = links.reportTargets(otherStateHostRegions(), isAnnouncementMissing)
+        val targets = links.reportTargets(otherStateHostRegions, isAnnouncementMissing)
         // The state host that heard of a missing announcement may be any of them.
         val primaryName = if (isAnnouncementMissing) "" else targets.firstOrNull().orEmpty()
         val report = synchronized(this) {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -181,8 +181,8 @@
     }
 
     /**
-     * Applies what the backend server states of itself: that it is leaving, that it wants no requests for a time, or how
-     * many it takes.
+     * Applies what the backend server states of itself: that it is leaving, that it wants no requests for a time, or
+     * how many it takes.
      *
      * Only a response that is known to be one of the server counts. A server that has another name, which answers at an
      * address that is in use again, states nothing about the one that the request was sent to. That a limit is missing
@@ -190,15 +190,15 @@
      */
     private fun applyStatements(head: BackendHead, metadata: ResponseMetadata) {
         if (!isOwnResponse || head.statusCode == MISDIRECTED_STATUS) return
-        if (metadata.isLeaving) context.onLeaving(placed)
+        if (metadata.isLeaving) context.statements.onLeaving(placed)
         if (head.statusCode == UNAVAILABLE_STATUS) retryAfterMs(head)?.let { context.pause(placed, it) }
         when (val limit = metadata.limit) {
-            is StatedLimit.Named -> context.onLimit(placed, limit.permille)
+            is StatedLimit.Named -> context.statements.onLimit(placed, limit.permille)
 
             is StatedLimit.None -> if (metadata.attemptId != null &&
                 !metadata.isNotExecuted
             ) {
-                context.onLimit(placed, null)
+                context.statements.onLimit(placed, null)
             }
 
             is StatedLimit.Unreadable -> Unit
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
@@ -34,13 +34,8 @@
     val crashEvidence: CrashEvidenceReplica,
     private val random: Random,
     private val onLoadReported: (PlacedAttempt, ReportedLoad) -> Unit,
-    /** Called for each response of a backend server that states that it is leaving. */
-    val onLeaving: (PlacedAttempt) -> Unit = {},
-    /**
-     * Called for each response of a backend server that names a limit, in thousandths of a request per second, and with
-     * null for each that the server gave to a request it ran and that names none.
-     */
-    val onLimit: (PlacedAttempt, limitPermille: Long?) -> Unit = { _, _ -> },
+    /** Receives what backend servers state of themselves. */
+    val statements: StatementListener = StatementListener.None,
 ) {
     /** Active routes; null until this host has received a route document. */
     val routes = AtomicReference<RouteTable?>(null)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -34,6 +34,7 @@
 import org.arbutusrelay.relay.exchange.ForwardTargets
 import org.arbutusrelay.relay.exchange.ProfileBuilder
 import org.arbutusrelay.relay.exchange.RelayContext
+import org.arbutusrelay.relay.exchange.StatementListener
 import org.arbutusrelay.relay.ingress.BodyAdmission
 import org.arbutusrelay.relay.ingress.ConnectionDrain
 import org.arbutusrelay.relay.ingress.IngressExchange
@@ -100,7 +101,7 @@
         siteLinks.identity, clock, loop, pool, scheduler, dialect, forwardTargets,
         RequestMetricsListener(metrics, RequestLogListener(log, clock::nowMs)), StopState(clock::nowMs),
         site.crashEvidence, Random(siteLinks.identity.epoch), ::reportLoad,
-        LeavingServers(site::deregister)::record, ::recordLimit,
+        Statements(),
     )
     private val profiles = ProfileBuilder(settings.region) { otherRegions }
     private val loopLag = LoopLag()
@@ -145,7 +146,7 @@
         metrics.gauge("arbutus.request.bodies.bytes") { bodies.reservedBytes }
         metrics.gauge("arbutus.request.bodies.waiting") { bodies.waitingCount }
         metrics.gauge("arbutus.backend.servers.paused") { scheduler.pausedServers(clock.nowMs()) }
-        metrics.gauge("arbutus.backend.servers.limited") { scheduler.limitedServers() }
+        metrics.gauge("arbutus.backend.servers.limited") { scheduler.limitedServers }
         metrics.gauge("arbutus.suspects.held") { site.crashEvidence.heldBack.size }
         metrics.gauge("arbutus.document.number") { context.routes.get()?.plan?.number ?: -1 }
         metrics.gauge("arbutus.document.age.ms") { if (isReady()) clock.nowMs() - inForceSinceMs else -1 }
@@ -198,9 +199,6 @@
     private fun reportLoad(placed: PlacedAttempt, load: ReportedLoad) =
         site.observe(BackendLoad(placed.backendServer, placed.incarnation, load.running, load.queued, 0))
 
-    private fun recordLimit(placed: PlacedAttempt, limitPermille: Long?) =
-        site.recordLimit(placed.backendServer, placed.incarnation, limitPermille, placed.placedAtMs)
-
     /** Returns how long a body may wait for memory: a part of the time that its caller has. */
     private fun bodyWaitMs(headers: HttpHeaders): Long {
         val callerMs = dialect.decodeRequest(headers).getOrNull()?.deadlineMs ?: Long.MAX_VALUE
@@ -274,6 +272,15 @@
         context.schedule(loopLag.intervalMs, ::recordLoopRun)
     }
 
+    private inner class Statements : StatementListener {
+        private val leavingServers = LeavingServers(site::deregister)
+
+        override fun onLeaving(attempt: PlacedAttempt) = leavingServers.record(attempt)
+
+        override fun onLimit(attempt: PlacedAttempt, limitPermille: Long?) =
+            site.recordLimit(attempt.backendServer, attempt.incarnation, limitPermille, attempt.placedAtMs)
+    }
+
     private inner class Ingress : IngressService {
         override val isShuttingDown: Boolean get() = context.stopState.isStopping
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
@@ -62,7 +62,7 @@
         predictedMs = 0,
     )
 
-    /** A limited server has room for what it takes in a second, about the time of a request, if that is one at least. */
+    /** A limited server has room for the requests that it takes in a second, which is about the time of one. */
     private fun capacityOf(server: BackendServerState): Long =
         minOf(server.capacity, server.limit?.limitPermille?.let { it / FULL_PERMILLE } ?: Long.MAX_VALUE)
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
@@ -102,7 +102,10 @@
         heldBack = latest
     }
 
-    /** A limit that is named, changed or ended counts as a change. The start of a cold phase counts as a change; its end does not, because it was announced with the start. */
+    /**
+     * A limit that is named, changed or ended counts as a change. The start of a cold phase does, too; its end does
+     * not, because it was announced with the start.
+     */
     private fun hasChanged(old: BackendServerState?, new: BackendServerState): Boolean = old == null ||
         old.incarnation != new.incarnation || old.address != new.address || old.isLeaving != new.isLeaving ||
         new.coldMs > old.coldMs || new.limit?.limitPermille != old.limit?.limitPermille
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -25,6 +25,7 @@
 import org.arbutusrelay.relay.exchange.ForwardTargets
 import org.arbutusrelay.relay.exchange.ProfileBuilder
 import org.arbutusrelay.relay.exchange.RelayContext
+import org.arbutusrelay.relay.exchange.StatementListener
 import org.arbutusrelay.relay.ingress.BodyAdmission
 import org.arbutusrelay.relay.ingress.ConnectionDrain
 import org.arbutusrelay.relay.ingress.IngressExchange
@@ -109,8 +110,7 @@
         ),
         clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
         ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), StopState(clock::nowMs),
-        crashEvidence, Random(1), { _, _ -> }, { leaving += it.backendServer },
-        { attempt, limitPermille -> onLimit(attempt, limitPermille) },
+        crashEvidence, Random(1), { _, _ -> }, Statements(),
     )
     private val profiles = ProfileBuilder(region) { otherRegions.keys.toList() }
     val port: Int = place.port ?: ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
@@ -134,7 +134,7 @@
     @Volatile
     var onLimit: (PlacedAttempt, limitPermille: Long?) -> Unit = { _, _ -> }
 
-    val limitedServers: Int get() = scheduler.limitedServers()
+    val limitedServers: Int get() = scheduler.limitedServers
 
     /** Number of connections accepted so far. */
     val acceptedConnections = AtomicInteger()
@@ -289,6 +289,15 @@
         3_000,
     )
 
+    private inner class Statements : StatementListener {
+        override fun onLeaving(attempt: PlacedAttempt) {
+            leaving += attempt.backendServer
+        }
+
+        override fun onLimit(attempt: PlacedAttempt, limitPermille: Long?) =
+            this@RelayFixture.onLimit(attempt, limitPermille)
+    }
+
     private inner class Service : IngressService {
         override val isShuttingDown: Boolean get() = context.stopState.isStopping
 
