Assign turns at limited servers by rendezvous hashing

Cause: the owner of a turn followed from the number of hosts, so that another number gave nearly all turns to other hosts. Change: the owner of each turn is chosen by rendezvous hashing, so that only the turns of the host in question have two owners or none.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/BackendSlots.kt
@@ -49,7 +49,7 @@
     public val coldLimiter: ColdServerRateLimiter = ColdServerRateLimiter()
 
     /** Keeps the requests of this host to its turns while the backend server is limited. */
-    public val turns: RequestTurns = RequestTurns()
+    public val turns: RequestTurns = RequestTurns(state.name)
     internal val cacheSequence = CacheSequence(this)
 
     private val ownRequests = AtomicInteger()
@@ -84,7 +84,7 @@
     }
 
     /**
-     * Applies the limit of the latest state, of which this host has [share]; the state was built at [builtAtMs].
+     * Applies the limit of the latest state, whose turns the hosts of [share] use; the state was built at [builtAtMs].
      *
      * When a limit ends, this host sends no more at a time than now, at first, as after a pause.
      */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestTurns.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestTurns.kt
@@ -1,45 +1,63 @@
 package org.arbutusrelay.core.routing
 
+import org.arbutusrelay.core.membership.Rendezvous
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.math.ceil
 import kotlin.math.floor
 
-/** The part of the turns at a limited backend server that belongs to this host. */
+/** The hosts that share the turns at a limited backend server, and this one among them. */
 public data class TurnShare(
-    /** Position of this host among those that share the turns, from 0. */
-    val rank: Int,
-    /** Number of hosts that share the turns; 0 if it is not known, and this host then has none. */
-    val hosts: Int,
+    val self: String,
+    /** Names of the hosts; this host has no turns while it is not one of them. */
+    val hosts: Set<String>,
 )
 
 /**
  * The times at which this host may send a request to a backend server that has named a limit.
  *
  * The limit holds for all hosts together. Time is divided into turns of the length of the limit's interval, from
- * [startMs] on, and each turn belongs to one of the hosts, in the order of their ranks. No host saves up turns, so that
- * neither a host that starts or has been suspended nor several hosts together send a burst. [startMs] is a time that
- * all hosts know on their own clocks, to about the time of a message.
+ * [startMs] on, and each turn belongs to one of the hosts, by rendezvous hashing: while hosts do not agree on who shares
+ * the turns, only those of the hosts in question are used twice or not at all. No host saves up turns, so that neither a
+ * host that starts or has been suspended nor several hosts together send a burst. [startMs] is a time that all hosts
+ * know on their own clocks, to about the time of a message.
  */
-internal data class TurnSchedule(val startMs: Long, val limitPermille: Long, val share: TurnShare) {
+internal data class TurnSchedule(
+    val server: String,
+    val startMs: Long,
+    val limitPermille: Long,
+    val share: TurnShare,
+) {
     private val turnMs = MS_PER_SECOND * PERMILLE / limitPermille.coerceIn(MIN_PERMILLE, MAX_PERMILLE)
-    private val periodMs = turnMs * maxOf(1, share.hosts)
-    private val firstMs = startMs + share.rank * turnMs
+    private val serverSeed = server.hashCode().toLong() shl Int.SIZE_BITS
 
     /** Time for which a turn can be used; short ones can still be used at the next polls of the queue. */
     private val usableMs = maxOf(turnMs, MIN_USABLE_MS)
 
-    /** Requests that this host may send in a millisecond. */
-    val ratePerMs: Double get() = if (share.hosts == 0) 0.0 else 1 / periodMs
+    /** True if some of the turns belong to this host. */
+    val hasTurns: Boolean = share.self in share.hosts
 
-    /** Returns the number of the last turn of this host that has begun at [nowMs]. */
-    fun turnAt(nowMs: Long): Long = floor((nowMs - firstMs) / periodMs).toLong()
+    /** Requests that this host may send in a millisecond, on average. */
+    val ratePerMs: Double get() = if (hasTurns) 1 / (turnMs * share.hosts.size) else 0.0
 
-    /** Returns the number of the first turn after [usedTurn] that can be used at [nowMs] or later. */
-    fun nextTurn(usedTurn: Long, nowMs: Long): Long =
-        maxOf(usedTurn + 1, floor((nowMs - usableMs - firstMs) / periodMs).toLong() + 1)
+    /** Returns the number of the turn, of any host, at [nowMs]. */
+    fun turnAt(nowMs: Long): Long = floor((nowMs - startMs) / turnMs).toLong()
+
+    /** Returns the number of the first turn, of any host, after [usedTurn] that can be used at [nowMs] or later. */
+    fun firstUsable(usedTurn: Long, nowMs: Long): Long =
+        maxOf(usedTurn + 1, floor((nowMs - usableMs - startMs) / turnMs).toLong() + 1)
+
+    /** Returns the number of the first turn of this host from [turn] on; there must be one. */
+    fun ownTurnFrom(turn: Long): Long {
+        var next = turn
+        while (ownerOf(next) != share.self) next++
+        return next
+    }
 
     /** Returns the time at which [turn] begins. */
-    fun beginMs(turn: Long): Long = ceil(firstMs + turn * periodMs).toLong()
+    fun beginMs(turn: Long): Long = ceil(startMs + turn * turnMs).toLong()
+
+    private fun ownerOf(turn: Long): String =
+        share.hosts.maxBy { Rendezvous.bucket(it, serverSeed xor turn, Long.MAX_VALUE) }
 
     private companion object {
         const val MS_PER_SECOND = 1_000.0
@@ -59,9 +77,25 @@
     }
 }
 
-/** Keeps the requests of this host to a backend server to its turns while the server is limited. */
-public class RequestTurns {
-    private class State(val schedule: TurnSchedule, val usedTurn: AtomicLong)
+/** Keeps the requests of this host to the backend server [server] to its turns while the server is limited. */
+public class RequestTurns(private val server: String) {
+    private class State(val schedule: TurnSchedule, val usedTurn: AtomicLong) {
+        /** The first turn of this host among those from [from] to [turn]; saves looking for it at each request. */
+        class Found(val from: Long, val turn: Long)
+
+        @Volatile
+        private var found = Found(0, -1)
+
+        /** Returns the next turn of this host that can be used at [nowMs] or later. */
+        fun nextTurn(nowMs: Long): Long {
+            val first = schedule.firstUsable(usedTurn.get(), nowMs)
+            val known = found
+            if (first in known.from..known.turn) return known.turn
+            return schedule.ownTurnFrom(first).also { found = Found(first, it) }
+        }
+
+        fun isOpen(nowMs: Long): Boolean = schedule.hasTurns && nextTurn(nowMs) <= schedule.turnAt(nowMs)
+    }
 
     @Volatile
     private var state: State? = null
@@ -76,7 +110,7 @@
     public val ratePerMs: Double? get() = state?.schedule?.ratePerMs
 
     /**
-     * Sets the limit, in thousandths of a request per second of all hosts, and this host's share of the turns.
+     * Sets the limit, in thousandths of a request per second of all hosts, and the hosts that share the turns.
      *
      * Turns are counted from [startMs]. Null ends the limit; returns true if it ends one.
      */
@@ -86,25 +120,22 @@
             state = null
             return old != null
         }
-        val schedule = TurnSchedule(startMs, limitPermille, share)
+        val schedule = TurnSchedule(server, startMs, limitPermille, share)
         // A host that has sent in a turn of the old schedule doesn't get that turn again.
         if (schedule != old?.schedule) state = State(schedule, AtomicLong(schedule.turnAt(lastSentMs)))
         return false
     }
 
     /** Returns true when a request may be sent at [nowMs]; it reserves nothing. */
-    public fun isOpen(nowMs: Long): Boolean {
-        val current = state ?: return true
-        return current.schedule.isOpen(current.usedTurn.get(), nowMs)
-    }
+    public fun isOpen(nowMs: Long): Boolean = state?.isOpen(nowMs) ?: true
 
     /** Takes a turn, which must not be given back; returns false when there is none at [nowMs]. */
     public fun tryAcquire(nowMs: Long): Boolean {
         val current = state
         while (current != null) {
             val used = current.usedTurn.get()
-            if (!current.schedule.isOpen(used, nowMs)) return false
-            if (current.usedTurn.compareAndSet(used, current.schedule.nextTurn(used, nowMs))) break
+            if (!current.isOpen(nowMs)) return false
+            if (current.usedTurn.compareAndSet(used, current.nextTurn(nowMs))) break
         }
         lastSentMs = nowMs
         return true
@@ -113,11 +144,7 @@
     /** Returns when a request may be sent, [nowMs] at the earliest; [Long.MAX_VALUE] when this host has no turns. */
     public fun nextMs(nowMs: Long): Long {
         val current = state ?: return nowMs
-        if (current.schedule.share.hosts == 0) return Long.MAX_VALUE
-        val turn = current.schedule.nextTurn(current.usedTurn.get(), nowMs)
-        return maxOf(nowMs, current.schedule.beginMs(turn))
+        if (!current.schedule.hasTurns) return Long.MAX_VALUE
+        return maxOf(nowMs, current.schedule.beginMs(current.nextTurn(nowMs)))
     }
-
-    private fun TurnSchedule.isOpen(usedTurn: Long, nowMs: Long): Boolean =
-        share.hosts > 0 && nextTurn(usedTurn, nowMs) <= turnAt(nowMs)
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RoutingTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RoutingTable.kt
@@ -20,8 +20,8 @@
     val sentAwayPermille: Long = 0,
     /** Rate limit of this host for each cold backend server by name, in requests per second; 0 if not listed. */
     val coldRatesPerSecond: Map<String, Double> = emptyMap(),
-    /** Share of this host in the turns at each limited backend server by name; all turns if not listed. */
-    val turnShares: Map<String, TurnShare> = emptyMap(),
+    /** Hosts that share the turns at limited backend servers; by default this one alone. */
+    val turnShare: TurnShare = TurnShare("", setOf("")),
     /** Maximum burst of retries of this host for one service; null to use that of the scheduler settings. */
     val maxRetryBurst: Long? = null,
     /** Number of entry hosts of this region, which share its backend servers; 0 when it is not known. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
@@ -39,7 +39,7 @@
         val builtMs = table.builtAtMs ?: nowMs
         slots.values.forEach {
             it.coldLimiter.update(it.state.coldMs, table.coldRatesPerSecond[it.name] ?: 0.0, builtMs)
-            it.updateLimit(table.turnShares[it.name] ?: ALL_TURNS, builtMs)
+            it.updateLimit(table.turnShare, builtMs)
         }
         val services = active.groupBy { it.service }.mapValues { (service, states) ->
             ServerPool(states.mapNotNull { slots[it.name] }, timesOf(service), table.regionHosts)
@@ -68,6 +68,5 @@
 
     private companion object {
         private const val MAX_BLOCKS = 4_096
-        private val ALL_TURNS = TurnShare(0, 1)
     }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
@@ -38,7 +38,7 @@
             otherRegions = regions.mapValues { (name, servers) -> remoteRegion(name, servers) },
             sentAwayPermille = FULL_PERMILLE,
             coldRatesPerSecond = coldRates(localServers, view, plan),
-            turnShares = turnShares(localServers, view),
+            turnShare = turnShare(view),
             maxRetryBurst = retryBurst(view.entryHosts.size),
             regionHosts = view.entryHosts.count { it.region == self.region },
             builtAtMs = view.builtAtMs,
@@ -86,12 +86,12 @@
     }
 
     /**
-     * Returns the share of this host in the turns at limited backend servers.
+     * Returns the hosts that share the turns at limited backend servers.
      *
-     * All entry hosts of the region share them, those that are leaving too, since they still send. A host that can't
-     * tell whether others are gone keeps their turns free, and has none itself until it has once known them all.
+     * All entry hosts of the region do, those that are leaving too, since they still send. A host that can't tell
+     * whether others are gone keeps their turns free, and has none itself until it has once known them all.
      */
-    private fun turnShares(localServers: List<BackendServerState>, view: SiteView): Map<String, TurnShare> {
+    private fun turnShare(view: SiteView): TurnShare {
         val live = view.hosts.filter { it.region == self.region && (!it.isStateHost || it.callerAddress.isNotEmpty()) }
             .map { it.hostName }.toSet() + self.hostName
         sharingHosts = when {
@@ -99,10 +99,7 @@
             sharingHosts.isEmpty() -> emptySet()
             else -> sharingHosts + live
         }
-        return localServers.filter { it.limit?.limitPermille != null }.associate {
-            val ranked = Rendezvous.rank(it.name, sharingHosts)
-            it.name to TurnShare(ranked.indexOf(self.hostName).coerceAtLeast(0), ranked.size)
-        }
+        return TurnShare(self.hostName, sharingHosts)
     }
 
     /**
