--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/LimitedSite.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/LimitedSite.kt
@@ -14,8 +14,9 @@
  * Hosts of one region with production schedulers and registries, in virtual time, and the servers that they share.
  *
  * The servers in [limitedNames] name [limitPermille] in their responses from [LIMIT_AT_MS] until [limitEndMs]; the
- * others never do. Messages between hosts take up to [MAX_MESSAGE_MS]. With [isObserved] false, hosts don't read limits;
- * with [isShared] false, each of them takes a limit for its own.
+ * others never do. Messages between hosts take up to [MAX_MESSAGE_MS]. With [isObserved] false, hosts read no limits;
+ * with [isShared] false, each of them takes a limit for its own. The last host runs during [lastHostMs] only, and the
+ * others learn of its start and of its end, each at a time of its own, within [MAX_START_MS] and [MAX_END_MS].
  */
 internal class LimitedSite(
     private val hostCount: Int,
@@ -29,6 +30,7 @@
     private val limitedNames: Set<String> = setOf("a"),
     private val isObserved: Boolean = true,
     private val isShared: Boolean = true,
+    private val lastHostMs: LongRange = 0L..Long.MAX_VALUE,
     seed: Long = 1,
 ) {
     private class Event(val atMs: Long, val order: Long, val action: () -> Unit)
@@ -67,7 +69,7 @@
     }
 
     /** Number of hosts that hold server `a` to be limited. */
-    fun limitedHosts(): Int = hosts.count { it.scheduler.limitedServers() > 0 }
+    fun limitedHosts(): Int = hosts.count { it.scheduler.limitedServers > 0 }
 
     /** Returns the highest number of requests at one limited server in [windowMs], counted from [fromMs] on. */
     fun mostIn(windowMs: Long, fromMs: Long, isCounted: (Arrival) -> Boolean = { true }): Int =
@@ -91,25 +93,39 @@
         private var nextTableMs = 0L
         private var nextRequestMs = index * 7L
         private var nextReportMs = 0L
+        private val startKnownMs = lastHostMs.first + random.nextLong(MAX_START_MS)
+        private val endKnownMs = minOf(lastHostMs.last, Long.MAX_VALUE / 2) + random.nextLong(MIN_END_MS, MAX_END_MS)
 
         init {
             serverNames.forEach { registry.announce(server(it, capacity = 16), 0) }
         }
 
-        fun isFrozen() = troubles.any { it.host == index && it.isFrozen && nowMs in it.fromMs until it.untilMs }
+        fun isFrozen() = troubles.any { it.host == index && it.isFrozen && nowMs in it.fromMs until it.untilMs } ||
+            !isRunning()
+
+        private fun isRunning() = index < hostCount - 1 || nowMs in lastHostMs
+
+        private fun knownHosts(): Set<String> = (0 until knownHostCount()).map { "h$it" }.toSet()
+
+        private fun knownHostCount(): Int = when {
+            index == hostCount - 1 -> hostCount
+            lastHostMs.first > 0 && nowMs < startKnownMs -> hostCount - 1
+            nowMs >= endKnownMs -> hostCount - 1
+            else -> hostCount
+        }
 
         private fun isCut() = troubles.any { it.host == index && !it.isFrozen && nowMs in it.fromMs until it.untilMs }
 
         fun step() {
             if (isTableDue || nowMs >= nextTableMs) updateTable()
             if (nowMs >= nextReportMs) report(REPORT_MS)
-            scheduler.poll(nowMs).forEach { apply(it.profile, it.placement) }
+            scheduler.poll(nowMs).forEach { apply(it.placement) }
             while (nextRequestMs <= nowMs) {
                 nextRequestMs = maxOf(nextRequestMs + requestIntervalMs, nowMs - requestIntervalMs)
                 submitted++
                 val profile = request(++requestNumber, deadlineMs = nowMs + waitMs, regions = listOf("hue"))
                     .copy(targetMs = TARGET_MS, submittedAtMs = nowMs)
-                apply(profile, scheduler.submit(profile, nowMs))
+                apply(scheduler.submit(profile, nowMs))
             }
         }
 
@@ -117,20 +133,20 @@
             isTableDue = false
             nextTableMs = nowMs + TABLE_MS
             val states = registry.states(nowMs)
-            val share = if (isShared) TurnShare(index, hostCount) else TurnShare(0, 1)
+            val share = if (isShared) TurnShare("h$index", knownHosts()) else TurnShare("", setOf(""))
             scheduler.updateTable(
                 RoutingTable(
                     "hue",
                     "hue-a",
                     states,
-                    turnShares = states.associate { it.name to share },
+                    turnShare = share,
                     regionHosts = hostCount,
                     builtAtMs = nowMs,
                 ),
             )
         }
 
-        private fun apply(profile: RequestProfile, placement: Placement) {
+        private fun apply(placement: Placement) {
             when (placement) {
                 is Placement.Run -> run(placement.attempt)
                 is Placement.Refused -> refused++
@@ -149,6 +165,7 @@
 
         /** A frozen host reads the response when it goes on. */
         private fun respond(attempt: PlacedAttempt, named: Long?) {
+            if (!isRunning()) return
             if (isFrozen()) return after(STEP_MS) { respond(attempt, named) }
             val isChanged = isObserved &&
                 registry.recordLimit(attempt.backendServer, attempt.incarnation, named, attempt.placedAtMs, nowMs)
@@ -157,7 +174,7 @@
                 report(REPORT_MS)
             }
             if (nowMs - attempt.profile.submittedAtMs <= TARGET_MS) inTime++ else late++
-            scheduler.complete(attempt, AttemptResult.COMPLETE, nowMs).forEach { apply(it.profile, it.placement) }
+            scheduler.complete(attempt, AttemptResult.COMPLETE, nowMs).forEach { apply(it.placement) }
         }
 
         private fun report(intervalMs: Long) {
@@ -170,7 +187,7 @@
         }
 
         private fun receive(news: List<ServerLimit>) {
-            if (isCut()) return
+            if (isCut() || !isRunning()) return
             if (isFrozen()) return after(STEP_MS) { receive(news) }
             news.forEach { if (registry.merge(it, nowMs)) isTableDue = true }
         }
@@ -179,6 +196,9 @@
     companion object {
         const val LIMIT_AT_MS = 1_000L
         const val MAX_MESSAGE_MS = 250L
+        private const val MAX_START_MS = 1_500L
+        private const val MIN_END_MS = 3_500L
+        private const val MAX_END_MS = 5_500L
         private const val TARGET_MS = 300L
         private const val STEP_MS = 5L
         private const val TABLE_MS = 450L
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -169,8 +169,10 @@
     public fun observe(load: BackendLoad): Unit = records.observe(load, clock.nowMs())
 
     /**
-     * Records the limit that a response of a backend server named, in thousandths of a request per second, or null if it
-     * named none; the request was sent at [sentMs]. Other hosts are told at once of one that is new, changed or ended.
+     * Records the limit that a response of a backend server named, in thousandths of a request per second.
+     *
+     * [limitPermille] is null if it named none, and [sentMs] the time at which the request was sent. Other hosts are
+     * told at once of a limit that is new, changed or ended.
      */
     public fun recordLimit(name: String, incarnation: Long, limitPermille: Long?, sentMs: Long) {
         if (!records.recordLimit(name, incarnation, limitPermille, sentMs, clock.nowMs())) return
