Check the bytes behind a body that ends with a whole head

The interim head names no request and counted as a quotation, and the body that ended with it as whole. A body that ends with such a head is now checked like one that ends inside a head.

--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/BodyEndCheck.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/BodyEndCheck.kt
@@ -17,10 +17,11 @@
  *
  * A faulty backend server may stop before the length and write another response. The beginning of the other head then
  * fills the body, and the rest of the head comes behind it. [end] is the end of the body, from the first byte on that
- * may begin a head.
+ * may begin a head; it is empty for a body that ends with a whole head, such as an interim one, which another may follow.
  */
 public class BodyEndCheck(private val end: ByteArray) {
     private var bytes = end
+    private val starts = if (end.isEmpty()) listOf(0) else end.indices.toList()
 
     /** What is known after the bytes so far. */
     public var state: BodyEnd = BodyEnd.OPEN
@@ -38,7 +39,7 @@
     public fun push(following: ByteArray) {
         if (state != BodyEnd.OPEN || following.isEmpty()) return
         bytes += following
-        val states = end.indices.map(::stateFrom)
+        val states = starts.map(::stateFrom)
         state = when {
             BodyEnd.FILLED in states -> BodyEnd.FILLED
             BodyEnd.OPEN in states -> BodyEnd.OPEN
--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/SecondResponseScanner.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/SecondResponseScanner.kt
@@ -25,9 +25,14 @@
      */
     public val endsInsideHead: Boolean get() = held.size >= MIN_DOUBTFUL_BYTES
 
+    /** True if the body so far ends with a head that [isResponse] took for a quotation; an interim one names no request. */
+    public var endsBehindHead: Boolean = false
+        private set
+
     /** Appends the next bytes and returns those that are certainly body; nothing after [secondHead] is. */
     public fun push(bytes: ByteArray): ByteArray {
         if (secondHead != null) return EMPTY
+        if (bytes.isNotEmpty()) endsBehindHead = false
         if (held.isEmpty() && FIRST_BYTE !in bytes) return bytes
         val buffered = held + bytes
         for (index in buffered.indices) {
@@ -40,10 +45,13 @@
                     return buffered.copyOf(index)
                 }
 
-                is HeadMatch.Found -> if (isResponse(match.head)) {
-                    secondHead = match.head
-                    held = buffered.copyOfRange(match.end, buffered.size)
-                    return buffered.copyOf(index)
+                is HeadMatch.Found -> {
+                    if (isResponse(match.head)) {
+                        secondHead = match.head
+                        held = buffered.copyOfRange(match.end, buffered.size)
+                        return buffered.copyOf(index)
+                    }
+                    endsBehindHead = match.end == buffered.size
                 }
             }
         }
--- a/core/src/test/kotlin/org/arbutusrelay/core/relay/BodyEndCheckTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/relay/BodyEndCheckTest.kt
@@ -33,6 +33,11 @@
     @Test
     fun `the bytes behind a body decide whether it is whole`() {
         val cases = listOf(
+            // A body that ends with a whole head, which another may follow.
+            Case("", "", BodyEnd.OPEN, BodyEnd.WHOLE),
+            Case("", "HTTP/1.1 ", BodyEnd.OPEN, BodyEnd.FILLED),
+            Case("", head, BodyEnd.FILLED),
+            Case("", "x", BodyEnd.WHOLE),
             Case("H", "", BodyEnd.OPEN, BodyEnd.WHOLE),
             Case("HTTP/1.1 200 OK", "", BodyEnd.OPEN, BodyEnd.WHOLE),
             Case("H", "T", BodyEnd.OPEN, BodyEnd.FILLED),
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
@@ -221,10 +221,12 @@
     private fun onBodyEnd() {
         if (phase == Phase.BODY) {
             if (scanner.endsInsideHead && !isSelfDelimited) return fail(CallFailure.SECOND_RESPONSE)
-            val waitMs = if (scanner.endsInsideHead) MAX_SECOND_PAUSE_MS else MAX_SHORT_END_WAIT_MS
+            val isLikelyHead = scanner.endsInsideHead || scanner.endsBehindHead
+            val waitMs = if (isLikelyHead) MAX_SECOND_PAUSE_MS else MAX_SHORT_END_WAIT_MS
             val rest = scanner.takeHeld()
             if (rest.isNotEmpty()) listener?.onBody(rest)
-            if (rest.isNotEmpty() && hasLength && phase == Phase.BODY) return checkEnd(rest, waitMs)
+            val isDoubtful = hasLength && (isLikelyHead || rest.isNotEmpty())
+            if (isDoubtful && phase == Phase.BODY) return checkEnd(rest, waitMs)
         }
         if (phase == Phase.BODY || phase == Phase.SECOND_BODY) complete()
     }
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/FilledBodyTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/FilledBodyTest.kt
@@ -126,6 +126,25 @@
         assertTrue(faults.isEmpty(), "${faults.size} of ${cases.size} cases:\n" + faults.joinToString("\n"))
     }
 
+    /** Guards against an interim head, which names no request, that fills a cut body in front of the second response. */
+    @Test
+    fun `a body that an interim head has filled never reaches a caller`() {
+        val interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+        for (missing in listOf(1, 12, 30, interim.length - 1, interim.length, interim.length + 1)) {
+            for (pauseMs in listOf(0L, PAUSE_MS)) {
+                val server = ScriptedServer { socket, request, _ ->
+                    val response = signedResponse(request, body)
+                    val second = interim + response
+                    socket.write(response.dropLast(missing) + second.take(missing))
+                    Thread.sleep(pauseMs)
+                    socket.write(second.drop(missing))
+                }
+                val status = RelayFixture(server).use { it.exchange("/once/1", "POST", body = "b") }.split(' ')[1]
+                assertEquals("502", status, "$missing missing, pause $pauseMs")
+            }
+        }
+    }
+
     private fun check(response: String, body: String, case: String) {
         assertEquals("200", response.split(' ').getOrNull(1), case)
         assertEquals(body, response.substringAfter("\r\n\r\n"), case)
