Deliver a response with a doubtful end at its deadline, and check it on one host only

The review of the check behind bodies showed what it cost sound responses: one that ended like a head shortly before its deadline failed with 504 although it was whole, and a forwarded one waited on each of two hosts. The wait now ends 100 ms after the deadline at the latest, before that for the response does, and a host doesn't check the responses of another host, which has done so.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
@@ -54,6 +54,9 @@
     /** Checks the bytes behind the body; null unless its end is doubtful. */
     private var endCheck: BodyEndCheck? = null
 
+    /** Time until which the caller of the current request waits, on the monotonic clock, in milliseconds. */
+    private var deadlineMs = 0L
+
     /** Time of the latest bytes of a second response, on the monotonic clock, in milliseconds. */
     private var secondBodyMs = 0L
 
@@ -70,6 +73,7 @@
 
     fun send(request: BackendRequest, responseListener: BackendListener) {
         listener = responseListener
+        deadlineMs = request.deadlineMs
         phase = Phase.HEAD
         decoder.rawReceiver = null
         decoder.isHeadRequest = request.method == HttpMethod.HEAD.name()
@@ -225,14 +229,20 @@
             val waitMs = if (isLikelyHead) MAX_SECOND_PAUSE_MS else MAX_SHORT_END_WAIT_MS
             val rest = scanner.takeHeld()
             if (rest.isNotEmpty()) listener?.onBody(rest)
-            val isDoubtful = hasLength && (isLikelyHead || rest.isNotEmpty())
+            val isDoubtful = hasLength && (isLikelyHead || rest.isNotEmpty()) && listener?.isFromHost == false
             if (isDoubtful && phase == Phase.BODY) return checkEnd(rest, waitMs)
         }
         if (phase == Phase.BODY || phase == Phase.SECOND_BODY) complete()
     }
 
-    /** Waits for the bytes behind a body whose [end] may begin a head, for at most [waitMs]. */
-    private fun checkEnd(end: ByteArray, waitMs: Long) {
+    /**
+     * Waits for the bytes behind a body whose [end] may begin a head, for at most [maxWaitMs].
+     *
+     * The wait ends before that for the response does, so that a whole response is still delivered.
+     */
+    private fun checkEnd(end: ByteArray, maxWaitMs: Long) {
+        val leftMs = deadlineMs - nowMs() + MAX_WAIT_BEHIND_DEADLINE_MS
+        val waitMs = minOf(maxWaitMs, maxOf(leftMs, MIN_END_WAIT_MS))
         val check = BodyEndCheck(end)
         phase = Phase.END_CHECK
         isReusable = false
@@ -317,6 +327,12 @@
          */
         const val MAX_SHORT_END_WAIT_MS = 300L
 
+        /** Less than the 150 ms after the deadline for which a response is waited for. */
+        const val MAX_WAIT_BEHIND_DEADLINE_MS = 100L
+
+        /** A second response is mostly written at once, so that the rest of its head arrives with the end of the body. */
+        const val MIN_END_WAIT_MS = 50L
+
         /** What the peer sent before it closed the connection is in the receive buffer when a write fails. */
         const val MAX_EARLY_RESPONSE_MS = 200L
         const val MS_PER_SECOND = 1_000L
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -60,6 +60,7 @@
     private val startedMs = lastProgressMs
     private val sendId = exchange.sendId
     private val isToHost get() = placed.backendServer.isEmpty()
+    override val isFromHost: Boolean get() = isToHost
     private var receivedEvents = 0
     private var hasReceivedBody = false
 
