Show filled bodies that the check of their end takes for whole

BodyEndCheck decides differently when the same bytes arrive at once than when they arrive one by one.

--- a/core/src/test/kotlin/org/arbutusrelay/core/relay/BodyEndCheckTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/relay/BodyEndCheckTest.kt
@@ -1,5 +1,6 @@
 package org.arbutusrelay.core.relay
 
+import org.junit.jupiter.api.Tag
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
@@ -58,6 +59,20 @@
         }
     }
 
+    /** Guards against a filled body that counts as whole because more of the other head arrives at once. */
+    @Test
+    @Tag("known-red")
+    fun `the bytes behind a body decide alike however they are divided`() {
+        val lines =
+            listOf("X: a\r\n b\r\n", "X : a\r\n", "no field\r\n", "X: aHTTP/1.1 200 OK\r\nIdHTTP/1.1 200 OK\r\n")
+        for (line in lines) {
+            val bytes = "HTTP/1.1 200 OK\r\n$line" + "Id: a\r\n\r\n"
+            for (cut in 1 until STATUS_LINE) {
+                for (size in listOf(1, 5, 1_000)) check(Case(bytes.take(cut), bytes.drop(cut), BodyEnd.FILLED), size)
+            }
+        }
+    }
+
     private companion object {
         const val STATUS_LINE = 13
     }
