--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
@@ -7,6 +7,7 @@
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
 import org.arbutusrelay.core.relay.EmbeddedHead
+import org.arbutusrelay.core.relay.JoinedHeads
 import org.arbutusrelay.core.relay.SecondResponseScanner
 import org.arbutusrelay.core.routing.AttemptResult
 import java.io.IOException
@@ -58,18 +59,9 @@
     }
 
     private fun receive(response: Response, listener: ResponseListener): AttemptEnd {
-        val responseRequestId = response.header(REQUEST_ID_HEADER)
-        if (responseRequestId != null && responseRequestId != request.requestId) {
+        foreignResponse(response)?.let {
             onDrop(DropReason.FOREIGN)
-            return failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "the response names another request")
-        }
-        if (responseRequestId == null) {
-            client.recordAnonymousResponse(request.address)
-            if (trace.isConnectionReused) {
-                onDrop(DropReason.FOREIGN)
-                val detail = "the response on a connection that was used before names no request"
-                return failed(ErrorKind.BACKEND_FAILED, AttemptResult.CONNECTION_LOST, detail)
-            }
+            return it
         }
         if (response.header(OUTCOME_HEADER) == NOT_RUN) return refused("status ${response.code}")
         if (response.code >= SERVER_ERROR) {
@@ -83,6 +75,29 @@
         }
     }
 
+    /** Returns the failure of a [response] that is, or may be, one to another request; null for one of this request. */
+    private fun foreignResponse(response: Response): AttemptEnd? {
+        val id = response.header(REQUEST_ID_HEADER)
+        if (id == null) client.recordAnonymousResponse(request.address)
+        val headTexts = sequenceOf(response.message) + response.headers.asSequence().map { it.second }
+        return when {
+            JoinedHeads.isJoined(headTexts) -> {
+                activeCall.get()?.cancel()
+                failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "the head contains another one")
+            }
+
+            id != null && id != request.requestId ->
+                failed(ErrorKind.BACKEND_FAILED, AttemptResult.SERVER_ERROR, "the response names another request")
+
+            id == null && trace.isConnectionReused -> {
+                val detail = "the response on a connection that was used before names no request"
+                failed(ErrorKind.BACKEND_FAILED, AttemptResult.CONNECTION_LOST, detail)
+            }
+
+            else -> null
+        }
+    }
+
     private fun receiveBody(response: Response, head: ResponseHead, listener: ResponseListener): AttemptEnd {
         if (!deliverHead(head, listener)) return superseded()
         val source = response.body.source()
