Recognize heads with folded fields, spaces or no identifier behind a body

HeadMatcher accepts both kinds of field, and a quoted head counts as a second response if bytes lie behind the body. A status line that the end of a body divides counts whatever the lines after it are (BodyEndCheckTest failed when more of them arrived at once).

OddFillingTest and BodyEndCheckTest pass.

--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/BodyEndCheck.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/BodyEndCheck.kt
@@ -47,9 +47,15 @@
         }
     }
 
-    /** Returns what follows if the other head begins at [start]. */
+    /**
+     * Returns what follows if the other head begins at [start].
+     *
+     * A status line that the end of the body divides is that of another response, whatever its fields are.
+     */
     private fun stateFrom(start: Int): BodyEnd {
-        val match = HeadMatcher.match(bytes, start)
+        val isDivided = end.size - start < HeadMatcher.MIN_STATUS_LINE_BYTES
+        val statusLine = bytes.copyOf(minOf(bytes.size, start + HeadMatcher.MIN_STATUS_LINE_BYTES))
+        val match = HeadMatcher.match(if (isDivided) statusLine else bytes, start)
         return when {
             match is HeadMatch.None || (match is HeadMatch.Found && !match.head.isEnded) -> BodyEnd.WHOLE
             bytes.size - start >= HeadMatcher.MIN_STATUS_LINE_BYTES -> BodyEnd.FILLED
--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/EmbeddedHead.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/EmbeddedHead.kt
@@ -56,6 +56,7 @@
     private const val ANY_DIGIT = '#'
     private const val CODE_START = 9
     private const val TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~"
+    private const val FOLD = " \t"
     private val LINE_FEED = '\n'.code.toByte()
 
     /** Returns what begins at [start] in [bytes]. */
@@ -92,6 +93,9 @@
                     return HeadMatch.Found(EmbeddedHead(statusCodeOf(bytes, start), fields), lineEnd + 1)
                 }
 
+                // A folded line goes on with the field before it, as HTTP parsers accept it.
+                !isStatusLine && line[0] in FOLD && fields.isNotEmpty() -> Unit
+
                 !isStatusLine -> fields += parseField(line) ?: return unended(bytes, start, lineStart, fields)
             }
             lineStart = lineEnd + 1
@@ -112,10 +116,11 @@
     private fun isExpected(actual: Char, expected: Char) =
         if (expected == ANY_DIGIT) actual in '0'..'9' else actual == expected
 
-    private fun mayBeginField(line: String) = ':' in line || line.all(::isTokenChar)
+    private fun mayBeginField(line: String) =
+        ':' in line || line.trimEnd().all(::isTokenChar) || line.firstOrNull()?.let { it in FOLD } == true
 
     private fun parseField(line: String): Pair<String, String>? {
-        val name = line.substringBefore(':', "")
+        val name = line.substringBefore(':', "").trimEnd()
         if (name.isEmpty() || !name.all(::isTokenChar)) return null
         return name to line.substringAfter(':').trim()
     }
--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/SecondResponseScanner.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/SecondResponseScanner.kt
@@ -29,6 +29,10 @@
     public var endsBehindHead: Boolean = false
         private set
 
+    /** True if the body so far has a head that [isResponse] took for a quotation. */
+    public var hasQuotedHead: Boolean = false
+        private set
+
     /** Appends the next bytes and returns those that are certainly body; nothing after [secondHead] is. */
     public fun push(bytes: ByteArray): ByteArray {
         if (secondHead != null) return EMPTY
@@ -51,6 +55,7 @@
                         held = buffered.copyOfRange(match.end, buffered.size)
                         return buffered.copyOf(index)
                     }
+                    hasQuotedHead = true
                     endsBehindHead = match.end == buffered.size
                 }
             }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
@@ -225,6 +225,8 @@
     private fun onBodyEnd() {
         if (phase == Phase.BODY) {
             if (scanner.endsInsideHead && !isSelfDelimited) return fail(CallFailure.SECOND_RESPONSE)
+            // A head without an identifier may be quoted, but not if its response goes on behind the body.
+            if (hasLength && scanner.hasQuotedHead && decoder.hasUnreadBytes) return fail(CallFailure.FILLED_BODY)
             val isLikelyHead = scanner.endsInsideHead || scanner.endsBehindHead
             val waitMs = if (isLikelyHead) MAX_SECOND_PAUSE_MS else MAX_SHORT_END_WAIT_MS
             val rest = scanner.takeHeld()
