--- a/core/src/test/kotlin/org/arbutusrelay/core/relay/BodyEndCheckTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/relay/BodyEndCheckTest.kt
@@ -33,6 +33,11 @@
     @Test
     fun `the bytes behind a body decide whether it is whole`() {
         val cases = listOf(
+            // A body that ends with a whole head, which another may follow.
+            Case("", "", BodyEnd.OPEN, BodyEnd.WHOLE),
+            Case("", "HTTP/1.1 ", BodyEnd.OPEN, BodyEnd.FILLED),
+            Case("", head, BodyEnd.FILLED),
+            Case("", "x", BodyEnd.WHOLE),
             Case("H", "", BodyEnd.OPEN, BodyEnd.WHOLE),
             Case("HTTP/1.1 200 OK", "", BodyEnd.OPEN, BodyEnd.WHOLE),
             Case("H", "T", BodyEnd.OPEN, BodyEnd.FILLED),
@@ -58,6 +63,19 @@
         }
     }
 
+    /** Guards against a filled body that counts as whole because more of the other head arrives at once. */
+    @Test
+    fun `the bytes behind a body decide alike however they are divided`() {
+        val lines =
+            listOf("X: a\r\n b\r\n", "X : a\r\n", "no field\r\n", "X: aHTTP/1.1 200 OK\r\nIdHTTP/1.1 200 OK\r\n")
+        for (line in lines) {
+            val bytes = "HTTP/1.1 200 OK\r\n$line" + "Id: a\r\n\r\n"
+            for (cut in 1 until STATUS_LINE) {
+                for (size in listOf(1, 5, 1_000)) check(Case(bytes.take(cut), bytes.drop(cut), BodyEnd.FILLED), size)
+            }
+        }
+    }
+
     private companion object {
         const val STATUS_LINE = 13
     }
