--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestTurns.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestTurns.kt
@@ -16,10 +16,10 @@
  * The times at which this host may send a request to a backend server that has named a limit.
  *
  * The limit holds for all hosts together. Time is divided into turns of the length of the limit's interval, from
- * [startMs] on, and each turn belongs to one of the hosts, by rendezvous hashing: while hosts do not agree on who shares
- * the turns, only those of the hosts in question are used twice or not at all. No host saves up turns, so that neither a
- * host that starts or has been suspended nor several hosts together send a burst. [startMs] is a time that all hosts
- * know on their own clocks, to about the time of a message.
+ * [startMs] on, and each turn belongs to one of the hosts, by rendezvous hashing: while hosts do not agree on who
+ * shares the turns, only those of the hosts in question are used twice or not at all. No host saves up turns, so that
+ * neither a host that starts or has been suspended nor several hosts together send a burst. [startMs] is a time that
+ * all hosts know on their own clocks, to about the time of a message.
  */
 internal data class TurnSchedule(
     val server: String,
