--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/BodyEndCheck.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/BodyEndCheck.kt
@@ -17,7 +17,7 @@
  *
  * A faulty backend server may stop before the length and write another response. The beginning of the other head then
  * fills the body, and the rest of the head comes behind it. [end] is the end of the body, from the first byte on that
- * may begin a head; it is empty for a body that ends with a whole head, such as an interim one, which another may follow.
+ * may begin a head; it is empty for a body that ends with a whole head, such as an interim one.
  */
 public class BodyEndCheck(private val end: ByteArray) {
     private var bytes = end
--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/SecondResponseScanner.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/SecondResponseScanner.kt
@@ -25,7 +25,7 @@
      */
     public val endsInsideHead: Boolean get() = held.size >= MIN_DOUBTFUL_BYTES
 
-    /** True if the body so far ends with a head that [isResponse] took for a quotation; an interim one names no request. */
+    /** True if the body so far ends with a head that [isResponse] took for a quotation, such as an interim one. */
     public var endsBehindHead: Boolean = false
         private set
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/site/SiteService.kt
@@ -275,7 +275,7 @@
         viewTrust.update((connectedStateHosts() - hostName).size + 1 >= majority, nowMs)
         records.tick(nowMs)
         crashEvidence.tick(records::lastSeenMs)
-        links.maintain(otherStateHostRegions(), records.isAnnouncementMissing(clock.nowMs()))
+        links.maintain(otherStateHostRegions, records.isAnnouncementMissing(clock.nowMs()))
         if (nowMs >= nextReportAtMs) {
             nextReportAtMs = nowMs + times.reportIntervalMs
             if (isStateHost) sendPulses(nowMs) else sendReports(nowMs)
@@ -288,11 +288,11 @@
         return (seeds + otherStateHosts()).associateWith { known[it].orEmpty() } + known
     }
 
-    private fun otherStateHostRegions(): Map<String, String> = stateHostRegions() - hostName
+    private val otherStateHostRegions: Map<String, String> get() = stateHostRegions() - hostName
 
     private fun sendReports(nowMs: Long) {
         val isAnnouncementMissing = records.isAnnouncementMissing(clock.nowMs())
-        val targets = links.reportTargets(otherStateHostRegions(), isAnnouncementMissing)
+        val targets = links.reportTargets(otherStateHostRegions, isAnnouncementMissing)
         // The state host that heard of a missing announcement may be any of them.
         val primaryName = if (isAnnouncementMissing) "" else targets.firstOrNull().orEmpty()
         val report = records.takeReport(primaryName, crashEvidence.recent(), takeHomeRequests(), nowMs)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
@@ -43,7 +43,7 @@
 
 /** Receives the response to a call. Called on the event loop; at most one of [onComplete] and [onFailure] is called. */
 internal interface BackendListener {
-    /** True if another host responds, which checks the responses of its backend servers itself and writes none twice. */
+    /** True if another host responds, which checks the responses of its servers itself and writes none twice. */
     val isFromHost: Boolean
 
     /**
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
@@ -332,7 +332,7 @@
         /** Less than the 150 ms after the deadline for which a response is waited for. */
         const val MAX_WAIT_BEHIND_DEADLINE_MS = 100L
 
-        /** A second response is mostly written at once, so that the rest of its head arrives with the end of the body. */
+        /** A second response is mostly written at once, so that the rest of its head comes with the end of the body. */
         const val MIN_END_WAIT_MS = 50L
 
         /** What the peer sent before it closed the connection is in the receive buffer when a write fails. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/ingress/ConnectionDrain.kt
@@ -27,8 +27,8 @@
     /**
      * Closes quiet connections and waits for the others until [endMs]; returns true if no request was left.
      *
-     * Requests that are left get an error. The connections that carry none are closed then: the process may still take a
-     * while to end, and would leave what comes on them unread.
+     * Requests that are left get an error. The connections that carry none are closed then: the process may still take
+     * a while to end, and would leave what comes on them unread.
      */
     suspend fun await(endMs: Long, openExchanges: () -> Int): Boolean = withContext(loop.asCoroutineDispatcher()) {
         delay(quietMs)
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/FilledBodyTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/FilledBodyTest.kt
@@ -127,7 +127,7 @@
         assertTrue(faults.isEmpty(), "${faults.size} of ${cases.size} cases:\n" + faults.joinToString("\n"))
     }
 
-    /** Guards against an interim head, which names no request, that fills a cut body in front of the second response. */
+    /** Guards against an interim head, which names no request, that fills a cut body before the second response. */
     @Test
     fun `a body that an interim head has filled never reaches a caller`() {
         val interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/PlannedStopTest.kt
@@ -247,17 +247,17 @@
             },
         )
         for ((name, use) in cases) {
-            RelayFixture(server(0)).use { relay ->
-                relay.connect().use { caller ->
-                    while (relay.acceptedConnections.get() == 0) Thread.sleep(POLL_MS)
-                    use(caller)
-                    assertTrue(relay.drain(quietMs = 50, endMs = 0) { 0 }, name)
-                    assertEquals(-1, caller.getInputStream().read(), name)
-                }
-            }
+            RelayFixture(server(0)).use { relay -> relay.connect().use { checkClosedAtEnd(name, relay, it, use) } }
         }
     }
 
+    private fun checkClosedAtEnd(name: String, relay: RelayFixture, caller: Socket, use: (Socket) -> Unit) {
+        while (relay.acceptedConnections.get() == 0) Thread.sleep(POLL_MS)
+        use(caller)
+        assertTrue(relay.drain(quietMs = 50, endMs = 0) { 0 }, name)
+        assertEquals(-1, caller.getInputStream().read(), name)
+    }
+
     /** Guards against giving up, or running again elsewhere, what a server runs that was only silent for a while. */
     @Test
     fun `a server that falls out of the table keeps its running requests`() {
