Let requests wait for the share of a host that has just started

A host that had just started refused all requests for a minute (Retry-After 60 s) while all servers of their service were limited: it takes no turns before it knows the other hosts, about a second later, and had no time to tell until then. It now expects its turns in a second, so that requests wait where they can and are refused with that time where they can't.

--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestTurns.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestTurns.kt
@@ -141,10 +141,15 @@
         return true
     }
 
-    /** Returns when a request may be sent, [nowMs] at the earliest; [Long.MAX_VALUE] when this host has no turns. */
+    /** Returns when a request may be sent, [nowMs] at the earliest; an estimate while this host knows no turns. */
     public fun nextMs(nowMs: Long): Long {
         val current = state ?: return nowMs
-        if (!current.schedule.hasTurns) return Long.MAX_VALUE
+        if (!current.schedule.hasTurns) return nowMs + UNKNOWN_SHARE_MS
         return maxOf(nowMs, current.schedule.beginMs(current.nextTurn(nowMs)))
     }
+
+    private companion object {
+        /** A host that has started knows the others about a second after it has reached a majority of state hosts. */
+        const val UNKNOWN_SHARE_MS = 1_000L
+    }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerSelector.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerSelector.kt
@@ -65,8 +65,9 @@
             ratePerMs += serverRatePerMs ?: Double.POSITIVE_INFINITY
             firstMs = minOf(firstMs, server.nextSendMs(nowMs))
         }
-        if (firstMs == Long.MAX_VALUE) return firstMs.takeIf { slots.isNotEmpty() }
-        return firstMs + (ahead / ratePerMs).toLong()
+        if (slots.isEmpty()) return null
+        // A host that knows no turns yet has no rate, and those ahead may all be sent once it does.
+        return if (ratePerMs > 0) firstMs + (ahead / ratePerMs).toLong() else firstMs
     }
 
     /** True while all backend servers are limited. */
