Copy the bytes behind a body only for a divided status line

The check of a doubtful end copied all bytes for each place at which a head may begin, which for an end of 32 KiB, the longest head, is half a gigabyte for each read. Only the last 13 places need a copy. No change of behaviour; BodyEndCheckTest, FilledBodyTest and OddFillingTest pass.

--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/BodyEndCheck.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/BodyEndCheck.kt
@@ -54,8 +54,9 @@
      */
     private fun stateFrom(start: Int): BodyEnd {
         val isDivided = end.size - start < HeadMatcher.MIN_STATUS_LINE_BYTES
-        val statusLine = bytes.copyOf(minOf(bytes.size, start + HeadMatcher.MIN_STATUS_LINE_BYTES))
-        val match = HeadMatcher.match(if (isDivided) statusLine else bytes, start)
+        val matched =
+            if (isDivided) bytes.copyOf(minOf(bytes.size, start + HeadMatcher.MIN_STATUS_LINE_BYTES)) else bytes
+        val match = HeadMatcher.match(matched, start)
         return when {
             match is HeadMatch.None || (match is HeadMatch.Found && !match.head.isEnded) -> BodyEnd.WHOLE
             bytes.size - start >= HeadMatcher.MIN_STATUS_LINE_BYTES -> BodyEnd.FILLED
