Decode the software version of backend servers and name it in their log lines

Change: BackendServerState has softwareVersion, which lines on servers name. An incarnation keeps its version: an announcement that changes it is from another server, as with its service and zone.

--- a/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/site/BackendServerRegistry.kt
@@ -215,9 +215,13 @@
         return isLeaving != old.isLeaving || isColder || state.address != old.address
     }
 
-    /** An incarnation never changes its service or zone, so an announcement that does is from another server. */
+    /**
+     * An incarnation never changes its service, zone or software version, so an announcement that does is from another
+     * server.
+     */
     private fun isSameServer(old: BackendServerState, new: BackendServerState): Boolean =
-        old.service == new.service && old.availabilityZone == new.availabilityZone
+        old.service == new.service && old.availabilityZone == new.availabilityZone &&
+            old.softwareVersion == new.softwareVersion
 
     private fun hasDeparted(state: BackendServerState): Boolean =
         departures[state.name]?.let { it.incarnation >= state.incarnation } == true
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/SiteChangeLog.kt
@@ -122,6 +122,7 @@
         isLeaving = server.isLeaving,
         coldMs = server.coldMs,
         limitPermille = server.limit?.limitPermille,
+        softwareVersion = server.softwareVersion,
     )
 
     private companion object {
