Let a stream go on only at the software version that began it

Cause: nothing compared versions. A broken stream was resumed on any server of its service, Resumes was not read, and no host knew which version had begun a stream that another host, or an earlier process, had passed on. Change: a request whose stream has begun is placed only on servers of that version (RequestProfile.softwareVersion), waits in a queue of its own, so that it blocks no other, and is refused at once if no such server is known. Hosts name the version to each other when they forward. Entry hosts record where streams began; while a service has several versions, and once a second one appears, they tell the state hosts, which answer hosts at which a stream is taken up. Where a service has had one version for as long as streams last, that is the answer without a message. A take-up whose version is not known is refused as not run. Ruled out: a queue shared with other requests, whose head would wait for servers that it may not use.

--- a/core/src/main/kotlin/org/arbutusrelay/core/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/error/ErrorKind.kt
@@ -36,6 +36,7 @@
     DEADLINE_UNREACHABLE(503, Outcome.NOT_RUN, true, 5_000, "the request cannot be completed within its wait"),
     OVERLOADED(503, Outcome.NOT_RUN, true, 500, "the system has no capacity left"),
     NO_BACKEND_SERVER(503, Outcome.NOT_RUN, true, 500, "no backend server takes the request"),
+    STREAM_ORIGIN_UNKNOWN(503, Outcome.NOT_RUN, true, null, "it is not known which software version began the stream"),
     LEDGER_UNAVAILABLE(503, Outcome.NOT_RUN, true, 2_000, "the ledger has no quorum"),
     HOME_MOVING(503, Outcome.NOT_RUN, true, 10_000, "the home region of the caller is being moved"),
     MANIFEST_STALE(503, Outcome.NOT_RUN, true, 1_000, "the request was decided by an older manifest"),
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/DefaultRequestScheduler.kt
@@ -160,6 +160,18 @@
     /** Number of backend servers of this region that have named a limit which is in force. */
     public val limitedServers: Int get() = snapshot.get().slotsByName.values.count { it.turns.isLimited }
 
+    /**
+     * Returns true unless [profile] is known to have no server but those that it has tried, as a stream may that has to
+     * go on at one software version.
+     */
+    public fun hasOtherServer(profile: RequestProfile, nowMs: Long): Boolean {
+        if (profile.softwareVersion == null) return true
+        val current = snapshot.get()
+        val isLocal = current.table.region in profile.allowedRegions &&
+            current.serversFor(profile)?.slots.orEmpty().any { it.name !in profile.triedBackendServers }
+        return isLocal || (!profile.isForwarded && remote.hasUsableRegion(profile, current, nowMs))
+    }
+
     override fun viewOf(name: String, nowMs: Long): ScheduledServer? =
         snapshot.get().slotsByName[name]?.view(nowMs)
 
@@ -212,7 +224,7 @@
         if (!isLocalAllowed) {
             return refused(if (profile.isForwarded) ErrorKind.FORWARD_REFUSED else ErrorKind.REGION_UNREACHABLE)
         }
-        val servers = current.services[profile.serviceName]
+        val servers = current.serversFor(profile)
         if (servers != null) {
             return queueDecisions.refuseIfClosedTooLong(profile, current, servers, nowMs)
                 ?: placeLocally(profile, current, servers, nowMs)
@@ -245,7 +257,9 @@
         val queue = services.queueOf(profile.serviceName)
         if (profile.isIsolated) return if (queue.offer(profile)) Placement.Queued else refused(ErrorKind.OVERLOADED)
         spillover.place(profile, current, servers, nowMs)?.let { return it }
-        if (queue.size == 0) local.tryRun(profile, nowMs)?.let { return Placement.Run(it) }
+        // The queue may wait for servers that may not run this request.
+        val isUnblocked = queue.size == 0 || profile.softwareVersion != null
+        if (isUnblocked) local.tryRun(profile, nowMs)?.let { return Placement.Run(it) }
         return enqueue(profile, current, servers, queue, nowMs)
     }
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/LocalPlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/LocalPlacement.kt
@@ -16,7 +16,7 @@
     fun tryRun(profile: RequestProfile, nowMs: Long): PlacedAttempt? {
         repeat(MAX_PLACEMENT_ATTEMPTS) {
             val snapshot = snapshotOf()
-            val servers = snapshot.services[profile.serviceName] ?: return null
+            val servers = snapshot.serversFor(profile) ?: return null
             val candidates = streamEnd.endingInTime(profile, servers, nowMs)
             val slots = selector.select(profile, candidates, nowMs)
                 ?: candidates.takeIf { it !== servers }?.let { selector.select(profile, servers, nowMs) }
@@ -56,7 +56,7 @@
     fun tryHedge(attempt: PlacedAttempt, nowMs: Long): PlacedAttempt? {
         val snapshot = snapshotOf()
         val profile = attempt.profile
-        val servers = snapshot.services[profile.serviceName] ?: return null
+        val servers = snapshot.serversFor(profile) ?: return null
         val others = ServerPool(servers.slots.filter { it.name != attempt.backendServer }, servers.times)
         val slots = selector.select(profile, others, nowMs) ?: return null
         val finishMs = nowMs + EarliestFinishServerSelector.predictMs(profile, slots, servers.times, nowMs)
@@ -116,7 +116,7 @@
         val state = slots.state
         return PlacedAttempt(
             profile, slots.name, state.incarnation, state.address, number, nowMs, isHedge, region,
-            prefill.cacheSource?.state?.address.orEmpty(), basisOf(slots, load, firstMs, nowMs),
+            prefill.cacheSource?.state?.address.orEmpty(), basisOf(slots, load, firstMs, nowMs), state.softwareVersion,
         )
     }
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/QueueDecisions.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/QueueDecisions.kt
@@ -51,7 +51,7 @@
     private fun expireQueued(profile: RequestProfile, nowMs: Long): Placement? {
         refuseIfDeadlineMissed(profile, nowMs)?.let { return it }
         val current = snapshotOf()
-        val servers = current.services[profile.serviceName]
+        val servers = current.serversFor(profile)
         servers?.let { pool -> refuseIfClosedTooLong(profile, current, pool, nowMs)?.let { return it } }
         val isServed = servers != null
         val isMaxWaitExceeded = deadlinePolicy.isMaxWaitExceeded(profile, nowMs)
@@ -62,7 +62,7 @@
 
     /** Refuses a request that has waited in vain, with its own time to return where the memory is known. */
     private fun refuseWaited(profile: RequestProfile, nowMs: Long): Placement {
-        val servers = snapshotOf().services[profile.serviceName]
+        val servers = snapshotOf().serversFor(profile)
         if (servers == null || !servers.isMemoryKnown) return refusals.of(ErrorKind.OVERLOADED)
         val waitMs = deadlinePolicy.predictWaitMs(0, servers)
         return refusals.withRoom(RefusalCause.WAITED, ErrorKind.OVERLOADED, profile, servers, waitMs, nowMs)
@@ -82,7 +82,7 @@
     private fun refuseIfDeadlineMissed(profile: RequestProfile, nowMs: Long): Placement? {
         val willMissDeadline = deadlinePolicy.willMissDeadline(profile, services.timesOf(profile.serviceName), nowMs)
         if (willMissDeadline) return refusals.of(ErrorKind.DEADLINE_UNREACHABLE)
-        return snapshotOf().services[profile.serviceName]?.let { refuseIfEndMissed(profile, it, nowMs) }
+        return snapshotOf().serversFor(profile)?.let { refuseIfEndMissed(profile, it, nowMs) }
     }
 
     /** Refuses a stream that no server of this region is expected to complete before its deadline. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RegionSlots.kt
@@ -41,6 +41,13 @@
             ownInFlight(serviceName) * PERMILLE <= summary.capacity * sharePermille(nowMs)
     }
 
+    /** Returns true when [profile] may be forwarded at [nowMs], and a server there may run it. */
+    internal fun isUsableFor(profile: RequestProfile, nowMs: Long): Boolean {
+        val versions = region.softwareVersions[profile.serviceName]
+        val hasServer = profile.softwareVersion == null || versions == null || profile.softwareVersion in versions
+        return hasServer && isUsable(profile.serviceName, nowMs)
+    }
+
     /**
      * Predicts the time of [profile] there with a cold cache, in milliseconds, including the link delay both ways.
      *
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RemotePlacement.kt
@@ -94,9 +94,13 @@
         return if (isInTime) forward(profile, earliestFirstByte.region, times, nowMs) else null
     }
 
+    /** Returns true if another region may take [profile]. */
+    fun hasUsableRegion(profile: RequestProfile, snapshot: SchedulerSnapshot, nowMs: Long): Boolean =
+        usableRegions(profile, snapshot, nowMs).isNotEmpty()
+
     private fun usableRegions(profile: RequestProfile, snapshot: SchedulerSnapshot, nowMs: Long): List<RegionSlots> =
         profile.allowedRegions.mapNotNull { name ->
-            snapshot.regions[name]?.takeIf { name != snapshot.table.region && it.isUsable(profile.serviceName, nowMs) }
+            snapshot.regions[name]?.takeIf { name != snapshot.table.region && it.isUsableFor(profile, nowMs) }
         }
 
     /** Returns the usable regions where a stream is expected to end in time. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestProfile.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestProfile.kt
@@ -47,6 +47,8 @@
     val receivedEvents: Int = 0,
     /** True when the request was submitted before, so that it is counted already. */
     val isResubmitted: Boolean = false,
+    /** Software version at which the stream must go on; null if any will do, as before the first event. */
+    val softwareVersion: String? = null,
 ) {
     /** Tokens that the request holds in the memory of a server at its end, as far as its caller states them. */
     val memoryTokens: Long get() = maxOf(0, promptTokens).toLong() + maxOf(0, responseTokens)
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestScheduler.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RequestScheduler.kt
@@ -82,6 +82,8 @@
     val cacheSourceAddress: String = "",
     /** Inputs to the selection; null when the scheduler does not report them. */
     val basis: PlacementBasis? = null,
+    /** Software version of the backend server; empty if it states none, or when the request is forwarded. */
+    val softwareVersion: String = "",
 )
 
 /** How an attempt ended. */
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/RoutingTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/RoutingTable.kt
@@ -44,4 +44,6 @@
     val ageMs: Long,
     /** Measured share of the link in use, in thousandths. */
     val linkUsePermille: Long = 0,
+    /** Software versions of the servers there, by service; without an entry they are not known. */
+    val softwareVersions: Map<String, Set<String>> = emptyMap(),
 )
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/SchedulerSnapshot.kt
@@ -12,6 +12,9 @@
     /** Backend servers that were removed from the table while requests of this host were in flight on them. */
     val departed: List<BackendSlots> = emptyList(),
 ) {
+    /** Returns the servers of this region that may run [profile], or null if there are none. */
+    fun serversFor(profile: RequestProfile): ServerPool? = services[profile.serviceName]?.forRequest(profile)
+
     /** Returns true when [slots] may accept new work. */
     fun isCurrent(slots: BackendSlots): Boolean = slotsByName[slots.name] === slots && !slots.state.isLeaving
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerSelector.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServerSelector.kt
@@ -53,6 +53,13 @@
     /** Returns the pool with only [servers] to choose from; the share of this host remains that of the whole pool. */
     internal fun subset(servers: List<BackendSlots>): ServerPool = ServerPool(servers, times, 0.0, whole ?: this)
 
+    /** Returns the pool with only the servers that may run [profile], or null if there are none. */
+    internal fun forRequest(profile: RequestProfile): ServerPool? {
+        val version = profile.softwareVersion ?: return this
+        val matching = slots.filter { it.state.softwareVersion == version }
+        return if (matching.isEmpty()) null else subset(matching)
+    }
+
     /** True when the part of this host is known. */
     public val isShareKnown: Boolean get() = ownShare > 0
 
--- a/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceQueue.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/routing/ServiceQueue.kt
@@ -10,6 +10,9 @@
     private val lock = ReentrantLock()
     private val waiting = DeadlineQueue<RequestProfile>(settings.maxQueued, settings.fairnessLag)
     private val isolated = DeadlineQueue<RequestProfile>(settings.maxQueuedIsolated, settings.fairnessLag)
+
+    /** Streams that must go on at one software version; each waits only for servers of its own. */
+    private val versioned = DeadlineQueue<RequestProfile>(settings.maxQueued, settings.fairnessLag)
     private val entries = HashMap<RequestId, DeadlineQueue.Entry<RequestProfile>>()
 
     /** Number of queued requests. */
@@ -46,7 +49,7 @@
      * Removes the requests for which [decide] returns a placement, in queue order.
      *
      * [selectNext] may select any of the first [lookahead] requests. Draining stops at the first request that has to
-     * keep waiting; a request that waits for isolation does not block others.
+     * keep waiting; a request that waits for isolation, or for a software version, does not block others.
      */
     fun drain(
         lookahead: Int,
@@ -54,6 +57,7 @@
         decide: (RequestProfile) -> Placement?,
         sink: MutableList<QueuedPlacement>,
     ): Unit = lock.withLock {
+        if (versioned.size > 0) drainVersioned(decide, sink)
         listOf(isolated, waiting).forEach { queue ->
             while (true) {
                 val head = queue.head(lookahead)
@@ -65,6 +69,13 @@
         }
     }
 
+    private fun drainVersioned(decide: (RequestProfile) -> Placement?, sink: MutableList<QueuedPlacement>) {
+        for (entry in versioned.entries().toList()) {
+            val placement = decide(entry.value) ?: continue
+            dequeue(entry, placement, sink, isServed = placement !is Placement.Refused)
+        }
+    }
+
     /**
      * Removes the late requests, as determined by [isLate], for which [redirect] returns a placement. The other late
      * requests are moved behind those that can still be in time.
@@ -120,9 +131,13 @@
     }
 
     private fun updateSize() {
-        size = waiting.size + isolated.size
+        size = waiting.size + isolated.size + versioned.size
         if (size == 0) isLateServiceVain = false
     }
 
-    private fun queueOf(profile: RequestProfile) = if (profile.isIsolated) isolated else waiting
+    private fun queueOf(profile: RequestProfile) = when {
+        profile.isIsolated -> isolated
+        profile.softwareVersion != null -> versioned
+        else -> waiting
+    }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/arbutusrelay/core/stream/StreamOriginTable.kt
@@ -0,0 +1,45 @@
+package org.arbutusrelay.core.stream
+
+/** Service of a stream, and the software version of the backend server that sent its first event. */
+public data class StreamOrigin(val service: String, val softwareVersion: String)
+
+/**
+ * Remembers where recent streams began, by the caller's attempt that received the first event.
+ *
+ * What different software versions write does not fit together, so a stream may go on only at the version that began
+ * it. A stream is forgotten [RETENTION_MS] after its record, or earlier if there are more than [maxStreams], the oldest
+ * first. Times are monotonic, in milliseconds. Not thread-safe.
+ */
+public class StreamOriginTable(private val maxStreams: Int = MAX_STREAMS) {
+    private class Entry(val origin: StreamOrigin, val recordedMs: Long)
+
+    private val entries = LinkedHashMap<String, Entry>()
+
+    /** Number of streams that are remembered. */
+    public val size: Int get() = entries.size
+
+    /** Records the origin of the stream that began with [attemptId]; the first record of an attempt stands. */
+    public fun record(attemptId: String, origin: StreamOrigin, nowMs: Long) {
+        forget(nowMs)
+        if (attemptId in entries) return
+        if (entries.size >= maxStreams) entries.remove(entries.keys.first())
+        entries[attemptId] = Entry(origin, nowMs)
+    }
+
+    /** Returns the origin of the stream that began with [attemptId], or null if it is not known. */
+    public fun find(attemptId: String, nowMs: Long): StreamOrigin? =
+        entries[attemptId]?.takeIf { nowMs - it.recordedMs <= RETENTION_MS }?.origin
+
+    private fun forget(nowMs: Long) {
+        val oldest = entries.values.iterator()
+        while (oldest.hasNext() && nowMs - oldest.next().recordedMs > RETENTION_MS) oldest.remove()
+    }
+
+    public companion object {
+        /** Three times the ten seconds after which callers give a stream up on the known sites. */
+        public const val RETENTION_MS: Long = 30_000
+
+        /** About 6 MB; 1,600 new streams a second for [RETENTION_MS]. */
+        private const val MAX_STREAMS = 50_000
+    }
+}
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/dialect/HeaderDialect.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/dialect/HeaderDialect.kt
@@ -20,6 +20,8 @@
     val promptParts: List<PromptPart> = emptyList(),
     /** ID of the last event that the caller has received, or null. */
     val lastEventId: Long? = null,
+    /** Caller's attempt that received the first event of the stream which it resumes, or null. */
+    val resumedAttemptId: String? = null,
     /** Key of the caller, a secret; null if it sent none, or several. */
     val key: String? = null,
     /** Tokens of the prompt and of the longest response that the caller accepts; null when not specified. */
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -173,7 +173,10 @@
 
             !isUsable(head, metadata) -> {
                 call?.cancel()
-                fail(AttemptFailure.UNKNOWN, "status ${head.statusCode} unsigned, encoded or in a begun stream")
+                fail(
+                    AttemptFailure.UNKNOWN,
+                    "status ${head.statusCode} unsigned, encoded, of another version or in a begun stream",
+                )
                 return false
             }
         }
@@ -297,8 +300,16 @@
     }
 
     private fun isUsable(head: BackendHead, metadata: ResponseMetadata): Boolean =
-        metadata.attemptId != null && !head.headers.contains("Content-Encoding") && exchange.canContinueWith(head) &&
-            (metadata.isSigned || head.statusCode !in SUCCESS_STATUSES)
+        metadata.attemptId != null && !head.headers.contains("Content-Encoding") &&
+            exchange.response.mayContinueWith(head) &&
+            (head.statusCode !in SUCCESS_STATUSES || isUsableSuccess(head, metadata))
+
+    private fun isUsableSuccess(head: BackendHead, metadata: ResponseMetadata): Boolean =
+        metadata.isSigned && exchange.streamVersion.allows(softwareVersionOf(head))
+
+    /** Returns the software version of the backend server that sent [head]; empty if it is not known. */
+    fun softwareVersionOf(head: BackendHead): String =
+        if (isToHost) ForwardHeaders.softwareVersionOf(head.headers).orEmpty() else placed.softwareVersion
 
     private fun fail(failure: AttemptFailure, detail: String, retryAfterMs: Long? = null) {
         exchange.onAttemptFailed(this, failure, detail, retryAfterMs)
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/CallerResponse.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/CallerResponse.kt
@@ -15,6 +15,9 @@
 internal class CallerResponse(private val request: IngressRequest, private val writer: ResponseWriter) {
     private var streamHead: BackendHead? = null
 
+    /** Software version of the server that sends the stream, for the host that forwarded the request. */
+    var softwareVersion: String = ""
+
     /** True once the response head has been written to the caller. */
     val isStarted: Boolean get() = writer.isStarted
 
@@ -32,7 +35,7 @@
         val headers = DefaultHttpHeaders()
         error.retryAfterMs?.let { headers["Retry-After"] = "%.3f".format(Locale.ROOT, it / MS_PER_SECOND) }
         if (request.isForwarded) ForwardHeaders.putOutcome(headers, error.kind.outcome)
-        putSendId(headers)
+        putSource(headers)
         headers["Content-Type"] = "text/plain"
         writer.sendFull(error.kind.statusCode, headers, "${error.kind.id}: ${error.detail}\n".encodeToByteArray())
     }
@@ -48,9 +51,11 @@
         writer.endStream()
     }
 
-    /** Returns true if the body of a response with [head] may follow the events that were already written. */
-    fun isContinuedBy(head: BackendHead): Boolean = head.statusCode == streamHead?.statusCode &&
-        head.statusCode == OK_STATUS && mediaTypeOf(head) == streamHead?.let(::mediaTypeOf)
+    /** Returns false if a stream has begun that a response with [head] cannot continue. */
+    fun mayContinueWith(head: BackendHead): Boolean = !isStarted || (
+        head.statusCode == streamHead?.statusCode && head.statusCode == OK_STATUS &&
+            mediaTypeOf(head) == streamHead?.let(::mediaTypeOf)
+        )
 
     private fun startStream(head: BackendHead) {
         if (writer.isStarted) return
@@ -65,11 +70,11 @@
     fun abort(): Unit = writer.abort()
 
     private fun endToEndHeaders(head: BackendHead): HttpHeaders =
-        head.headers.copy().also(ForwardHeaders::removeFrom).also(::putSendId)
+        head.headers.copy().also(ForwardHeaders::removeFrom).also(::putSource)
 
-    private fun putSendId(headers: HttpHeaders) {
+    private fun putSource(headers: HttpHeaders) {
         val sendId = ForwardHeaders.sendIdOf(request.headers)?.takeIf { request.isForwarded } ?: return
-        ForwardHeaders.putSendId(headers, sendId)
+        ForwardHeaders.putSource(headers, sendId, softwareVersion)
     }
 
     private companion object {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Exchange.kt
@@ -12,6 +12,7 @@
 import org.arbutusrelay.core.relay.StreamPosition
 import org.arbutusrelay.core.route.Route
 import org.arbutusrelay.core.route.RouteKind
+import org.arbutusrelay.core.route.RouteTable
 import org.arbutusrelay.core.routing.AttemptResult
 import org.arbutusrelay.core.routing.PlacedAttempt
 import org.arbutusrelay.core.routing.Placement
@@ -39,7 +40,8 @@
     private val request: IngressRequest,
     writer: ResponseWriter,
 ) : IngressExchange {
-    private val response = CallerResponse(request, writer)
+    /** The response to the caller. */
+    val response = CallerResponse(request, writer)
     private val admission = TenantAdmission(context.tenants, context.clock::nowMs, request)
     private var resolved: ResolvedRequest? = null
     private var phase = Phase.NEW
@@ -56,6 +58,9 @@
     /** Position of the caller in a stream; resolved before the first attempt. */
     val streamPosition by lazy { StreamPosition(resolved?.metadata?.lastEventId) }
 
+    /** Software version at which a stream must go on. */
+    val streamVersion = StreamVersion(context.streamOrigins, request)
+
     /** Records how the attempts end; null until the request has a route. */
     var crashEvidence: CrashEvidenceRecorder? = null
         private set
@@ -116,16 +121,25 @@
             tenantName,
         )
         resolved = call
-        crashEvidence = CrashEvidenceRecorder(context.crashEvidence, request, service, metadata.promptParts)
         deadlineTimer = context.schedule(waitMs) { onDeadline() }
+        streamVersion.resolve(call) { result ->
+            // The caller may have left while the origin of the stream was asked for.
+            if (phase == Phase.NEW) result.fold(::failRequest) { admit(it, table) }
+        }
+    }
+
+    private fun admit(call: ResolvedRequest, table: RouteTable) {
+        resolved = call
+        crashEvidence =
+            CrashEvidenceRecorder(context.crashEvidence, request, call.serviceName, call.metadata.promptParts)
         profile = profiles.build(
             context.nextId(),
             call,
-            (table.plan.services[service]?.cacheTokens ?: 0) > 0,
+            (table.plan.services[call.serviceName]?.cacheTokens ?: 0) > 0,
             request.receivedMs - if (request.isForwarded) ForwardHeaders.ageMsOf(request.headers) else 0,
             regions.homes,
-        )
-        admission.charge(metadata) { error ->
+        ).copy(softwareVersion = streamVersion.required)
+        admission.charge(call.metadata) { error ->
             when {
                 // The caller has left, or the deadline has passed, while the quota was asked for.
                 phase == Phase.DONE -> admission.giveBack()
@@ -253,7 +267,8 @@
                 tenancy = admission.tenancy,
             )
             val forward =
-                ForwardMetadata(call.serviceName, ageMs, sendId, tenantName).takeIf { backendServer == null }
+                ForwardMetadata(call.serviceName, ageMs, sendId, tenantName, profile.softwareVersion)
+                    .takeIf { backendServer == null }
             BackendRequestHeaders.of(request, context.dialect, sent, forward)
         } catch (e: IllegalArgumentException) {
             // A value that another program announced, such as the name of the backend server, fits in no header.
@@ -274,7 +289,7 @@
 
     /** Retries on another backend server if that is allowed after [idleMs] without progress; returns false if not. */
     private fun onSilent(silent: Attempt, idleMs: Long): Boolean {
-        val isRetryAllowed = mayBePlaced() && decideRetry(AttemptFailure.SILENT) == RetryVerdict.RETRY
+        val isRetryAllowed = mayBePlaced(silent) && decideRetry(AttemptFailure.SILENT) == RetryVerdict.RETRY
         if (!isRetryAllowed || !context.scheduler.tryRetry(profile, context.clock.nowMs())) return false
         silent.cancel(AttemptResult.TIMED_OUT)
         possibleRuns++
@@ -284,19 +299,22 @@
     }
 
     /** Returns false if no other attempt can follow, so that one that runs is better waited for. */
-    private fun mayBePlaced(): Boolean {
+    private fun mayBePlaced(current: Attempt): Boolean {
         val call = resolved ?: return false
         profile = regions.applyTo(profile, call)
-        return profile.allowedRegions.isNotEmpty() && crashEvidence?.isHeldBack != true && mayBeSent(call)
+        val next = profile.copy(
+            softwareVersion = streamVersion.required,
+            triedBackendServers = tried + current.placed.backendServer,
+        )
+        return profile.allowedRegions.isNotEmpty() && context.scheduler.hasOtherServer(next, context.clock.nowMs()) &&
+            crashEvidence?.isHeldBack != true &&
+            mayBeSent(call)
     }
 
     /** Returns false if the request may outlast the stop of this host; a stream that has begun goes on in any case. */
     private fun mayBeSent(call: ResolvedRequest): Boolean =
         response.isStarted || context.stopState.mayAccept(call.deadlineMs)
 
-    /** Returns false if a stream has begun that a response with [head] cannot continue. */
-    fun canContinueWith(head: BackendHead): Boolean = !response.isStarted || response.isContinuedBy(head)
-
     /** Forwards the complete events in [bytes], the next part of a stream, to the caller. */
     fun onStreamBytes(source: Attempt, head: BackendHead, bytes: ByteArray) {
         val cursor = source.cursor
@@ -305,6 +323,10 @@
         if (events.isNotEmpty()) {
             // Bytes that complete no event are no progress: a stalled server may still send one now and then.
             source.recordProgress(cursor.eventCount - knownEvents)
+            if (!response.isStarted) {
+                response.softwareVersion = source.softwareVersionOf(head)
+                resolved?.let { streamVersion.onBegun(it, response.softwareVersion) }
+            }
             response.writeEvents(head, events)
         }
         when {
@@ -368,6 +390,7 @@
         profile = profile.copy(
             triedBackendServers = tried,
             receivedEvents = profile.receivedEvents + source.cursor.eventCount,
+            softwareVersion = streamVersion.required,
         )
         submit()
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ForwardHeaders.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ForwardHeaders.kt
@@ -12,6 +12,8 @@
     val sendId: String,
     /** Tenant that the first host found by the caller's key; null on a route that needs none. */
     val tenantName: String? = null,
+    /** Software version at which the stream must go on; null if any will do. */
+    val softwareVersion: String? = null,
 )
 
 /** Headers used between relay hosts; they are removed from requests of callers and from responses to them. */
@@ -21,6 +23,7 @@
     private const val SEND = "Arbutus-Send"
     private const val OUTCOME = "Arbutus-Outcome"
     private const val TENANT = "Arbutus-Tenant"
+    private const val SOFTWARE_VERSION = "Arbutus-Software-Version"
 
     /** Removes the headers that only relay hosts may set. */
     fun removeFrom(headers: HttpHeaders) {
@@ -29,6 +32,7 @@
         headers.remove(SEND)
         headers.remove(OUTCOME)
         headers.remove(TENANT)
+        headers.remove(SOFTWARE_VERSION)
     }
 
     fun serviceOf(headers: HttpHeaders): String? = headers[SERVICE]
@@ -44,13 +48,22 @@
         headers[AGE] = metadata.ageMs
         headers[SEND] = metadata.sendId
         metadata.tenantName?.let { headers[TENANT] = it }
+        metadata.softwareVersion?.let { headers[SOFTWARE_VERSION] = it }
     }
 
+    /**
+     * Returns the software version that a request asks for, or that of the server which sent a response; null when not
+     * specified.
+     */
+    fun softwareVersionOf(headers: HttpHeaders): String? = headers[SOFTWARE_VERSION]
+
     /** Returns the name of the tenant in a request that another host forwarded, or null. */
     fun tenantOf(headers: HttpHeaders): String? = headers[TENANT]
 
-    fun putSendId(headers: HttpHeaders, sendId: String) {
+    /** Names the send that a response answers, and the version of the server that sent it unless that is empty. */
+    fun putSource(headers: HttpHeaders, sendId: String, softwareVersion: String) {
         headers[SEND] = sendId
+        if (softwareVersion.isNotEmpty()) headers[SOFTWARE_VERSION] = softwareVersion
     }
 
     fun putOutcome(headers: HttpHeaders, outcome: Outcome) {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/RelayContext.kt
@@ -19,6 +19,12 @@
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.random.Random
 
+/** What a host asks the other hosts of its site about single requests. */
+internal class SiteServices(
+    val tenants: TenantServices = TenantServices(),
+    val streamOrigins: StreamOrigins = StreamOrigins.Unversioned,
+)
+
 /** State and services shared by all exchanges of a host; confined to the event loop except for [routes]. */
 internal class RelayContext(
     val self: HostIdentity,
@@ -35,8 +41,11 @@
     private val random: Random,
     /** Receives what backend servers state of themselves. */
     val statements: StatementListener = StatementListener.None,
-    val tenants: TenantServices = TenantServices(),
+    private val services: SiteServices = SiteServices(),
 ) {
+    val tenants: TenantServices get() = services.tenants
+    val streamOrigins: StreamOrigins get() = services.streamOrigins
+
     /** Active routes; null until this host has received a route document. */
     val routes = AtomicReference<RouteTable?>(null)
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ResolvedRequest.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/ResolvedRequest.kt
@@ -14,4 +14,8 @@
     val documentNumber: Long,
     /** Tenant of the request; null on public routes, and where the document has no tenants. */
     val tenantName: String? = null,
-)
+) {
+    /** Returns the same request to the service [name] of its route. */
+    fun withService(name: String): ResolvedRequest =
+        ResolvedRequest(route, metadata, name, deadlineMs, documentNumber, tenantName)
+}
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -38,6 +38,7 @@
 import org.arbutusrelay.relay.exchange.ForwardTargets
 import org.arbutusrelay.relay.exchange.ProfileBuilder
 import org.arbutusrelay.relay.exchange.RelayContext
+import org.arbutusrelay.relay.exchange.SiteServices
 import org.arbutusrelay.relay.exchange.StatementListener
 import org.arbutusrelay.relay.exchange.TenantServices
 import org.arbutusrelay.relay.ingress.BodyAdmission
@@ -107,6 +108,13 @@
     private val forwardTargets = ForwardTargets(settings.linkPort + 1)
     private val quotas =
         QuotaRequester(siteLinks.network, { site.reportTargets }, Loop(), clock::nowMs, metrics.quotas)
+    private val streamOrigins = StreamOriginClient(
+        siteLinks.network,
+        { site.reportTargets },
+        Loop(),
+        clock::nowMs,
+        { clock.instant().toEpochMilli() },
+    )
     private val context: RelayContext = RelayContext(
         siteLinks.identity, clock, loop, pool, scheduler, dialect, forwardTargets,
         RequestMetricsListener(metrics, RequestLogListener(log, clock::nowMs)), StopState(clock::nowMs),
@@ -114,7 +122,7 @@
         Random(
             siteLinks.identity.epoch,
         ),
-        Statements(), TenantServices(documentProof ?: DocumentProof.NOT_REQUIRED, quotas),
+        Statements(), SiteServices(TenantServices(documentProof ?: DocumentProof.NOT_REQUIRED, quotas), streamOrigins),
     )
     private val profiles = ProfileBuilder(settings.region) { otherRegions }
     private val loopLag = LoopLag()
@@ -146,11 +154,13 @@
     override suspend fun start() {
         siteLinks.listen()
         changes.attach(site, siteLinks.network)
+        site.addListener(streamOrigins::onView)
         site.addListener(::onSiteView)
         callerServer.start(callerAddress)
         forwardServer.start("${settings.bindAddress}:${settings.linkPort + 1}")
         statusServers.forEach { it.start() }
         siteLinks.network.addReceiver(quotas)
+        siteLinks.network.addReceiver(streamOrigins)
         site.start(scope)
         documentProof?.start(scope, metrics)
         loopWatch.start()
@@ -168,6 +178,9 @@
         RefusalCause.entries.forEach { cause ->
             metrics.gauge("arbutus.refusals.${cause.id}") { scheduler.refusalCount(cause) }
         }
+        OriginLookup.entries.forEach { kind ->
+            metrics.gauge("arbutus.stream.origin.lookups.${kind.id}") { streamOrigins.count(kind) }
+        }
         metrics.gauge("arbutus.suspects.held") { site.crashEvidence.heldBack.size }
         metrics.gauge("arbutus.document.number") { context.routes.get()?.plan?.number ?: -1 }
         metrics.gauge("arbutus.document.age.ms") { if (isReady()) clock.nowMs() - inForceSinceMs else -1 }
@@ -303,7 +316,7 @@
             site.recordLimit(attempt.backendServer, attempt.incarnation, limitPermille, attempt.placedAtMs)
     }
 
-    private inner class Loop : QuotaLoop {
+    private inner class Loop : HostLoop {
         override fun execute(action: () -> Unit) = loop.execute(action)
 
         override fun schedule(delayMs: Long, action: () -> Unit) {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/QuotaRequester.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/QuotaRequester.kt
@@ -13,15 +13,6 @@
 import org.arbutusrelay.schema.message.QuotaRequest
 import org.arbutusrelay.schema.message.QuotaReturn
 
-/** The event loop to which a [QuotaRequester] is confined. */
-internal interface QuotaLoop {
-    /** Runs [action] on the event loop; may be called on any thread. */
-    fun execute(action: () -> Unit)
-
-    /** Runs [action] on the event loop after [delayMs]. */
-    fun schedule(delayMs: Long, action: () -> Unit)
-}
-
 /**
  * Asks state hosts for tokens of the quotas of tenants.
  *
@@ -31,7 +22,7 @@
 internal class QuotaRequester(
     private val network: LinkNetwork,
     private val targets: () -> List<String>,
-    private val loop: QuotaLoop,
+    private val loop: HostLoop,
     private val nowMs: () -> Long,
     private val metrics: QuotaMetrics,
 ) : QuotaClient,
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/RequestLogListener.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/RequestLogListener.kt
@@ -31,6 +31,7 @@
                 version = basis?.version,
                 tableAgeMs = basis?.tableAgeMs,
                 lastEventId = lastEventId,
+                softwareVersion = attempt.softwareVersion,
             ),
         )
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/RoutingTableBuilder.kt
@@ -61,6 +61,7 @@
         services = servers.filter { capacityOf(it) > 0 }.groupBy { it.service }
             .mapValues { (service, states) -> summary(service, states) },
         ageMs = 0,
+        softwareVersions = servers.groupBy({ it.service }, { it.softwareVersion }).mapValues { it.value.toSet() },
     )
 
     private fun summary(service: String, states: List<BackendServerState>) = ServiceSummary(
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -19,6 +19,7 @@
 import org.arbutusrelay.daemon.site.QuotaService
 import org.arbutusrelay.daemon.site.SiteControl
 import org.arbutusrelay.daemon.site.SiteService
+import org.arbutusrelay.daemon.site.StreamOriginService
 import org.arbutusrelay.daemon.storage.FileConsensusStorage
 import org.arbutusrelay.schema.log.EventLine
 import org.arbutusrelay.schema.log.EventLine.Event
@@ -101,6 +102,9 @@
         { documentProof?.isCurrent(clock.nowMs()) ?: site.isStateConfirmed },
     )
 
+    private val streamOrigins =
+        StreamOriginService(siteLinks.network, clock::nowMs) { clock.instant().toEpochMilli() }
+
     private val httpServers = listOfNotNull(
         settings.controlAddress?.let { httpServer(it, controlRoutes(this)) },
         settings.directoryAddress?.let { httpServer(it, directoryRoutes(this)) },
@@ -111,6 +115,8 @@
         siteLinks.listen()
         changes.attach(site, siteLinks.network)
         site.addListener { logLeader() }
+        site.addListener(streamOrigins::onView)
+        siteLinks.network.addReceiver(streamOrigins)
         group.addListener(::confirmState)
         group.addLeadershipListener(::logLeadershipEnd)
         group.start().onLeft { throw IOException("${settings.dataFolder}: $it") }
@@ -125,6 +131,7 @@
         metrics.gauge("arbutus.site.confirmed") { if (site.isStateConfirmed) 1 else 0 }
         metrics.gauge("arbutus.document.number") { stateMachine.current.document?.number ?: -1 }
         metrics.gauge("arbutus.site.backend.servers") { site.view.backendServers.size }
+        metrics.gauge("arbutus.stream.origins") { streamOrigins.streams }
         metrics.gauge("arbutus.site.entry.hosts") { site.view.entryHosts.size }
         val detail = if (settings.isFounding) "bootstraps the group unless its disk holds a replica" else null
         eventLog.write(siteLinks.eventLine(Event.STARTED).copy(address = settings.controlAddress, detail = detail))
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/RelayFixture.kt
@@ -27,7 +27,9 @@
 import org.arbutusrelay.relay.exchange.ForwardTargets
 import org.arbutusrelay.relay.exchange.ProfileBuilder
 import org.arbutusrelay.relay.exchange.RelayContext
+import org.arbutusrelay.relay.exchange.SiteServices
 import org.arbutusrelay.relay.exchange.StatementListener
+import org.arbutusrelay.relay.exchange.StreamOrigins
 import org.arbutusrelay.relay.exchange.TenantServices
 import org.arbutusrelay.relay.ingress.BodyAdmission
 import org.arbutusrelay.relay.ingress.ConnectionDrain
@@ -67,6 +69,9 @@
     val bindAddress: String = RelayFixture.LOOPBACK,
     val port: Int? = null,
     val tenancy: HostTenancy = HostTenancy(),
+    /** Software versions of the backend servers, in their order; those without one state none. */
+    val softwareVersions: List<String> = emptyList(),
+    val streamOrigins: StreamOrigins = StreamOrigins.Unversioned,
 )
 
 /** Tenants of the document of a host in tests, and what the host uses to admit their requests. */
@@ -92,7 +97,7 @@
     private val oddServers: Map<String, String> = emptyMap(),
     maxBodyBytes: Int = MAX_BODY_BYTES,
     bodies: BodyAdmission = BodyAdmission(),
-    place: HostPlace = HostPlace(),
+    private val place: HostPlace = HostPlace(),
     homes: List<String> = emptyList(),
 ) : AutoCloseable {
     private val region = place.region
@@ -122,7 +127,7 @@
         ),
         clock, loop, BackendPool(loop, clock::nowMs), scheduler, TestDialect,
         ForwardTargets(otherRegionPort ?: 1), RequestLogListener(log, clock::nowMs), StopState(clock::nowMs),
-        crashEvidence, Random(1), Statements(), tenancy.services,
+        crashEvidence, Random(1), Statements(), SiteServices(tenancy.services, place.streamOrigins),
     )
     private val profiles = ProfileBuilder(region) { otherRegions.keys.toList() }
 
@@ -224,7 +229,10 @@
 
     /** Returns the state of all backend servers as processes with [incarnation]. */
     fun serverStates(incarnation: Long = 1): List<BackendServerState> =
-        servers.mapIndexed { index, server -> state("s$index", server.address, incarnation) } +
+        servers.mapIndexed { index, server ->
+            state("s$index", server.address, incarnation)
+                .copy(softwareVersion = place.softwareVersions.getOrElse(index) { "" })
+        } +
             oddServers.map { (name, address) -> state(name, address, incarnation) }
 
     /** Puts [states], built at [builtAtMs], in the routing table, with [share] for those with a limit. */
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/TestDialect.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/TestDialect.kt
@@ -25,6 +25,7 @@
             headers["Wait-Ms"]?.toLong(),
             promptParts = headers["Parts"].orEmpty().split(',').filter { it.isNotEmpty() }.map { PromptPart(it, 100) },
             lastEventId = headers["Last-Event-Id"]?.toLong(),
+            resumedAttemptId = headers["Resumes"],
             key = headers.getAll("Key").singleOrNull(),
         ).right()
     }
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/node/QuotaRequesterTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/node/QuotaRequesterTest.kt
@@ -113,7 +113,7 @@
         nowMs = endMs
     }
 
-    private inner class Loop : QuotaLoop {
+    private inner class Loop : HostLoop {
         override fun execute(action: () -> Unit) = action()
 
         override fun schedule(delayMs: Long, action: () -> Unit) {
