Sync what an earlier process left on the disk before a replica relies on it

Cause: a process that is killed between a write and its sync leaves a record, or a renamed file, that the next process reads like any other. It acknowledges that record and continues the log in a new segment, but nobody syncs the old one. A later loss of power takes the record away or tears it: entries that were acknowledged are gone, or the storage refuses the torn record in front of others, so that the replica never starts again and its supervisor starts it over and over. Change: a start syncs the folder and the last segment before their content is used. Evidence: KillThenPowerLossTest kills the process before each file operation, restarts, and lets the power fail.

--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/storage/DataFolder.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/storage/DataFolder.kt
@@ -11,6 +11,8 @@
         Files.createDirectories(path)
         path.toAbsolutePath().parent?.let(::syncFolder)
         files().filter { it.endsWith(TEMPORARY_SUFFIX) }.forEach { operations.delete(file(it)) }
+        // A process that was killed may have left names that are not synced, and this one relies on their files.
+        sync()
     }
 
     fun file(name: String): Path = path.resolve(name)
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/storage/LogSegments.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/storage/LogSegments.kt
@@ -17,7 +17,12 @@
     var syncCount = 0L
         private set
 
-    /** Reads all segments and returns the entries after [snapshotIndex]; truncates a torn last record. */
+    /**
+     * Reads all segments and returns the entries after [snapshotIndex]; truncates a torn last record.
+     *
+     * The last segment is synced, because a process that was killed may have left a record in it that is not: the
+     * replica relies on what it has read, and a loss of power would otherwise take the record away again.
+     */
     fun load(snapshotIndex: Long): List<LogEntry> {
         val names = folder.files().filter { it.startsWith(NAME_PREFIX) }
         val entries = ArrayList<LogEntry>()
@@ -29,6 +34,7 @@
             }
             closedSegments += readSegment(Segment(number, folder.file(name)), position == names.lastIndex, entries)
         }
+        closedSegments.lastOrNull()?.let { syncFile(it.path) }
         val retained = entries.filter { it.index > snapshotIndex }
         if (retained.isNotEmpty() && retained.first().index != snapshotIndex + 1) {
             val reason = "the log starts at index ${retained.first().index}, but the snapshot ends at $snapshotIndex"
@@ -105,6 +111,9 @@
         segment.lastIndex = maxOf(segment.lastIndex, entry.index)
     }
 
+    private fun syncFile(path: Path) =
+        folder.operations.open(path, StandardOpenOption.WRITE).use(folder.operations::sync)
+
     private fun truncateFile(path: Path, sizeBytes: Long) {
         folder.operations.open(path, StandardOpenOption.WRITE).use {
             folder.operations.truncate(it, sizeBytes)
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/storage/PowerLossDisk.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/storage/PowerLossDisk.kt
@@ -21,6 +21,9 @@
  */
 internal class PowerLossDisk(private val folder: Path, private val random: Random) {
     var isFull = false
+
+    /** Number of operations after which the process is killed, with its files as they are then. */
+    var operationsUntilKill = Int.MAX_VALUE
     private val durableNames = HashMap<String, FileState>()
     private val names = HashMap<String, FileState>()
     private val unsyncedChanges = ArrayList<NameChange>()
@@ -29,6 +32,7 @@
     /** Returns the file operations of a new process; those of the process before fail from now on. */
     fun startProcess(): FileOperations {
         endProcess()
+        operationsUntilKill = Int.MAX_VALUE
         return ProcessFiles().also { process = it }
     }
 
@@ -147,6 +151,7 @@
         }
 
         private fun checkRunning() {
+            if (operationsUntilKill-- <= 0) isEnded = true
             if (isEnded) throw IOException("the process has ended")
         }
     }
