Share the event loop in virtual time between two tests

Cause: StreamOriginClientTest had a second copy of the loop of QuotaRequesterTest. Change: VirtualLoop; assertions are unchanged.

--- a/relay/src/test/kotlin/org/arbutusrelay/relay/node/QuotaRequesterTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/node/QuotaRequesterTest.kt
@@ -8,16 +8,14 @@
 import org.arbutusrelay.relay.exchange.QuotaResult
 import org.arbutusrelay.schema.message.LinkFrame
 import org.arbutusrelay.schema.message.QuotaReply
-import java.util.PriorityQueue
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
 class QuotaRequesterTest {
-    private var nowMs = 0L
-    private val timers = PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
+    private val loop = VirtualLoop()
     private val sent = ArrayList<Pair<String, LinkFrame>>()
     private val results = ArrayList<QuotaResult>()
-    private val requester = QuotaRequester(Links(), { listOf("a", "b", "c") }, Loop(), { nowMs }, RelayMetrics().quotas)
+    private val requester = QuotaRequester(Links(), { listOf("a", "b", "c") }, loop, loop::nowMs, RelayMetrics().quotas)
     private val tenant = Tenant("t", setOf("k"))
 
     /** Guards against requests that hang, ask more than two hosts, get two results or keep unwanted grants. */
@@ -35,7 +33,7 @@
         val cases = listOf(
             Case("granted", granted, 1, 0) { reply("a", 0, true) },
             Case("refused", listOf(QuotaResult.Exceeded(7)), 1, 0) { reply("a", 0, false, retryAfterMs = 7) },
-            Case("no reply", unavailable, 2, 0) { passMs(400) },
+            Case("no reply", unavailable, 2, 0) { loop.passMs(400) },
             Case("cannot decide", granted, 2, 0) {
                 reply("a", 0, false, isUnavailable = true)
                 reply("b", 1, true)
@@ -43,25 +41,25 @@
             Case("repeated reply", granted, 1, 0) { repeat(2) { reply("a", 0, true) } },
             Case("reply of a host that was not asked", unavailable, 2, 0) {
                 reply("c", 0, true)
-                passMs(400)
+                loop.passMs(400)
             },
             Case("two grants", granted, 2, 5) {
-                passMs(200)
+                loop.passMs(200)
                 reply("a", 0, true)
                 reply("b", 1, true)
             },
             Case("late grants, one repeated", unavailable, 2, 10) {
-                passMs(400)
+                loop.passMs(400)
                 repeat(2) { reply("a", 0, true) }
                 reply("b", 1, true)
             },
             Case("a grant that a stalled event loop reads late, before its timers", granted, 2, 5) {
-                nowMs += 1_000
+                loop.nowMs += 1_000
                 reply("a", 0, true)
                 reply("b", 1, true)
             },
             Case("late refusal, then grant", granted, 2, 0) {
-                passMs(200)
+                loop.passMs(200)
                 reply("a", 0, false, retryAfterMs = 7)
                 reply("b", 1, true)
             },
@@ -71,11 +69,11 @@
             results.clear()
             requester.acquire(tenant, 5) { results += it }
             case.run()
-            passMs(300)
+            loop.passMs(300)
             assertEquals(case.results, results, case.name)
             assertEquals(case.asked, sent.count { it.second.quotaRequest != null }, case.name)
             assertEquals(case.back, sent.sumOf { it.second.quotaReturn?.tokens ?: 0 }, case.name)
-            passMs(3_000)
+            loop.passMs(3_000)
         }
     }
 
@@ -86,7 +84,7 @@
         reply("a", 0, true)
         sent.clear()
         repeat(3) { requester.giveBack(tenant, 5) }
-        passMs(200)
+        loop.passMs(200)
         val (host, frame) = sent.single()
         assertEquals("a" to 15L, host to frame.quotaReturn?.tokens)
     }
@@ -103,24 +101,6 @@
         requester.onFrame(HostIdentity(host, "r", "z", 1), LinkFrame(quotaReply = reply))
     }
 
-    private fun passMs(durationMs: Long) {
-        val endMs = nowMs + durationMs
-        while (timers.isNotEmpty() && timers.peek().first <= endMs) {
-            val (atMs, action) = timers.remove()
-            nowMs = atMs
-            action()
-        }
-        nowMs = endMs
-    }
-
-    private inner class Loop : HostLoop {
-        override fun execute(action: () -> Unit) = action()
-
-        override fun schedule(delayMs: Long, action: () -> Unit) {
-            timers += (nowMs + delayMs) to action
-        }
-    }
-
     private inner class Links : LinkNetwork {
         override val self = HostIdentity("e", "r", "z", 1)
 
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/node/StreamOriginClientTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/node/StreamOriginClientTest.kt
@@ -10,14 +10,12 @@
 import org.arbutusrelay.daemon.site.StreamOriginService
 import org.arbutusrelay.schema.message.BackendServerState
 import org.arbutusrelay.schema.message.LinkFrame
-import java.util.PriorityQueue
 import kotlin.test.Test
 import kotlin.test.assertEquals
 
 /** Two entry hosts and two state hosts; a stream that one entry host began is taken up at the other. */
 class StreamOriginClientTest {
-    private var nowMs = 0L
-    private val timers = PriorityQueue<Pair<Long, () -> Unit>>(compareBy { it.first })
+    private val loop = VirtualLoop()
     private val nodes = HashMap<String, FrameReceiver>()
     private var frames = 0
     private val states = listOf("s1", "s2")
@@ -53,10 +51,10 @@
         for (case in cases) {
             states.forEach(::startState)
             clients.keys.toList().forEach(::startEntry)
-            passMs(SoftwareVersions.LIFETIME_MS)
+            loop.passMs(SoftwareVersions.LIFETIME_MS)
             show("v1", "v2")
             client("e1").record("a", StreamOrigin("svc", "v1"))
-            passMs(100)
+            loop.passMs(100)
             case.lose()
             show("v1", "v2")
             assertEquals(case.expected, find(if (case.asks) "e2" else "e1", "a"), case.name)
@@ -67,14 +65,14 @@
     /** Guards against streams that began before the first server of a second version appeared, and became unknown. */
     @Test
     fun `streams of a single version are told to the state hosts once there is another`() {
-        passMs(SoftwareVersions.LIFETIME_MS)
+        loop.passMs(SoftwareVersions.LIFETIME_MS)
         show("v1")
         client("e1").record("a", StreamOrigin("svc", "v1"))
-        passMs(1_000)
+        loop.passMs(1_000)
         assertEquals(0, frames, "nothing is sent while there is one version")
         assertEquals("v1", find("e2", "a"))
         show("v1", "v2")
-        passMs(100)
+        loop.passMs(100)
         startEntry("e1")
         show("v2")
         assertEquals("v1", find("e2", "a"), "the servers of v1 have left")
@@ -85,7 +83,7 @@
     private fun find(host: String, attemptId: String): String? {
         val results = ArrayList<String?>()
         client(host).find(attemptId, "svc") { results += it?.softwareVersion }
-        passMs(StreamOriginClient.REPLY_MS)
+        loop.passMs(StreamOriginClient.REPLY_MS)
         return results.single()
     }
 
@@ -96,36 +94,18 @@
                 "", 0, 0, false, 3_000, softwareVersion = version,
             )
         }
-        val view = SiteView(SiteStateMachine.EMPTY, emptyList(), servers, nowMs)
+        val view = SiteView(SiteStateMachine.EMPTY, emptyList(), servers, loop.nowMs)
         services.values.forEach { it.onView(view) }
         clients.values.forEach { it.onView(view) }
     }
 
     private fun startState(name: String) {
-        services[name] = StreamOriginService(Links(name), { nowMs }, { nowMs }).also { nodes[name] = it }
+        services[name] = StreamOriginService(Links(name), loop::nowMs, loop::nowMs).also { nodes[name] = it }
     }
 
     private fun startEntry(name: String) {
         clients[name] =
-            StreamOriginClient(Links(name), { states }, Loop(), { nowMs }, { nowMs }).also { nodes[name] = it }
-    }
-
-    private fun passMs(durationMs: Long) {
-        val endMs = nowMs + durationMs
-        while (timers.isNotEmpty() && timers.peek().first <= endMs) {
-            val (atMs, action) = timers.remove()
-            nowMs = atMs
-            action()
-        }
-        nowMs = endMs
-    }
-
-    private inner class Loop : HostLoop {
-        override fun execute(action: () -> Unit) = action()
-
-        override fun schedule(delayMs: Long, action: () -> Unit) {
-            timers += (nowMs + delayMs) to action
-        }
+            StreamOriginClient(Links(name), { states }, loop, loop::nowMs, loop::nowMs).also { nodes[name] = it }
     }
 
     private inner class Links(name: String) : LinkNetwork {
