Test that a stream is forwarded only to a region with its software version

Cause: read again at the end: RegionSlots.isUsableFor had no test, so that a stream could be forwarded to a region without its version unseen.

--- a/core/src/test/kotlin/org/arbutusrelay/core/routing/SoftwareVersionPlacementTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/routing/SoftwareVersionPlacementTest.kt
@@ -57,6 +57,23 @@
         assertEquals("s0", assertIs<Placement.Run>(next.placement).attempt.backendServer)
     }
 
+    /** Guards against a stream that is forwarded to a region without a server of its version. */
+    @Test
+    fun `a stream is forwarded only to a region that has its version`() {
+        data class Case(val versions: Set<String>?, val isForwarded: Boolean)
+        val cases = listOf(Case(setOf("v1"), false), Case(setOf("v1", "v2"), true), Case(null, true))
+        for (case in cases) {
+            val versions = case.versions?.let { mapOf("drafting" to it) }.orEmpty()
+            val scheduler = DefaultRequestScheduler({ null }, serverSelector = FirstByteServerSelector())
+            val remote = SchedulerFixture.remote("danang").copy(softwareVersions = versions)
+            scheduler.updateTable(table(server("s0").copy(softwareVersion = "v1"), remotes = listOf(remote)))
+            // The share of requests that may be forwarded counts new ones.
+            scheduler.submit(request(1), 0)
+            val placement = scheduler.submit(request(2).copy(softwareVersion = "v2"), 0)
+            assertEquals(case.isForwarded, placement is Placement.Forward, "$case: $placement")
+        }
+    }
+
     /** Guards against a queued stream that waits on after the last server of its version has left. */
     @Test
     fun `a queued stream is refused when the servers of its version leave`() {
--- a/daemon/src/test/kotlin/org/arbutusrelay/daemon/storage/KillThenPowerLossTest.kt
+++ b/daemon/src/test/kotlin/org/arbutusrelay/daemon/storage/KillThenPowerLossTest.kt
@@ -27,7 +27,7 @@
 
     /**
      * Guards against a replica that relies on what an earlier process wrote and did not sync, and then loses it, or
-     * does not start again, because the power fails (CONFIG of the users).
+     * does not start again, because the power fails.
      */
     @Test
     fun `what a replica has loaded after a kill survives a loss of power`() {
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/StreamVersionTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/StreamVersionTest.kt
@@ -48,7 +48,7 @@
     private fun ids(response: String): List<Int> =
         Regex("id: (\\d+)").findAll(response).map { it.groupValues[1].toInt() }.toList()
 
-    /** Guards against events of another software version behind those that the caller has (ORDER of the users). */
+    /** Guards against events of another software version behind those that the caller has. */
     @Test
     fun `a broken stream goes on only at the software version that began it`() {
         data class Case(val versions: List<String>, val ids: IntRange)
