Keep the origins of streams until a state host is connected

Cause: read again at the end: origins that were due while no state host was connected were dropped, so that their streams could not be taken up at another host. Change: they stay in the queue, which is bounded by age, and go out with a later view.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StreamOriginClient.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StreamOriginClient.kt
@@ -132,10 +132,12 @@
 
     /** Sends the origins of services with several versions; those of others stay for the case that one appears. */
     private fun send() {
+        val hosts = targets()
+        // They are sent with a later view, once a state host is connected.
+        if (hosts.isEmpty()) return
         val (due, rest) = unsent.partition { versions.isMixed(it.origin.service) }
         unsent.clear()
         unsent += rest
-        val hosts = targets()
         for ((origin, streams) in due.groupBy { it.origin }) {
             for (part in streams.chunked(MAX_STREAMS_PER_FRAME)) {
                 val message = StreamOriginsMessage(origin.service, origin.softwareVersion, part.map { it.attemptId })
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/node/StreamOriginClientTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/node/StreamOriginClientTest.kt
@@ -19,6 +19,7 @@
     private val nodes = HashMap<String, FrameReceiver>()
     private var frames = 0
     private val states = listOf("s1", "s2")
+    private var targets = states
     private val services = HashMap<String, StreamOriginService>()
     private val clients = HashMap<String, StreamOriginClient>()
 
@@ -51,8 +52,7 @@
         for (case in cases) {
             states.forEach(::startState)
             clients.keys.toList().forEach(::startEntry)
-            loop.passMs(SoftwareVersions.LIFETIME_MS)
-            show("v1", "v2")
+            passUntilKnown()
             client("e1").record("a", StreamOrigin("svc", "v1"))
             loop.passMs(100)
             case.lose()
@@ -78,6 +78,25 @@
         assertEquals("v1", find("e2", "a"), "the servers of v1 have left")
     }
 
+    /** Guards against streams that are forgotten because no state host was connected when they began. */
+    @Test
+    fun `streams are told to the state hosts once one is connected`() {
+        passUntilKnown()
+        targets = emptyList()
+        client("e1").record("a", StreamOrigin("svc", "v1"))
+        loop.passMs(100)
+        targets = states
+        show("v1", "v2")
+        loop.passMs(100)
+        startEntry("e1")
+        assertEquals("v1", find("e2", "a"))
+    }
+
+    private fun passUntilKnown() {
+        loop.passMs(SoftwareVersions.LIFETIME_MS)
+        show("v1", "v2")
+    }
+
     private fun client(name: String) = clients.getValue(name)
 
     private fun find(host: String, attemptId: String): String? {
@@ -105,7 +124,7 @@
 
     private fun startEntry(name: String) {
         clients[name] =
-            StreamOriginClient(Links(name), { states }, loop, loop::nowMs, loop::nowMs).also { nodes[name] = it }
+            StreamOriginClient(Links(name), { targets }, loop, loop::nowMs, loop::nowMs).also { nodes[name] = it }
     }
 
     private inner class Links(name: String) : LinkNetwork {
