Bound the length of the attempt identifiers that are kept for streams

Cause: read again at the end: callers choose these identifiers, up to the limit of a head, and 50,000 of 16 KB do not fit in the memory of a host; 1,000 of them would also exceed a frame between hosts, which is then not sent. Change: an identifier of over 256 characters is not kept. Its stream goes on as before within one answer; a take-up of it counts as unknown. Result: SoftwareVersionsTest has the case and passes in a targeted run; memory was not measured.

--- a/core/src/main/kotlin/org/arbutusrelay/core/stream/StreamOriginTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/stream/StreamOriginTable.kt
@@ -18,12 +18,19 @@
     /** Number of streams that are remembered. */
     public val size: Int get() = entries.size
 
-    /** Records the origin of the stream that began with [attemptId]; the first record of an attempt stands. */
-    public fun record(attemptId: String, origin: StreamOrigin, nowMs: Long) {
+    /**
+     * Records the origin of the stream that began with [attemptId]; the first record of an attempt stands.
+     *
+     * Returns false if [attemptId] is too long to be kept: callers choose it, and a table of long ones would exhaust
+     * the memory.
+     */
+    public fun record(attemptId: String, origin: StreamOrigin, nowMs: Long): Boolean {
+        if (attemptId.length > MAX_ATTEMPT_ID_CHARACTERS) return false
         forget(nowMs)
-        if (attemptId in entries) return
+        if (attemptId in entries) return true
         if (entries.size >= maxStreams) entries.remove(entries.keys.first())
         entries[attemptId] = Entry(origin, nowMs)
+        return true
     }
 
     /** Returns the origin of the stream that began with [attemptId], or null if it is not known. */
@@ -41,5 +48,8 @@
 
         /** About 6 MB; 1,600 new streams a second for [RETENTION_MS]. */
         private const val MAX_STREAMS = 50_000
+
+        /** Sixteen times the identifiers of known callers; 1,000 of them fit in a frame between hosts. */
+        public const val MAX_ATTEMPT_ID_CHARACTERS: Int = 256
     }
 }
--- a/core/src/test/kotlin/org/arbutusrelay/core/stream/SoftwareVersionsTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/stream/SoftwareVersionsTest.kt
@@ -57,6 +57,9 @@
         assertEquals(null, table.find("a", StreamOriginTable.RETENTION_MS + 1))
         listOf("b", "c").forEach { table.record(it, origin, 10) }
         assertEquals(listOf(null, origin, origin), listOf("a", "b", "c").map { table.find(it, 10) })
+        val longId = "x".repeat(StreamOriginTable.MAX_ATTEMPT_ID_CHARACTERS)
+        assertEquals(listOf(true, false), listOf(longId, longId + "x").map { table.record(it, origin, 10) })
+        assertEquals(null, table.find(longId + "x", 10))
         table.record("d", origin, 11 + StreamOriginTable.RETENTION_MS)
         assertEquals(1, table.size)
     }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StreamOriginClient.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StreamOriginClient.kt
@@ -68,7 +68,7 @@
 
     override fun record(attemptId: String, origin: StreamOrigin) {
         val now = nowMs()
-        table.record(attemptId, origin, now)
+        if (!table.record(attemptId, origin, now)) return
         while (unsent.isNotEmpty() && now - unsent.first().recordedMs > SoftwareVersions.LIFETIME_MS) {
             unsent.removeFirst()
         }
