Bound the cost of a byte in the search for a second response

Cause: SecondResponseScanner read up to 32 KB on from each status line, and joined each part with what it held back to scan it again from the beginning. BodyEndCheck did the same for each byte of the end of a body. Change: HeadTracker reads each byte once. All open heads go on with the same lines, so that a field is parsed once for all of them, and what a field shows is kept by its number. The rule for heads tells of one field name, not of a whole head.

--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/BodyEndCheck.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/BodyEndCheck.kt
@@ -19,9 +19,12 @@
  * fills the body, and the rest of the head comes behind it. [end] is the end of the body, from the first byte on that
  * may begin a head; it is empty for a body that ends with a whole head, such as an interim one.
  */
-public class BodyEndCheck(private val end: ByteArray) {
-    private var bytes = end
-    private val starts = if (end.isEmpty()) listOf(0) else end.indices.toList()
+public class BodyEndCheck(end: ByteArray) {
+    private val tracker = HeadTracker(AnyHead)
+
+    /** Heads that begin at this position or later lie behind the body. */
+    private val startLimit = maxOf(end.size, 1).toLong()
+    private val endBytes = end.size.toLong()
 
     /** What is known after the bytes so far. */
     public var state: BodyEnd = BodyEnd.OPEN
@@ -31,36 +34,57 @@
     public val finalState: BodyEnd
         get() = when {
             state != BodyEnd.OPEN -> state
-            bytes.size > end.size -> BodyEnd.FILLED
+            tracker.end > endBytes -> BodyEnd.FILLED
             else -> BodyEnd.WHOLE
         }
 
+    /** True once a head that begins in the body has ended with its empty line. */
+    private var hasEndedHead = false
+
+    init {
+        read(end)
+    }
+
+    /** Number of bytes and heads that were looked at, moved or copied so far. */
+    internal val steps: Long get() = tracker.steps
+
     /** Appends the next bytes behind the body. */
     public fun push(following: ByteArray) {
         if (state != BodyEnd.OPEN || following.isEmpty()) return
-        bytes += following
-        val states = starts.map(::stateFrom)
+        val divided = minOf(following.size, HeadTracker.MIN_STATUS_LINE_BYTES)
+        val isDivided = following.take(divided).count { endsStatusLine(it) } > 0
+        read(following.copyOfRange(divided, following.size))
         state = when {
-            BodyEnd.FILLED in states -> BodyEnd.FILLED
-            BodyEnd.OPEN in states -> BodyEnd.OPEN
+            // A status line that the end of the body divides is that of another response, whatever its fields are.
+            isDivided || hasEndedHead || isInBody(tracker.firstHeadStart) -> BodyEnd.FILLED
+
+            isInBody(tracker.partialStart) -> BodyEnd.OPEN
+
             else -> BodyEnd.WHOLE
         }
     }
 
-    /**
-     * Returns what follows if the other head begins at [start].
-     *
-     * A status line that the end of the body divides is that of another response, whatever its fields are.
-     */
-    private fun stateFrom(start: Int): BodyEnd {
-        val isDivided = end.size - start < HeadMatcher.MIN_STATUS_LINE_BYTES
-        val matched =
-            if (isDivided) bytes.copyOf(minOf(bytes.size, start + HeadMatcher.MIN_STATUS_LINE_BYTES)) else bytes
-        val match = HeadMatcher.match(matched, start)
-        return when {
-            match is HeadMatch.None || (match is HeadMatch.Found && !match.head.isEnded) -> BodyEnd.WHOLE
-            bytes.size - start >= HeadMatcher.MIN_STATUS_LINE_BYTES -> BodyEnd.FILLED
-            else -> BodyEnd.OPEN
+    /** Reads [byte] and returns true if it shows that a status line begins in the body. */
+    private fun endsStatusLine(byte: Byte): Boolean {
+        val latestStart = tracker.latestStart
+        read(byteArrayOf(byte))
+        return tracker.latestStart != latestStart && isInBody(tracker.latestStart)
+    }
+
+    private fun read(bytes: ByteArray) {
+        tracker.append(bytes)
+        while (true) {
+            val heads = tracker.next() ?: break
+            if (heads.isEnded && isInBody(heads.start)) hasEndedHead = true
         }
     }
+
+    private fun isInBody(start: Long?) = start != null && start < startLimit
+
+    /** The head that the body ends with may be that of any response. */
+    private object AnyHead : EmbeddedHeadRule {
+        override val isEventStream: Boolean = false
+
+        override fun namesRequest(name: String): Boolean = false
+    }
 }
--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/SecondResponseScanner.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/SecondResponseScanner.kt
@@ -8,10 +8,11 @@
  * everything else at once. A whole event of a stream is never held back: it ends with an empty line, which also ends
  * a head.
  *
- * [isResponse] decides whether a head belongs to a response or is quoted by the body; it is called once for each head.
+ * [rule] decides whether a head belongs to a response or is quoted by the body. The cost of a byte is bounded, whatever
+ * stands before it, as a body may have no end; see [HeadTracker].
  */
-public class SecondResponseScanner(private val isResponse: (EmbeddedHead) -> Boolean) {
-    private var held = EMPTY
+public class SecondResponseScanner(private val rule: EmbeddedHeadRule) {
+    private var tracker = HeadTracker(rule)
 
     /** Head of the second response, or null as long as none was found. */
     public var secondHead: EmbeddedHead? = null
@@ -23,49 +24,45 @@
      * A shorter beginning of less than [MIN_DOUBTFUL_BYTES] counts as a part of the body, as text may well end with
      * "HTTP".
      */
-    public val endsInsideHead: Boolean get() = held.size >= MIN_DOUBTFUL_BYTES
+    public val endsInsideHead: Boolean get() = tracker.heldBytes >= MIN_DOUBTFUL_BYTES
 
-    /** True if the body so far ends with a head that [isResponse] took for a quotation, such as an interim one. */
+    /** True if the body so far ends with a head that [rule] took for a quotation, such as an interim one. */
     public var endsBehindHead: Boolean = false
         private set
 
-    /** True if the body so far has a head that [isResponse] took for a quotation. */
+    /** True if the body so far has a head that [rule] took for a quotation. */
     public var hasQuotedHead: Boolean = false
         private set
 
+    /** Number of bytes and heads that were looked at, moved or copied so far. */
+    internal val steps: Long get() = tracker.steps
+
     /** Appends the next bytes and returns those that are certainly body; nothing after [secondHead] is. */
     public fun push(bytes: ByteArray): ByteArray {
         if (secondHead != null) return EMPTY
         if (bytes.isNotEmpty()) endsBehindHead = false
-        if (held.isEmpty() && FIRST_BYTE !in bytes) return bytes
-        val buffered = if (held.isEmpty()) bytes else held + bytes
-        for (index in buffered.indices) {
-            if (buffered[index] != FIRST_BYTE) continue
-            when (val match = HeadMatcher.match(buffered, index)) {
-                is HeadMatch.None -> Unit
-
-                is HeadMatch.Unfinished -> {
-                    held = buffered.copyOfRange(index, buffered.size)
-                    return buffered.copyOf(index)
-                }
-
-                is HeadMatch.Found -> {
-                    if (isResponse(match.head)) {
-                        secondHead = match.head
-                        held = buffered.copyOfRange(match.end, buffered.size)
-                        return buffered.copyOf(index)
-                    }
-                    hasQuotedHead = true
-                    endsBehindHead = match.end == buffered.size
-                }
-            }
+        val wasHolding = tracker.heldBytes > 0
+        if (!wasHolding && FIRST_BYTE !in bytes) return bytes
+        tracker.append(bytes)
+        while (true) {
+            val heads = tracker.next() ?: break
+            if (heads.isResponse) return endBefore(heads)
+            hasQuotedHead = true
+            endsBehindHead = heads.isEnded && heads.end == tracker.end
         }
-        held = EMPTY
-        return buffered
+        val body = tracker.take(tracker.firstStart ?: tracker.end)
+        return if (wasHolding || body.size < bytes.size) body else bytes
     }
 
     /** Returns the bytes that are held back: the beginning of the second response's body after [secondHead]. */
-    public fun takeHeld(): ByteArray = held.also { held = EMPTY }
+    public fun takeHeld(): ByteArray = tracker.take(tracker.end).also { tracker = HeadTracker(rule) }
+
+    private fun endBefore(heads: EndedHeads): ByteArray {
+        secondHead = tracker.parse(heads)
+        val body = tracker.take(heads.start)
+        tracker.take(heads.end)
+        return body
+    }
 
     public companion object {
         /** Length of `HTTP/`. */
--- a/core/src/test/kotlin/org/arbutusrelay/core/relay/SecondResponseScannerTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/relay/SecondResponseScannerTest.kt
@@ -4,7 +4,7 @@
 import kotlin.test.assertEquals
 
 class SecondResponseScannerTest {
-    private fun scanner() = SecondResponseScanner { head -> head.fields.any { it.first == "Id" } }
+    private fun scanner() = SecondResponseScanner(NamedHeads)
 
     private class Scanned(val body: String, val head: EmbeddedHead?, val held: String, val endsInsideHead: Boolean)
 
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/BackendExchange.kt
@@ -6,7 +6,7 @@
 import okio.buffer
 import org.arbutusrelay.core.error.ErrorKind
 import org.arbutusrelay.core.error.RelayError
-import org.arbutusrelay.core.relay.EmbeddedHead
+import org.arbutusrelay.core.relay.EmbeddedHeadRule
 import org.arbutusrelay.core.relay.JoinedHeads
 import org.arbutusrelay.core.relay.SecondResponseScanner
 import org.arbutusrelay.core.routing.AttemptResult
@@ -102,7 +102,7 @@
     private fun receiveBody(response: Response, head: ResponseHead, listener: ResponseListener): AttemptEnd {
         if (!deliverHead(head, listener)) return superseded()
         val source = response.body.source()
-        val scanner = SecondResponseScanner(::isResponse)
+        val scanner = SecondResponseScanner(BodyHeads)
         while (!source.exhausted()) {
             deliver(scanner.push(source.readByteArray(minOf(source.buffer.size, CHUNK_BYTES))), listener)
             if (scanner.secondHead != null) return brokenBySecondResponse()
@@ -117,10 +117,6 @@
         if (data.isNotEmpty()) listener.onData(data)
     }
 
-    /** Returns true if [head] names a request; one that does not may be quoted. */
-    private fun isResponse(head: EmbeddedHead) =
-        head.fields.any { (name, _) -> name.equals(REQUEST_ID_HEADER, ignoreCase = true) }
-
     private fun brokenBySecondResponse(): AttemptEnd {
         onDrop(DropReason.FOREIGN)
         activeCall.get()?.cancel()
@@ -211,6 +207,13 @@
 
     private fun remainingMs(): Long = request.timeoutMs - (System.nanoTime() - startNanos) / NANOS_PER_MS
 
+    /** A head that names no request may be quoted. */
+    private object BodyHeads : EmbeddedHeadRule {
+        override val isEventStream: Boolean = false
+
+        override fun namesRequest(name: String): Boolean = name.equals(REQUEST_ID_HEADER, ignoreCase = true)
+    }
+
     private companion object {
         private const val REQUEST_ID_HEADER = "Arbutus-Request-Id"
         private const val OUTCOME_HEADER = "Arbutus-Outcome"
--- a/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/SingleResponseSource.kt
+++ b/daemon/src/main/kotlin/org/arbutusrelay/daemon/backend/SingleResponseSource.kt
@@ -3,6 +3,7 @@
 import okio.Buffer
 import okio.ForwardingSource
 import okio.Source
+import org.arbutusrelay.core.relay.EmbeddedHeadRule
 import org.arbutusrelay.core.relay.SecondResponseScanner
 
 /**
@@ -12,7 +13,7 @@
  * both. An event can't contain a head, since each of its lines begins with the name of a field of the event.
  */
 internal class SingleResponseSource(delegate: Source) : ForwardingSource(delegate) {
-    private val scanner = SecondResponseScanner { it.isEnded && !it.isEventText }
+    private val scanner = SecondResponseScanner(EventStreamHeads)
     private val received = Buffer()
     private val body = Buffer()
     private var isEnded = false
@@ -25,4 +26,10 @@
         }
         return body.read(sink, byteCount)
     }
+
+    private object EventStreamHeads : EmbeddedHeadRule {
+        override val isEventStream: Boolean = true
+
+        override fun namesRequest(name: String): Boolean = false
+    }
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendCall.kt
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders
 import org.arbutusrelay.core.relay.EmbeddedHead
+import org.arbutusrelay.core.relay.EmbeddedHeadRule
 
 /** A request to a backend server, including its body. */
 internal class BackendRequest(
@@ -42,7 +43,7 @@
 }
 
 /** Receives the response to a call. Called on the event loop; at most one of [onComplete] and [onFailure] is called. */
-internal interface BackendListener {
+internal interface BackendListener : EmbeddedHeadRule {
     /** True if another host responds, which checks the responses of its servers itself and writes none twice. */
     val isFromHost: Boolean
 
@@ -59,9 +60,6 @@
     /** The next bytes of the body arrived. */
     fun onBody(bytes: ByteArray)
 
-    /** Returns true if [head], found inside the body, begins another response; false if the body quotes it. */
-    fun isResponse(head: EmbeddedHead): Boolean
-
     /** Another response with [head] began inside the body, which ends before it. */
     fun onSecondResponse(head: EmbeddedHead)
 
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendConnection.kt
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import org.arbutusrelay.core.relay.BodyEnd
 import org.arbutusrelay.core.relay.BodyEndCheck
+import org.arbutusrelay.core.relay.EmbeddedHeadRule
 import org.arbutusrelay.core.relay.JoinedHeads
 import org.arbutusrelay.core.relay.SecondResponseScanner
 import java.util.concurrent.TimeUnit
@@ -47,7 +48,7 @@
     private var skippedResponses = 0
     private var discardedBytes = 0
     private var discardNumber = 0
-    private var scanner = SecondResponseScanner { false }
+    private var scanner = SecondResponseScanner(BodyHeads())
     private var isSelfDelimited = false
     private var hasLength = false
 
@@ -150,7 +151,7 @@
         isReusable = HttpUtil.isKeepAlive(response) && head.isSelfDelimited && !isDesynchronized
         isSelfDelimited = head.isSelfDelimited
         hasLength = HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)
-        scanner = SecondResponseScanner { listener?.isResponse(it) ?: false }
+        scanner = SecondResponseScanner(BodyHeads())
         keepAliveMs = parseKeepAliveMs(response) ?: keepAliveMs
         val isWanted = activeListener.onHead(head)
         when {
@@ -319,6 +320,12 @@
                 MS_PER_SECOND
         }
 
+    private inner class BodyHeads : EmbeddedHeadRule {
+        override val isEventStream: Boolean get() = listener?.isEventStream == true
+
+        override fun namesRequest(name: String): Boolean = listener?.namesRequest(name) == true
+    }
+
     private enum class Phase { IDLE, HEAD, INTERIM, SKIPPED, BODY, SECOND_BODY, END_CHECK, DISCARD, CLOSED }
 
     private companion object {
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/dialect/HeaderDialect.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/dialect/HeaderDialect.kt
@@ -83,6 +83,9 @@
     /** Converts [headers], a copy of the caller's headers, to those of the request to a backend server. */
     public fun encodeRequest(headers: HttpHeaders, metadata: BackendRequestMetadata)
 
+    /** Returns true if the header [name] of a response identifies the attempt that it belongs to. */
+    public fun isAttemptId(name: String): Boolean
+
     /** Decodes the head of a response. */
     public fun decodeResponse(statusCode: Int, headers: HttpHeaders): ResponseMetadata
 }
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/exchange/Attempt.kt
@@ -224,8 +224,9 @@
         body.write(bytes)
     }
 
-    override fun isResponse(head: EmbeddedHead): Boolean =
-        requestIdOf(head) != null || (isStream && head.isEnded && !head.isEventText)
+    override val isEventStream: Boolean get() = isStream
+
+    override fun namesRequest(name: String): Boolean = context.dialect.isAttemptId(name)
 
     /**
      * Compares a copy of this response with the response, where only the connection marks the end of the response.
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/TestDialect.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/TestDialect.kt
@@ -41,6 +41,8 @@
         metadata.lastEventId?.let { headers["Last-Event-Id"] = it.toString() }
     }
 
+    override fun isAttemptId(name: String): Boolean = name.equals("Attempt", ignoreCase = true)
+
     override fun decodeResponse(statusCode: Int, headers: HttpHeaders): ResponseMetadata = ResponseMetadata(
         attemptId = headers["Attempt"],
         isNotExecuted = headers.contains("Not-Executed"),
