Read each byte of an incomplete event once

Callers would see: slower responses of a host that reads a stream whose event has no end and comes in small chunks. EventStreamCursor copied the whole incomplete event for each part that arrived: 8,192 bytes for each byte of an event of 16 KB in parts of one byte (counted in a trial with a counter in the code before). Change: the cursor keeps what the last line of an event has so far, and copies an incomplete event only once it is complete. Result: ScanCostTest has four kinds of stream; its bound of 8 steps a byte failed in the trial and holds now.

--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/EventStreamCursor.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/EventStreamCursor.kt
@@ -25,7 +25,15 @@
  * because one event may stand for several tokens, so a missing event can't be told from a large one.
  */
 public class EventStreamCursor(private val position: StreamPosition = StreamPosition()) {
+    /** What the last line of an event has so far; [START] is that of an event without any byte. */
+    private enum class Line { START, EMPTY, CARRIAGE_RETURN, FILLED }
+
     private val partial = ByteArrayOutputStream()
+    private var line = Line.START
+
+    /** Number of bytes that were looked at or copied so far. */
+    internal var steps: Long = 0
+        private set
 
     /** Number of complete events returned by the cursor. */
     public var eventCount: Int = 0
@@ -46,36 +54,37 @@
 
     /** Appends the next bytes and returns the events that they complete; empty if there are none. */
     public fun push(bytes: ByteArray): ByteArray {
-        // The empty line that ends an event may have begun with the last bytes before.
-        val scanFrom = maxOf(0, partial.size() - MAX_EMPTY_LINE_BYTES)
-        val buffered = if (isInsideEvent) partial.also { it.write(bytes) }.toByteArray() else bytes
-        if (isOneEvent(buffered, scanFrom)) return pushOneEvent(buffered)
-        if (buffered === bytes) partial.write(bytes)
-        val output = ByteArrayOutputStream(buffered.size)
-        var start = 0
+        steps += bytes.size
+        val firstEnd = if (isEventRefused) -1 else findEventEnd(bytes, 0)
+        if (firstEnd < 0) {
+            partial.write(bytes)
+            return EMPTY
+        }
+        val firstEvent = takeFirstEvent(bytes, firstEnd)
+        if (firstEnd == bytes.size) return if (isPassedOn(firstEvent)) firstEvent else EMPTY
+        val output = ByteArrayOutputStream(firstEvent.size + bytes.size - firstEnd)
+        if (isPassedOn(firstEvent)) output.write(firstEvent)
+        var start = firstEnd
         while (!isEventRefused) {
-            val end = findEventEnd(buffered, start, maxOf(start, scanFrom))
+            val end = findEventEnd(bytes, start)
             if (end < 0) break
-            if (isPassedOn(buffered, start, end)) output.write(buffered, start, end - start)
+            if (isPassedOn(bytes, start, end)) output.write(bytes, start, end - start)
             start = end
         }
-        if (start > 0) {
-            partial.reset()
-            partial.write(buffered, start, buffered.size - start)
-        }
+        partial.write(bytes, start, bytes.size - start)
         return output.toByteArray()
     }
 
-    /** Returns true if [buffered] is one event without a beginning of another, as servers mostly write them. */
-    private fun isOneEvent(buffered: ByteArray, scanFrom: Int): Boolean =
-        !isEventRefused && buffered.isNotEmpty() && findEventEnd(buffered, 0, scanFrom) == buffered.size
-
-    /** Returns the event itself rather than a copy of it if it is passed on. */
-    private fun pushOneEvent(event: ByteArray): ByteArray {
-        partial.reset()
-        return if (isPassedOn(event, 0, event.size)) event else EMPTY
+    /** Returns the incomplete event with its last bytes; [bytes] itself if they are the whole event. */
+    private fun takeFirstEvent(bytes: ByteArray, end: Int): ByteArray {
+        if (partial.size() == 0 && end == bytes.size) return bytes
+        steps += partial.size()
+        partial.write(bytes, 0, end)
+        return partial.toByteArray().also { partial.reset() }
     }
 
+    private fun isPassedOn(event: ByteArray) = isPassedOn(event, 0, event.size)
+
     private fun isPassedOn(buffered: ByteArray, start: Int, end: Int): Boolean {
         val id = parseEventId(buffered, start, end)
         val previousId = position.lastEventId
@@ -89,12 +98,22 @@
         return true
     }
 
-    /** Returns the index after the empty line that terminates the event at [start], or -1; it ends after [scanFrom]. */
-    private fun findEventEnd(buffered: ByteArray, start: Int, scanFrom: Int): Int {
-        for (index in maxOf(start + 1, scanFrom) until buffered.size) {
-            if (buffered[index] != LINE_FEED) continue
-            val previous = if (buffered[index - 1] == CARRIAGE_RETURN) index - 2 else index - 1
-            if (previous < start || buffered[previous] == LINE_FEED) return index + 1
+    /**
+     * Returns the index after the empty line that ends the event, which goes on at [start], or -1.
+     *
+     * An event may begin with one empty line, so that an event without lines is no event.
+     */
+    private fun findEventEnd(bytes: ByteArray, start: Int): Int {
+        for (index in start until bytes.size) {
+            val byte = bytes[index]
+            val isEnd = byte == LINE_FEED && line != Line.START && line != Line.FILLED
+            line = when {
+                isEnd -> Line.START
+                byte == LINE_FEED -> Line.EMPTY
+                byte == CARRIAGE_RETURN && line != Line.FILLED && line != Line.CARRIAGE_RETURN -> Line.CARRIAGE_RETURN
+                else -> Line.FILLED
+            }
+            if (isEnd) return index + 1
         }
         return -1
     }
@@ -125,8 +144,6 @@
         /** Longest event, in bytes; a backend server that sends more without an end of the event is faulty. */
         public const val MAX_EVENT_BYTES: Int = 256 * 1024
 
-        /** Bytes of a line feed, a carriage return and a line feed, less the last one. */
-        private const val MAX_EMPTY_LINE_BYTES = 2
         private const val LINE_FEED = '\n'.code.toByte()
         private const val CARRIAGE_RETURN = '\r'.code.toByte()
         private const val ID_FIELD = "id:"
--- a/core/src/test/kotlin/org/arbutusrelay/core/relay/ScanCostTest.kt
+++ b/core/src/test/kotlin/org/arbutusrelay/core/relay/ScanCostTest.kt
@@ -53,6 +53,26 @@
         }
     }
 
+    /** Guards against the same cost in a stream whose event has no end, and comes in small parts. */
+    @Test
+    fun `the cost of a byte does not grow with the event of a stream`() {
+        val events = mapOf(
+            "an event without an end" to "x",
+            "lines of an event without an end" to "data: x\n",
+            "comments" to ": x\n\n",
+            "events" to "id: 1\ndata: x\n\n",
+        )
+        for ((name, part) in events) {
+            for (size in listOf(16, 64, 256).map { it * 1_024 }) {
+                for (partSize in listOf(1, 100, 16_384)) {
+                    val cursor = EventStreamCursor()
+                    body(part, size).parts(partSize).forEach(cursor::push)
+                    assertTrue(cursor.steps <= MAX_STEPS * size, "$name, $size by $partSize: ${cursor.steps} steps")
+                }
+            }
+        }
+    }
+
     private companion object {
         /** A byte is looked at, belongs to at most one line, and is moved or copied a few times. */
         const val MAX_STEPS = 8
--- a/relay/src/test/kotlin/org/arbutusrelay/relay/EndlessResponseTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/EndlessResponseTest.kt
@@ -32,6 +32,7 @@
         Case("log lines in a stream", STREAM, chunk("INFO:access:HTTP/1.1 200 OK\r\n".repeat(100))),
         Case("comments", STREAM, chunk(": HTTP/1.1 200 OK\n\n".repeat(50))),
         Case("an event whose lines do not end", STREAM, chunk("data: HTTP/1.1 200 OK\n".repeat(50))),
+        Case("an event without an end in chunks of a byte", STREAM, chunk("x").repeat(1_000)),
         Case("chunk extensions", SAFE, "1;" + "x".repeat(4_000) + "\r\n \r\n"),
         Case("trailers", SAFE, "X: HTTP/1.1 200 OK\r\n".repeat(100), beginning = "0\r\n"),
         Case("interim heads", SAFE, "HTTP/1.1 100 Continue\r\n" + "X: y\r\n".repeat(1_000) + "\r\n", "", INTERIM),
