Bound the bytes that one server sends before others have their turn

Callers would see: answers that wait for a server that never pauses. Change: connections to servers and other hosts are read twice, 32 KB each. Connections of callers stay as they are: they must be read to their close before a request is sent on (UnreadCallerTest), and their bodies are bounded. Result: ReadsPerTurnTest failed with 1,048,576 bytes in one turn on the commit before, and holds 65,536 now. UnreadCallerTest, EndlessResponseTest and SecondResponseTest pass.

--- a/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/backend/BackendPool.kt
@@ -1,6 +1,7 @@
 package org.arbutusrelay.relay.backend
 
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
@@ -62,10 +63,19 @@
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_S)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .option(ChannelOption.RCVBUF_ALLOCATOR, boundedReads())
         .handler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) = Unit
         })
 
+    /** A server that never pauses would otherwise take most of the time of the event loop. */
+    private fun boundedReads() =
+        AdaptiveRecvByteBufAllocator(
+            MIN_READ_BYTES,
+            FIRST_READ_BYTES,
+            MAX_READ_BYTES,
+        ).maxMessagesPerRead(READS_PER_TURN)
+
     /** Returns null if [address] is not an IP address and port; a host name would be resolved on the event loop. */
     private fun parseAddress(address: String): InetSocketAddress? {
         val port = address.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..MAX_PORT } ?: return null
@@ -122,13 +132,20 @@
         }
     }
 
-    private companion object {
-        const val CONNECT_TIMEOUT_MS = 1_000
-        const val MAX_PORT = 65_535
+    companion object {
+        /** Most bytes that are read from a connection before timers and other connections have their turn. */
+        const val MAX_BYTES_PER_TURN = 64 * 1024
+
+        private const val READS_PER_TURN = 2
+        private const val MIN_READ_BYTES = 64
+        private const val FIRST_READ_BYTES = 2_048
+        private const val MAX_READ_BYTES = MAX_BYTES_PER_TURN / READS_PER_TURN
+        private const val CONNECT_TIMEOUT_MS = 1_000
+        private const val MAX_PORT = 65_535
 
         // Dead peers that send no reset are detected after about four seconds.
-        const val KEEP_ALIVE_IDLE_S = 2
-        const val KEEP_ALIVE_INTERVAL_S = 1
-        const val KEEP_ALIVE_PROBES = 2
+        private const val KEEP_ALIVE_IDLE_S = 2
+        private const val KEEP_ALIVE_INTERVAL_S = 1
+        private const val KEEP_ALIVE_PROBES = 2
     }
 }
