Conclude the version of a stream only from what all state hosts have heard

Cause: SoftwareVersions.only takes what a host has not heard for what is not there. An entry host that is cut off or has stood still, or a state host that is cut off, does not hear of a new version, and concludes that the service has one. Change: an entry host concludes nothing; it asks the state hosts, and refuses what they do not know as not run. A state host without a record asks all others: a record of any of them counts, and the version is concluded only if each replies and names the same single one (OriginSurvey). Servers that state no version are not asked about.

--- a/core/src/main/kotlin/org/arbutusrelay/core/stream/SoftwareVersions.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/stream/SoftwareVersions.kt
@@ -5,10 +5,10 @@
 /**
  * Software versions that the backend servers of each service have had recently.
  *
- * A host that does not know where a stream began can still tell its version if the service has had only one for as long
- * as a stream lasts. A host that has not run for so long does not know which servers there were before; it relies on
- * the present ones only if all of them were already running then. Times are in milliseconds, [startMs] and those called
- * `nowMs` on the monotonic clock. Not thread-safe.
+ * Where nobody knows where a stream began, its version is still known if the service has had only one for as long as a
+ * stream lasts; see [OriginSurvey] for whose knowledge that takes. A host that has not run for so long does not know
+ * which servers there were before; it relies on the present ones only if all of them were already running then. Times
+ * are in milliseconds, [startMs] and those called `nowMs` on the monotonic clock. Not thread-safe.
  */
 public class SoftwareVersions(private val startMs: Long) {
     private class Service {
@@ -32,6 +32,9 @@
     /** Returns true if [service] has, or recently had, servers of several versions. */
     public fun isMixed(service: String): Boolean = (services[service]?.lastSeenMs?.size ?: 0) > 1
 
+    /** Returns true if [service] has, and recently had, only servers that state no version. */
+    public fun isUnversioned(service: String): Boolean = services[service]?.lastSeenMs?.keys == setOf("")
+
     /**
      * Returns the only version at which a stream of [service] that is still open can have begun, or null.
      *
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/EntryNode.kt
@@ -113,7 +113,6 @@
         { site.reportTargets },
         Loop(),
         clock::nowMs,
-        { clock.instant().toEpochMilli() },
     )
     private val context: RelayContext = RelayContext(
         siteLinks.identity, clock, loop, pool, scheduler, dialect, forwardTargets,
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StateNode.kt
@@ -102,8 +102,12 @@
         { documentProof?.isCurrent(clock.nowMs()) ?: site.isStateConfirmed },
     )
 
-    private val streamOrigins =
-        StreamOriginService(siteLinks.network, clock::nowMs) { clock.instant().toEpochMilli() }
+    private val streamOrigins = StreamOriginService(
+        siteLinks.network,
+        clock::nowMs,
+        { clock.instant().toEpochMilli() },
+        { group.voterHosts + site.view.hosts.filter { it.isStateHost }.map { it.hostName } },
+    )
 
     private val httpServers = listOfNotNull(
         settings.controlAddress?.let { httpServer(it, controlRoutes(this)) },
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StreamOriginClient.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StreamOriginClient.kt
@@ -19,18 +19,22 @@
     /** This host passed on its first event. */
     OWN("own"),
 
-    /** Its service has had a single software version for as long as streams last. */
-    SINGLE_VERSION("single_version"),
+    /** The servers of its service state no software version. */
+    UNVERSIONED("unversioned"),
 
-    /** A state host knew it. */
+    /** A state host was told of it. */
     ASKED("asked"),
+
+    /** All state hosts have heard of a single software version of its service for as long as streams last. */
+    SINGLE_VERSION("single_version"),
     UNKNOWN("unknown"),
 }
 
 /**
  * Records at the state hosts where the streams of this host began, and asks them about streams of other hosts.
  *
- * A caller may take up a stream at any host, also after the one that began it has ended. Origins are sent only while
+ * A caller may take up a stream at any host, also after the one that began it has ended. This host concludes nothing
+ * from the servers that it knows, as it may be cut off or have stood still. Origins are sent only while
  * their service has servers of several software versions, as otherwise its only version is known to all; those of the
  * streams that are open when a second version appears are sent then. Confined to the event loop, except for [onFrame].
  */
@@ -39,7 +43,6 @@
     private val targets: () -> List<String>,
     private val loop: HostLoop,
     private val nowMs: () -> Long,
-    private val nowWallMs: () -> Long,
 ) : StreamOrigins,
     FrameReceiver {
     private class Unsent(val attemptId: String, val origin: StreamOrigin, val recordedMs: Long)
@@ -78,12 +81,13 @@
 
     override fun find(attemptId: String?, service: String, onResult: (StreamOrigin?) -> Unit) {
         val own = attemptId?.let { table.find(it, nowMs()) }
-        val single = versions.only(service, nowMs(), nowWallMs())
         when {
             own != null -> finish(OriginLookup.OWN, own, onResult)
-            single != null -> finish(OriginLookup.SINGLE_VERSION, StreamOrigin(service, single), onResult)
-            attemptId == null -> finish(OriginLookup.UNKNOWN, null, onResult)
-            else -> ask(attemptId, service, onResult)
+
+            versions.isUnversioned(service) ->
+                finish(OriginLookup.UNVERSIONED, StreamOrigin(service, ""), onResult)
+
+            else -> ask(attemptId.orEmpty(), service, onResult)
         }
     }
 
@@ -109,11 +113,12 @@
         val isKnown = reply.softwareVersion.isNotEmpty()
         if (!isKnown && query.openReplies > 0) return
         queries.remove(reply.number)
-        if (isKnown) {
-            finish(OriginLookup.ASKED, StreamOrigin(reply.service, reply.softwareVersion), query.onResult)
-        } else {
-            finish(OriginLookup.UNKNOWN, null, query.onResult)
+        val kind = when {
+            !isKnown -> OriginLookup.UNKNOWN
+            reply.singleVersion.isEmpty() -> OriginLookup.ASKED
+            else -> OriginLookup.SINGLE_VERSION
         }
+        finish(kind, if (isKnown) StreamOrigin(reply.service, reply.softwareVersion) else null, query.onResult)
     }
 
     private fun finish(kind: OriginLookup, origin: StreamOrigin?, onResult: (StreamOrigin?) -> Unit) {
@@ -147,8 +152,8 @@
     }
 
     internal companion object {
-        /** More than the round trip between two regions, 110 ms, and the time that a busy host takes to reply. */
-        const val REPLY_MS = 300L
+        /** More than two round trips between regions, 220 ms, and the time that busy hosts take to reply. */
+        const val REPLY_MS = 500L
 
         /** Streams that begin within this time before all entry hosts are lost cannot be taken up. */
         const val SEND_DELAY_MS = 25L
