Report where each stream began before another software version appears

Cause: a host told the state hosts of its streams only once a second version had appeared, which a host that is frozen, cut off or lost does not; it told each state host once, which keeps it in memory; and what was sent on a link that broke was not sent again. Change: each origin is sent, within 25 ms while there are several versions and 250 ms otherwise, in one frame for all streams of that time. Origins that can't be sent need no queue of their own any more.

--- a/core/src/main/kotlin/org/arbutusrelay/core/stream/StreamOriginTable.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/stream/StreamOriginTable.kt
@@ -37,6 +37,10 @@
     public fun find(attemptId: String, nowMs: Long): StreamOrigin? =
         entries[attemptId]?.takeIf { nowMs - it.recordedMs <= RETENTION_MS }?.origin
 
+    /** Returns the streams that were recorded at [sinceMs] or later, the oldest first. */
+    public fun recordedSince(sinceMs: Long): Map<String, StreamOrigin> =
+        entries.filterValues { it.recordedMs >= sinceMs }.mapValues { it.value.origin }
+
     private fun forget(nowMs: Long) {
         val oldest = entries.values.iterator()
         while (oldest.hasNext() && nowMs - oldest.next().recordedMs > RETENTION_MS) oldest.remove()
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StreamOriginClient.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StreamOriginClient.kt
@@ -34,9 +34,10 @@
  * Records at the state hosts where the streams of this host began, and asks them about streams of other hosts.
  *
  * A caller may take up a stream at any host, also after the one that began it has ended. This host concludes nothing
- * from the servers that it knows, as it may be cut off or have stood still. Origins are sent only while
- * their service has servers of several software versions, as otherwise its only version is known to all; those of the
- * streams that are open when a second version appears are sent then. Confined to the event loop, except for [onFrame].
+ * from the servers that it knows, as it may be cut off or have stood still. It sends each origin soon after the first
+ * event of its stream, as it may be lost, or cut off, by the time that another software version appears; a state host
+ * that has started or was out of reach is told all recent ones. Confined to the event loop, except for [onFrame] and
+ * [onLinkUp].
  */
 internal class StreamOriginClient(
     private val network: LinkNetwork,
@@ -45,19 +46,20 @@
     private val nowMs: () -> Long,
 ) : StreamOrigins,
     FrameReceiver {
-    private class Unsent(val attemptId: String, val origin: StreamOrigin, val recordedMs: Long)
-
     private class Query(var openReplies: Int, val onResult: (StreamOrigin?) -> Unit)
 
     private val table = StreamOriginTable()
     private val versions = SoftwareVersions(nowMs())
-    private val unsent = ArrayDeque<Unsent>()
+    private val unsent = LinkedHashMap<String, StreamOrigin>()
+
+    /** State hosts that were told all recent origins but for [unsent]. */
+    private val informed = HashSet<String>()
     private val queries = HashMap<Long, Query>()
     private val lookups = EnumMap<OriginLookup, Long>(OriginLookup::class.java)
 
     /** Starts differently in each process, so that a late reply to an earlier process matches no request. */
     private var number = network.self.epoch and MAX_FIRST_NUMBER
-    private var isSendScheduled = false
+    private var sendDueMs = Long.MAX_VALUE
 
     /** Number of lookups with the result [kind]; may be called on any thread. */
     @Synchronized
@@ -66,17 +68,13 @@
     /** Applies a newer view of the site; may be called on any thread. */
     fun onView(view: SiteView) = loop.execute {
         versions.update(view.backendServers, nowMs())
-        if (unsent.any { versions.isMixed(it.origin.service) }) scheduleSend()
+        if (informed.isEmpty()) scheduleSend(SEND_DELAY_MS)
     }
 
     override fun record(attemptId: String, origin: StreamOrigin) {
-        val now = nowMs()
-        if (!table.record(attemptId, origin, now)) return
-        while (unsent.isNotEmpty() && now - unsent.first().recordedMs > SoftwareVersions.LIFETIME_MS) {
-            unsent.removeFirst()
-        }
-        unsent += Unsent(attemptId, origin, now)
-        if (versions.isMixed(origin.service)) scheduleSend()
+        if (!table.record(attemptId, origin, nowMs())) return
+        unsent[attemptId] = origin
+        scheduleSend(if (versions.isMixed(origin.service)) SEND_DELAY_MS else SINGLE_VERSION_SEND_DELAY_MS)
     }
 
     override fun find(attemptId: String?, service: String, onResult: (StreamOrigin?) -> Unit) {
@@ -96,6 +94,12 @@
         loop.execute { onReply(reply) }
     }
 
+    /** What was sent to [host] before may not have arrived, or be lost with its process. */
+    override fun onLinkUp(host: HostIdentity) = loop.execute {
+        informed -= host.hostName
+        scheduleSend(SEND_DELAY_MS)
+    }
+
     private fun ask(attemptId: String, service: String, onResult: (StreamOrigin?) -> Unit) {
         val request = StreamOriginRequest(++number, service, attemptId)
         val hosts = targets().filter { it in network.connected() }
@@ -126,37 +130,43 @@
         onResult(origin)
     }
 
-    private fun scheduleSend() {
-        if (isSendScheduled) return
-        isSendScheduled = true
-        loop.schedule(SEND_DELAY_MS) {
-            isSendScheduled = false
-            send()
-        }
+    private fun scheduleSend(delayMs: Long) {
+        val dueMs = nowMs() + delayMs
+        if (dueMs >= sendDueMs) return
+        sendDueMs = dueMs
+        loop.schedule(delayMs) { if (dueMs == sendDueMs) send() }
     }
 
-    /** Sends the origins of services with several versions; those of others stay for the case that one appears. */
     private fun send() {
+        sendDueMs = Long.MAX_VALUE
         val hosts = targets()
-        // They are sent with a later view, once a state host is connected.
-        if (hosts.isEmpty()) return
-        val (due, rest) = unsent.partition { versions.isMixed(it.origin.service) }
+        informed.retainAll(hosts.toSet())
+        val (old, new) = hosts.partition { it in informed }
+        send(unsent, old)
+        send(table.recordedSince(nowMs() - SoftwareVersions.LIFETIME_MS), new)
         unsent.clear()
-        unsent += rest
-        for ((origin, streams) in due.groupBy { it.origin }) {
-            for (part in streams.chunked(MAX_STREAMS_PER_FRAME)) {
-                val message = StreamOriginsMessage(origin.service, origin.softwareVersion, part.map { it.attemptId })
-                network.sendAll(hosts, LinkFrame(streamOrigins = message))
+    }
+
+    private fun send(streams: Map<String, StreamOrigin>, hosts: List<String>) {
+        val frames = streams.entries.groupBy({ it.value }, { it.key }).flatMap { (origin, attemptIds) ->
+            attemptIds.chunked(MAX_STREAMS_PER_FRAME).map {
+                LinkFrame(streamOrigins = StreamOriginsMessage(origin.service, origin.softwareVersion, it))
             }
         }
+        for (host in hosts) {
+            if (frames.all { network.send(host, it) }) informed += host else informed -= host
+        }
     }
 
     internal companion object {
         /** More than two round trips between regions, 220 ms, and the time that busy hosts take to reply. */
         const val REPLY_MS = 500L
 
-        /** Streams that begin within this time before all entry hosts are lost cannot be taken up. */
+        /** While there are several versions, streams that begin in the last instant of a host can't be taken up. */
         const val SEND_DELAY_MS = 25L
+
+        /** Else they matter only if another version appears before they end. */
+        const val SINGLE_VERSION_SEND_DELAY_MS = 250L
         const val MAX_STREAMS_PER_FRAME = 1_000
         const val MAX_FIRST_NUMBER = (1L shl 52) - 1
     }
