--- a/relay/src/test/kotlin/org/arbutusrelay/relay/StreamVersionTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/StreamVersionTest.kt
@@ -4,6 +4,7 @@
 import org.arbutusrelay.relay.ScriptedServer.Companion.reset
 import org.arbutusrelay.relay.ScriptedServer.Companion.write
 import org.arbutusrelay.relay.exchange.StreamOrigins
+import org.junit.jupiter.api.Tag
 import java.net.Socket
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.test.Test
@@ -120,6 +121,21 @@
         }
     }
 
+    /** Guards against a stream that goes on at another version because its server has started again with a new one. */
+    @Test
+    @Tag("known-red")
+    fun `a server that has started again has no known version before it announces itself`() {
+        val servers = List(2) { failingServer() }
+        val place = HostPlace(softwareVersions = listOf("v1", "v1"))
+        RelayFixture(*servers.toTypedArray(), place = place).use { relay ->
+            repeat(4) { relay.exchange("/resumable/warm$it", "POST", "Last-Event-Id: 2\r\n", "b") }
+            // The end of a process closes all its connections.
+            servers.forEach { server -> server.sockets.forEach { it.close() } }
+            Thread.sleep(RESET_DELAY_MS)
+            assertEquals(listOf(1, 2), ids(relay.exchange("/resumable/x", "POST", body = "b")))
+        }
+    }
+
     private class KnownOrigins(private val known: Map<String, StreamOrigin?>) : StreamOrigins {
         val recorded = ConcurrentHashMap<String, StreamOrigin>()
 
