Copy the recent origins of streams only for hosts that need them

Change: the list is built for new state hosts only; the scan has a check of its own. Result: behaviour is unchanged; processor time was not measured.

--- a/core/src/main/kotlin/org/arbutusrelay/core/relay/HeadTracker.kt
+++ b/core/src/main/kotlin/org/arbutusrelay/core/relay/HeadTracker.kt
@@ -55,6 +55,8 @@
     /** Position of the last bytes if they may begin a status line, or null. */
     val partialStart: Long? get() = (position - matchedBytes).takeIf { matchedBytes > 0 }
 
+    private val isIdle get() = matchedBytes == 0 && begun.isEmpty() && open.isEmpty()
+
     /** Position of the latest head whose status line is known to be one, or -1. */
     var latestStart: Long = -1
         private set
@@ -68,7 +70,7 @@
     /** Reads on until heads end and returns them, or null once all bytes are read. */
     fun next(): EndedHeads? {
         while (position < bytes.end) {
-            if (firstStart == null) skipToFirstByte()
+            if (isIdle) skipToFirstByte()
             if (position < bytes.end) readByte()?.let { return it }
         }
         return null
--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StreamOriginClient.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StreamOriginClient.kt
@@ -143,7 +143,7 @@
         informed.retainAll(hosts.toSet())
         val (old, new) = hosts.partition { it in informed }
         send(unsent, old)
-        send(table.recordedSince(nowMs() - SoftwareVersions.LIFETIME_MS), new)
+        if (new.isNotEmpty()) send(table.recordedSince(nowMs() - SoftwareVersions.LIFETIME_MS), new)
         unsent.clear()
     }
 
