--- a/relay/src/test/kotlin/org/arbutusrelay/relay/node/StaleViewTest.kt
+++ b/relay/src/test/kotlin/org/arbutusrelay/relay/node/StaleViewTest.kt
@@ -20,7 +20,7 @@
     )
 
     private val cases = listOf(
-        // The two forms of the report of other operators.
+        // A host that is cut off, and one that stands still and has not read what it was sent.
         Case("the entry host is cut off from the core", null, states + "e1", { cut("e2", states) }),
         Case("the entry host stands still and has unread messages", "v2", states + "e1", {}),
         Case("its questions reach the core, the replies do not reach it", null, states + "e1", {
