--- a/relay/src/main/kotlin/org/arbutusrelay/relay/node/StreamOriginClient.kt
+++ b/relay/src/main/kotlin/org/arbutusrelay/relay/node/StreamOriginClient.kt
@@ -162,10 +162,10 @@
         /** More than two round trips between regions, 220 ms, and the time that busy hosts take to reply. */
         const val REPLY_MS = 500L
 
-        /** While there are several versions, streams that begin in the last instant of a host can't be taken up. */
+        /** Streams that begin within this time before their host is lost can't be taken up among several versions. */
         const val SEND_DELAY_MS = 25L
 
-        /** Else they matter only if another version appears before they end. */
+        /** Longer while there is one version, where a lost origin matters only if another appears before the end. */
         const val SINGLE_VERSION_SEND_DELAY_MS = 250L
         const val MAX_STREAMS_PER_FRAME = 1_000
         const val MAX_FIRST_NUMBER = (1L shl 52) - 1
